--- /dev/null
+++ b/cmd/bramleywickd/dev.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/dev"
+	"github.com/bramleywick/bramleywick/standin/engine"
+	"github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/standin/service"
+)
+
+func devCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "dev", ShortUsage: "bramleywickd dev [platform|engine|service]",
+		ShortHelp:   "run an instance with stand-ins for everything around it",
+		Subcommands: []*ffcli.Command{devPlatform(), devEngine(), devService()},
+		Exec: func(ctx context.Context, _ []string) error {
+			log, err := zap.NewProduction()
+			if err != nil {
+				return errors.Wrap(err, "start logging")
+			}
+			return dev.Run(ctx, log, os.Stdout)
+		},
+	}
+}
+
+func devPlatform() *ffcli.Command {
+	return standIn("platform", func(*flag.FlagSet) func() http.Handler {
+		return func() http.Handler { return platform.New().Handler() }
+	})
+}
+
+func devEngine() *ffcli.Command {
+	return standIn("engine", func(flags *flag.FlagSet) func() http.Handler {
+		gap := flags.Duration("token-gap", 20*time.Millisecond, "time between tokens")
+		first := flags.Duration("first-token", 100*time.Millisecond, "time to the first token")
+		return func() http.Handler {
+			incarnation := fleet.Incarnation(fmt.Sprintf("%d-%d", os.Getpid(), time.Now().UnixNano()))
+			return engine.New(engine.Config{Incarnation: incarnation, TokenGap: *gap, FirstToken: *first}).Handler()
+		}
+	})
+}
+
+func devService() *ffcli.Command {
+	return standIn("service", func(*flag.FlagSet) func() http.Handler {
+		return func() http.Handler { return (&service.Server{}).Handler() }
+	})
+}
+
+// standIn returns a subcommand that serves one stand-in until it is stopped.
+func standIn(name string, setup func(*flag.FlagSet) func() http.Handler) *ffcli.Command {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	listen := flags.String("listen", "127.0.0.1:0", "IP address and port")
+	build := setup(flags)
+	return &ffcli.Command{
+		Name: name, ShortUsage: "bramleywickd dev " + name + " [flags]", ShortHelp: "run a stand-in " + name,
+		FlagSet: flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			address, err := dev.Serve(ctx, *listen, build())
+			if err != nil {
+				return err
+			}
+			fmt.Printf("listening on %s\n", address)
+			<-ctx.Done()
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/bramleywickd/main.go
@@ -0,0 +1,65 @@
+// Command bramleywickd is the entry daemon of a bramleywick deployment.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/daemon"
+	"github.com/bramleywick/bramleywick/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &ffcli.Command{
+		ShortUsage:  "bramleywickd <subcommand>",
+		Subcommands: []*ffcli.Command{runCommand(), checkCommand(), devCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func runCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("run", flag.ContinueOnError)
+	path := flags.String("config", "", "settings file (INI)")
+	return &ffcli.Command{
+		Name: "run", ShortUsage: "bramleywickd run -config F", ShortHelp: "run an entry instance",
+		FlagSet: flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			s, err := settings.Load(*path)
+			if err != nil {
+				return err
+			}
+			log, err := zap.NewProduction()
+			if err != nil {
+				return errors.Wrap(err, "start logging")
+			}
+			return daemon.New(s, log).Run(ctx)
+		},
+	}
+}
+
+func checkCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("check", flag.ContinueOnError)
+	path := flags.String("config", "", "settings file (INI)")
+	return &ffcli.Command{
+		Name: "check", ShortUsage: "bramleywickd check -config F", ShortHelp: "check a settings file",
+		FlagSet: flags,
+		Exec: func(context.Context, []string) error {
+			_, err := settings.Load(*path)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/core/declare/index.go
@@ -0,0 +1,107 @@
+package declare
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// Index is an immutable view of one declaration for fast look-ups.
+type Index struct {
+	Version     int64
+	Declaration *Declaration
+	members     map[fleet.MemberID]*Member
+	byHash      map[string]*Member
+	kinds       map[fleet.KindName]*Kind
+	groups      map[fleet.GroupName]*Group
+	upstreams   map[fleet.UpstreamID]*Upstream
+}
+
+// NewIndex builds the index of a valid declaration.
+func NewIndex(version int64, d *Declaration) *Index {
+	x := &Index{
+		Version:     version,
+		Declaration: d,
+		members:     map[fleet.MemberID]*Member{},
+		byHash:      map[string]*Member{},
+		kinds:       map[fleet.KindName]*Kind{},
+		groups:      map[fleet.GroupName]*Group{},
+		upstreams:   map[fleet.UpstreamID]*Upstream{},
+	}
+	for i := range d.Members {
+		m := &d.Members[i]
+		x.members[m.ID] = m
+		for _, h := range m.KeyHashes {
+			x.byHash[h] = m
+		}
+	}
+	for i := range d.Kinds {
+		x.kinds[d.Kinds[i].Name] = &d.Kinds[i]
+	}
+	for i := range d.Groups {
+		x.groups[d.Groups[i].Name] = &d.Groups[i]
+	}
+	for i := range d.Upstreams {
+		x.upstreams[d.Upstreams[i].ID] = &d.Upstreams[i]
+	}
+	return x
+}
+
+// HashKey returns the hex SHA-256 digest under which a key is declared.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// MemberByKey returns the member that owns a key, or nil. The digest is
+// compared in constant time after the look-up.
+func (x *Index) MemberByKey(key string) *Member {
+	hash := HashKey(key)
+	m := x.byHash[hash]
+	if m == nil {
+		return nil
+	}
+	for _, h := range m.KeyHashes {
+		if subtle.ConstantTimeCompare([]byte(h), []byte(hash)) == 1 {
+			return m
+		}
+	}
+	return nil
+}
+
+// Member returns a member by id, or nil.
+func (x *Index) Member(id fleet.MemberID) *Member { return x.members[id] }
+
+// Kind returns a kind by name, or nil.
+func (x *Index) Kind(name fleet.KindName) *Kind { return x.kinds[name] }
+
+// Group returns a group by name, or nil.
+func (x *Index) Group(name fleet.GroupName) *Group { return x.groups[name] }
+
+// Upstream returns an upstream by id, or nil.
+func (x *Index) Upstream(id fleet.UpstreamID) *Upstream { return x.upstreams[id] }
+
+// Route returns the route with the longest prefix of path, or nil.
+func (x *Index) Route(path string) *Route {
+	var best *Route
+	for i := range x.Declaration.Routes {
+		r := &x.Declaration.Routes[i]
+		if strings.HasPrefix(path, r.Path) && (best == nil || len(r.Path) > len(best.Path)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Grants tells whether the member may send requests of a kind.
+func (m *Member) Grants(kind fleet.KindName) bool {
+	for _, k := range m.Kinds {
+		if k == kind {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,259 @@
+// Package platform is a small stand-in for the platform's key-value service,
+// for development and tests. It keeps everything in memory.
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	real "github.com/bramleywick/bramleywick/platform"
+)
+
+// Server is an in-memory key-value service with leases and watches.
+// The zero value is not usable; call New.
+type Server struct {
+	mu        sync.Mutex
+	revision  int64
+	nextLease int64
+	entries   map[string]stored
+	leases    map[string]leaseState
+	instances []real.InstanceInfo
+	changed   chan struct{} // closed and replaced at every write
+	faults    Faults
+}
+
+type stored struct {
+	real.Entry
+	leaseID string
+}
+
+type leaseState struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Faults are the failures that a test can switch on.
+type Faults struct {
+	// Down answers every call with 503.
+	Down bool
+	// LoseWriteAnswers applies writes and then breaks the connection.
+	LoseWriteAnswers bool
+	// Delay is added before every call is handled.
+	Delay time.Duration
+}
+
+// New returns an empty service.
+func New() *Server {
+	return &Server{
+		entries: map[string]stored{},
+		leases:  map[string]leaseState{},
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the active faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// SetInstances replaces the list that Instances returns.
+func (s *Server) SetInstances(list []real.InstanceInfo) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = list
+}
+
+// Handler returns the HTTP interface of the service.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv", s.handleGet)
+	mux.HandleFunc("GET /v1/list", s.handleList)
+	mux.HandleFunc("PUT /v1/kv", s.write(s.swap))
+	mux.HandleFunc("DELETE /v1/kv", s.write(s.remove))
+	mux.HandleFunc("POST /v1/lease", s.write(s.grant))
+	mux.HandleFunc("PUT /v1/lease", s.write(s.renew))
+	mux.HandleFunc("DELETE /v1/lease", s.write(s.revoke))
+	mux.HandleFunc("GET /v1/watch", s.handleWatch)
+	mux.HandleFunc("GET /v1/instances", s.handleInstances)
+	return s.faulty(mux)
+}
+
+func (s *Server) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		f := s.faults
+		s.mu.Unlock()
+		time.Sleep(f.Delay)
+		if f.Down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// write decodes the body, applies one write under the lock and answers with
+// its status and result.
+func (s *Server) write(apply func(real.Wire) (real.Wire, int)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in real.Wire
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*real.MaxValueBytes)).Decode(&in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.mu.Lock()
+		s.expire(time.Now())
+		out, status := apply(in)
+		lose := s.faults.LoseWriteAnswers
+		if status == http.StatusOK {
+			close(s.changed)
+			s.changed = make(chan struct{})
+		}
+		s.mu.Unlock()
+		if lose {
+			panic(http.ErrAbortHandler)
+		}
+		reply(w, out, status)
+	}
+}
+
+func reply(w http.ResponseWriter, out real.Wire, status int) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+func (s *Server) swap(in real.Wire) (real.Wire, int) {
+	if len(in.Value) > real.MaxValueBytes {
+		return real.Wire{}, http.StatusRequestEntityTooLarge
+	}
+	if s.entries[in.Key].Revision != in.Revision {
+		return real.Wire{Revision: s.entries[in.Key].Revision}, http.StatusConflict
+	}
+	if _, ok := s.leases[in.LeaseID]; in.LeaseID != "" && !ok {
+		return real.Wire{}, http.StatusGone
+	}
+	s.revision++
+	entry := real.Entry{Key: in.Key, Value: in.Value, Revision: s.revision}
+	s.entries[in.Key] = stored{Entry: entry, leaseID: in.LeaseID}
+	return real.Wire{Revision: s.revision}, http.StatusOK
+}
+
+func (s *Server) remove(in real.Wire) (real.Wire, int) {
+	current, ok := s.entries[in.Key]
+	if !ok {
+		return real.Wire{}, http.StatusNotFound
+	}
+	if current.Revision != in.Revision {
+		return real.Wire{Revision: current.Revision}, http.StatusConflict
+	}
+	s.revision++
+	delete(s.entries, in.Key)
+	return real.Wire{Revision: s.revision}, http.StatusOK
+}
+
+func (s *Server) grant(in real.Wire) (real.Wire, int) {
+	s.nextLease++
+	id := "lease-" + strconv.FormatInt(s.nextLease, 10)
+	s.leases[id] = leaseState{ttl: in.TTL, expires: time.Now().Add(in.TTL)}
+	return real.Wire{LeaseID: id}, http.StatusOK
+}
+
+func (s *Server) renew(in real.Wire) (real.Wire, int) {
+	lease, ok := s.leases[in.LeaseID]
+	if !ok {
+		return real.Wire{}, http.StatusGone
+	}
+	lease.expires = time.Now().Add(lease.ttl)
+	s.leases[in.LeaseID] = lease
+	return real.Wire{}, http.StatusOK
+}
+
+func (s *Server) revoke(in real.Wire) (real.Wire, int) {
+	s.dropLease(in.LeaseID)
+	return real.Wire{}, http.StatusOK
+}
+
+// expire removes lapsed leases and their keys.
+func (s *Server) expire(now time.Time) {
+	for id, lease := range s.leases {
+		if now.After(lease.expires) {
+			s.dropLease(id)
+		}
+	}
+}
+
+func (s *Server) dropLease(id string) {
+	delete(s.leases, id)
+	for key, e := range s.entries {
+		if e.leaseID == id && id != "" {
+			s.revision++
+			delete(s.entries, key)
+		}
+	}
+}
+
+func (s *Server) handleGet(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.expire(time.Now())
+	e, ok := s.entries[r.URL.Query().Get("key")]
+	s.mu.Unlock()
+	if !ok {
+		reply(w, real.Wire{}, http.StatusNotFound)
+		return
+	}
+	reply(w, real.Wire{Value: e.Value, Revision: e.Revision}, http.StatusOK)
+}
+
+func (s *Server) handleList(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	s.mu.Lock()
+	s.expire(time.Now())
+	var list []real.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, e.Entry)
+		}
+	}
+	s.mu.Unlock()
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	reply(w, real.Wire{Entries: list}, http.StatusOK)
+}
+
+func (s *Server) handleWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	waitMS, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
+	for waiting := true; waiting; {
+		s.mu.Lock()
+		e := s.entries[query.Get("key")]
+		changed := s.changed
+		s.mu.Unlock()
+		if e.Revision > after {
+			break
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			waiting = false
+		case <-r.Context().Done():
+			return
+		}
+	}
+	s.handleGet(w, r)
+}
+
+func (s *Server) handleInstances(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	list := append([]real.InstanceInfo(nil), s.instances...)
+	s.mu.Unlock()
+	reply(w, real.Wire{List: list}, http.StatusOK)
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,50 @@
+// Package service is a small stand-in for a plain service, for development and
+// tests. It counts how often each call ran.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// maxBodyBytes bounds the body of one call.
+const maxBodyBytes = 1 << 20
+
+// Server is one stand-in service. The zero value is ready to use.
+type Server struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Runs returns how often a call with this path and body ran.
+func (s *Server) Runs(path, body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[path+" "+body]
+}
+
+// Handler returns the service's HTTP interface: every path is a call.
+func (s *Server) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		runs := s.record(r.URL.Path, string(body))
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(map[string]any{"path": r.URL.Path, "runs": runs})
+	})
+}
+
+func (s *Server) record(path, body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs == nil {
+		s.runs = map[string]int{}
+	}
+	s.runs[path+" "+body]++
+	return s.runs[path+" "+body]
+}
--- /dev/null
+++ b/upstream/wire.go
@@ -0,0 +1,56 @@
+// Package upstream holds the clients of engines and plain services.
+package upstream
+
+import "github.com/bramleywick/bramleywick/core/fleet"
+
+// CompletionRequest is the body of POST /v1/completions at an engine.
+type CompletionRequest struct {
+	RequestID fleet.RequestID `json:"request_id"`
+	Model     fleet.ModelName `json:"model,omitempty"`
+	Prompt    string          `json:"prompt"`
+	MaxTokens int             `json:"max_tokens"`
+	// Priority orders waiting requests at the engine; higher goes first.
+	Priority int `json:"priority,omitempty"`
+	// ResumeFrom is the sequence number of the first chunk that is missing.
+	ResumeFrom int64 `json:"resume_from,omitempty"`
+	// Prefix is the part of the answer that another engine has produced; the
+	// engine continues after it, numbering chunks from ResumeFrom.
+	Prefix string `json:"prefix,omitempty"`
+	// KVFrom locates the prompt's KV cache at the engine that prefilled it.
+	KVFrom *KVHandle `json:"kv_from,omitempty"`
+}
+
+// KVHandle locates exported KV cache.
+type KVHandle struct {
+	Address string `json:"address"` // host:port of the exporting engine
+	ID      string `json:"id"`
+}
+
+// Chunk is one server-sent event of an engine's answer. Sequence numbers start
+// at 1 and increase by 1.
+type Chunk struct {
+	RequestID fleet.RequestID `json:"request_id"`
+	Seq       int64           `json:"seq"`
+	Text      string          `json:"text,omitempty"`
+	// Tokens is the number of tokens in Text.
+	Tokens int `json:"tokens,omitempty"`
+	// Finish is "stop" or "length" on the last chunk.
+	Finish string       `json:"finish,omitempty"`
+	Usage  *fleet.Usage `json:"usage,omitempty"`
+}
+
+// Load is the body of GET /v1/load at an engine or a plain service.
+type Load struct {
+	Incarnation         fleet.Incarnation `json:"incarnation"`
+	Sequence            int64             `json:"sequence"`
+	Role                string            `json:"role,omitempty"`
+	Models              []fleet.ModelName `json:"models,omitempty"`
+	Running             int               `json:"running"`
+	Waiting             int               `json:"waiting"`
+	WaitingPromptTokens int               `json:"waiting_prompt_tokens"`
+	KVUsedTokens        int               `json:"kv_used_tokens"`
+	KVCapacityTokens    int               `json:"kv_capacity_tokens"`
+	Leaving             bool              `json:"leaving"`
+	// AgeMS is how old the report was when it was sent, in milliseconds.
+	AgeMS int64 `json:"age_ms"`
+}
