Define what the scheduler shares with peers and operators

Cause: the exchange between instances and the operators' status call need types to build against before the scheduler's policy exists.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -152,3 +152,17 @@
 	delete(t.d.waiting, t.id)
 	t.d.mu.Unlock()
 }
+
+// TakeShared returns and clears what peers must learn about recent work.
+func (d *Dispatcher) TakeShared() sched.Shared {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sched.TakeShared()
+}
+
+// Status returns a snapshot of the scheduler.
+func (d *Dispatcher) Status() sched.Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sched.Status()
+}
