Measure policies in virtual time on a shifting mix

Cause: goodput and role changes are what users measure, and no policy could be compared before there was an engine model and a bound to compare with. Change: emulator models one engine (continuous batching, chunked prefill, roles, prefix cache); mixshift runs eight schedulers against 12 or 18 engines with late reports, a withdrawn engine and a partition, next to baselines and the fluid bound of the best division of roles.

--- /dev/null
+++ b/emulator/cache.go
@@ -0,0 +1,58 @@
+package emulator
+
+import "container/list"
+
+// blockCache is a prefix cache with least-recently-used eviction.
+type blockCache struct {
+	capacity int
+	order    *list.List // front: most recently used
+	entries  map[uint64]*list.Element
+	stored   []uint64
+	evicted  []uint64
+}
+
+func newBlockCache(capacity int) blockCache {
+	return blockCache{capacity: capacity, order: list.New(), entries: map[uint64]*list.Element{}}
+}
+
+// lookup returns the prompt tokens covered by the longest cached prefix. At
+// least one token is left, since the last one is always computed.
+func (c *blockCache) lookup(blocks []uint64, prompt int) int {
+	n := 0
+	for _, b := range blocks {
+		el, ok := c.entries[b]
+		if !ok {
+			break
+		}
+		c.order.MoveToFront(el)
+		n++
+	}
+	return min(n*BlockTokens, prompt-1)
+}
+
+func (c *blockCache) store(blocks []uint64) {
+	for _, b := range blocks {
+		if el, ok := c.entries[b]; ok {
+			c.order.MoveToFront(el)
+			continue
+		}
+		c.entries[b] = c.order.PushFront(b)
+		c.stored = append(c.stored, b)
+		if c.order.Len() > c.capacity {
+			c.evictLast()
+		}
+	}
+}
+
+func (c *blockCache) evictLast() {
+	last := c.order.Back()
+	b := c.order.Remove(last).(uint64)
+	delete(c.entries, b)
+	c.evicted = append(c.evicted, b)
+}
+
+func (c *blockCache) takeEvents() (stored, evicted []uint64) {
+	stored, evicted = c.stored, c.evicted
+	c.stored, c.evicted = nil, nil
+	return stored, evicted
+}
--- /dev/null
+++ b/mixshift/mixshift_test.go
@@ -0,0 +1,131 @@
+package mixshift
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// seeds are fixed so that every run prints the same figures.
+var seeds = []uint64{1, 2, 3}
+
+// BenchmarkMixShift prints a row for each deployment and policy; the figures
+// are those of the worst seed by goodput.
+func BenchmarkMixShift(b *testing.B) {
+	for _, d := range []Deployment{Hrafnsey(), Polegar()} {
+		b.Run(d.Name, func(b *testing.B) {
+			for _, p := range Policies() {
+				b.Run(p.Name, func(b *testing.B) { benchmarkPolicy(b, d, p) })
+			}
+		})
+	}
+}
+
+// runSeeds runs one policy on the scenario of every seed, in parallel.
+func runSeeds(p Policy, scenarioOf func(seed uint64) scenario) []Result {
+	results := make([]Result, len(seeds))
+	var wg sync.WaitGroup
+	for i, seed := range seeds {
+		wg.Go(func() { results[i] = Run(p, scenarioOf(seed)) })
+	}
+	wg.Wait()
+	return results
+}
+
+func benchmarkPolicy(b *testing.B, d Deployment, p Policy) {
+	for range b.N {
+		results := runSeeds(p, func(seed uint64) scenario { return mixScenario(d, seed) })
+		worst := results[0]
+		for _, r := range results {
+			if r.Goodput < worst.Goodput {
+				worst = r
+			}
+		}
+		report(b, worst)
+	}
+}
+
+// BenchmarkOverload prints the goodput at the capacity and at twice the
+// capacity, and the share error of members that are all backlogged.
+func BenchmarkOverload(b *testing.B) {
+	for _, d := range []Deployment{Hrafnsey(), Polegar()} {
+		for _, p := range Policies()[:3] {
+			b.Run(d.Name+"/"+p.Name, func(b *testing.B) {
+				for range b.N {
+					at := Run(p, overloadScenario(d, 1, 1))
+					twice := Run(p, overloadScenario(d, 1, 2))
+					b.ReportMetric(float64(at.InTime), "in_time_at_capacity")
+					b.ReportMetric(float64(twice.InTime), "in_time_at_twice")
+					b.ReportMetric(100*twice.shareError(overloadScenario(d, 1, 2).shares), "share_error_%")
+				}
+			})
+		}
+	}
+}
+
+func report(b *testing.B, r Result) {
+	b.ReportMetric(100*r.Goodput, "goodput_%")
+	b.ReportMetric(100*r.Tokens, "tokens_%")
+	b.ReportMetric(100*r.RefusedPart, "refused_%")
+	b.ReportMetric(float64(r.FirstTokenP95/time.Millisecond), "ttft_p95_ms")
+	b.ReportMetric(float64(r.TokenGapP95/time.Millisecond), "tbt_p95_ms")
+	b.ReportMetric(float64(r.RoleChanges), "role_changes")
+	b.ReportMetric(100*r.Fluid, "fluid_%")
+	if testing.Verbose() {
+		for name, k := range r.ByKind {
+			b.Logf("%s: %+v", name, *k)
+		}
+		b.Logf("goodput by phase %.3f, refusals %v, choices %v", r.ByPhase, r.Refusals, r.Choices)
+	}
+}
+
+// TestFluidBound guards against a bound that a division of whole engines can
+// exceed: no division sampled at random may carry more than the best one.
+func TestFluidBound(t *testing.T) {
+	Convey("The best division carries the most for every mix", t, func() {
+		d := Hrafnsey()
+		rng := rand.New(rand.NewPCG(1, 1))
+		for _, share := range []float64{0.18, 0.36, 0.54} {
+			best, roles := d.bestDivision(d.Speeds, share)
+			So(len(roles), ShouldEqual, len(d.Speeds))
+			for range 2000 {
+				rates := make([]engineRates, len(d.Speeds))
+				for i, s := range d.Speeds {
+					rates[i] = ratesOf(s, fleet.Role(rng.IntN(3)))
+				}
+				So(fluidCapacity(rates, share), ShouldBeLessThanOrEqualTo, best+1e-9)
+			}
+		}
+	})
+}
+
+// TestRunIsDeterministicAndComplete guards against requests that are counted
+// twice or lost by the measurement, and against figures that differ per run.
+func TestRunIsDeterministicAndComplete(t *testing.T) {
+	Convey("Two runs with one seed give one result, with every request ended", t, func() {
+		d := Hrafnsey()
+		phases := []phase{{length: 20 * time.Second, prefillShare: 0.36}}
+		sc := scenario{
+			deployment: d, seed: 5, phases: phases, load: 0.6, shares: equalShares(),
+			faults:   faults{withdrawn: 3, withdrawAt: 2 * time.Second, returnAt: 30 * time.Second, cutDC: 1, cutAt: 5 * time.Second, healAt: 9 * time.Second},
+			arrivals: d.workload(newGenerator(5, zipfDemand), phases, 0.6),
+		}
+		for _, p := range Policies() {
+			a, b := Run(p, sc), Run(p, sc)
+			So(a.InTime, ShouldEqual, b.InTime)
+			So(a.FirstTokenP95, ShouldEqual, b.FirstTokenP95)
+			ended := 0
+			for _, r := range a.sim.order {
+				if r.done {
+					ended++
+				}
+			}
+			So(ended, ShouldEqual, len(sc.arrivals))
+		}
+	})
+}
--- /dev/null
+++ b/mixshift/run.go
@@ -0,0 +1,349 @@
+package mixshift
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/sched"
+	"github.com/bramleywick/bramleywick/emulator"
+)
+
+const roleChangeTime = emulator.RoleChangeTime
+
+// Policy builds the schedulers and the planner of a run.
+type Policy struct {
+	Name      string
+	scheduler func(instance int, seed uint64) Scheduler
+	planner   func(d Deployment) planner
+	// roles returns the roles at the start.
+	roles func(d Deployment) []fleet.Role
+}
+
+// meanPrefillShare is the share for which fixed divisions are best.
+const meanPrefillShare = 0.36
+
+func bestFixedRoles(d Deployment) []fleet.Role {
+	_, roles := d.bestDivision(d.Speeds, meanPrefillShare)
+	return roles
+}
+
+func mixedRoles(d Deployment) []fleet.Role { return make([]fleet.Role, len(d.Speeds)) }
+
+// Result is the row that a run prints.
+type Result struct {
+	Offered, InTime, Refused int
+	Goodput                  float64 // part of the offered requests in time
+	Tokens                   float64 // the same in prompt and output tokens
+	RefusedPart              float64
+	FirstTokenP95            time.Duration
+	TokenGapP95              time.Duration
+	RoleChanges              int
+	Fluid                    float64
+	ByKind                   map[fleet.KindName]*KindResult
+	Refusals                 map[fleet.Reason]int
+	Choices                  map[string]int
+	// ByPhase is the goodput of each phase's arrivals.
+	ByPhase []float64
+	sim     *Sim
+}
+
+// KindResult splits a result by kind of request.
+type KindResult struct {
+	Offered, InTime, LateFirst, LateGaps, Unfinished, Refused int
+}
+
+// scenario is everything about a run apart from the policy.
+type scenario struct {
+	deployment Deployment
+	seed       uint64
+	phases     []phase
+	load       float64
+	faults     faults
+	shares     []float64
+	arrivals   []arrival
+}
+
+// mixScenario is the measurement of the shifting mix for one seed.
+func mixScenario(d Deployment, seed uint64) scenario {
+	phases := shiftingMix()
+	// The withdrawn engine is one of the middle speed classes.
+	f := faults{
+		withdrawn: dataCentres + int(seed)%dataCentres, withdrawAt: 7 * time.Minute, returnAt: 9 * time.Minute,
+		cutDC: int(seed) % dataCentres, cutAt: 10*time.Minute + 30*time.Second, healAt: 11*time.Minute + 30*time.Second,
+	}
+	return scenario{
+		deployment: d, seed: seed, phases: phases, load: 0.9, faults: f,
+		shares: equalShares(), arrivals: d.workload(newGenerator(seed, zipfDemand), phases, 0.9),
+	}
+}
+
+// overloadScenario offers a multiple of the capacity with every member
+// backlogged. Shares are 1, 2 and 3 in turn, and every tenth member sends all
+// its requests to one instance.
+func overloadScenario(d Deployment, seed uint64, load float64) scenario {
+	phases := []phase{{length: 4 * time.Minute, prefillShare: meanPrefillShare}}
+	sc := scenario{
+		deployment: d, seed: seed, phases: phases, load: load, faults: noFaults(),
+		arrivals: d.workload(newGenerator(seed, equalDemand), phases, load),
+	}
+	for i := range members {
+		sc.shares = append(sc.shares, float64(1+i%3))
+	}
+	for i := range sc.arrivals {
+		if sc.arrivals[i].member%10 == 0 {
+			sc.arrivals[i].instance = 0
+		}
+	}
+	return sc
+}
+
+// shareError returns the largest relative deviation of a member's served cost
+// from its share of all cost served, over each whole minute after the first.
+func (r Result) shareError(shares []float64) float64 {
+	sum := 0.0
+	for _, w := range shares {
+		sum += w
+	}
+	worst := 0.0
+	for start := time.Minute; start+time.Minute <= r.sim.end; start += time.Minute {
+		served := make([]float64, len(shares))
+		total := 0.0
+		for m, list := range r.sim.tokensByMem {
+			for _, t := range list {
+				if t.at >= start && t.at < start+time.Minute {
+					served[m] += t.cost.Seconds()
+					total += t.cost.Seconds()
+				}
+			}
+		}
+		for m, w := range shares {
+			worst = max(worst, math.Abs(served[m]/(total*w/sum)-1))
+		}
+	}
+	return worst
+}
+
+func equalShares() []float64 {
+	out := make([]float64, members)
+	for i := range out {
+		out[i] = 1
+	}
+	return out
+}
+
+// Run simulates one policy on one scenario.
+func Run(p Policy, sc scenario) Result {
+	s := newSim(p, sc)
+	s.run()
+	return s.result(sc)
+}
+
+func newSim(p Policy, sc scenario) *Sim {
+	d := sc.deployment
+	s := &Sim{
+		deployment: d, rng: rand.New(rand.NewPCG(sc.seed, 7)), faults: sc.faults,
+		requests: map[fleet.RequestID]*request{}, tokensByMem: map[int][]servedTokens{}, reasons: map[string]int{},
+		reports: make([]sched.LoadReport, len(d.Speeds)), end: totalLength(sc.phases),
+	}
+	roles := p.roles(d)
+	for i, speed := range d.Speeds {
+		e := &engineState{Engine: emulator.New(engineID(i), speed, roles[i]), index: i, dc: i % dataCentres}
+		s.engines = append(s.engines, e)
+		s.reports[i].Role = roles[i]
+	}
+	if p.planner != nil {
+		s.planner = p.planner(d)
+	}
+	configure := sched.Configure{Version: 1, Declaration: d.declaration(roles, sc.shares)}
+	for i := range instances {
+		s.schedulers = append(s.schedulers, p.scheduler(i, sc.seed))
+		s.step(i, configure)
+	}
+	s.scheduleControl()
+	s.scheduleFaults()
+	for _, a := range sc.arrivals {
+		r := &request{arrival: a}
+		s.requests[a.id] = r
+		s.order = append(s.order, r)
+		s.after(a.at+clientDelay, func() { s.arrive(r) })
+	}
+	return s
+}
+
+// scheduleControl starts the periodic control traffic, spread over its periods.
+func (s *Sim) scheduleControl() {
+	for i := range s.schedulers {
+		s.after(time.Duration(i)*tickPeriod/instances, func() {
+			s.every(tickPeriod, func() { s.step(i, sched.Tick{}) })
+		})
+		s.after(time.Duration(i)*exchangePeriod/instances, func() {
+			s.every(exchangePeriod, func() { s.exchange(i) })
+		})
+	}
+	for i, e := range s.engines {
+		s.announce(e, true, false)
+		s.after(time.Duration(i)*reportPeriod/time.Duration(len(s.engines)), func() {
+			s.every(reportPeriod, func() { s.report(e) })
+			s.every(cachePeriod, func() { s.cacheEvents(e) })
+		})
+	}
+	s.every(planPeriod, s.planRoles)
+}
+
+func (s *Sim) result(sc scenario) Result {
+	out := Result{
+		Offered: len(s.order), RoleChanges: s.roleChanges, Fluid: sc.fluid(),
+		ByKind: map[fleet.KindName]*KindResult{}, Refusals: map[fleet.Reason]int{}, Choices: s.reasons, sim: s,
+	}
+	var firsts, gaps []time.Duration
+	var tokens, tokensInTime int
+	for _, r := range s.order {
+		k := out.ByKind[r.kind.Name]
+		if k == nil {
+			k = &KindResult{}
+			out.ByKind[r.kind.Name] = k
+		}
+		tokens += r.prompt + r.output
+		if k.count(r) {
+			out.InTime++
+			tokensInTime += r.prompt + r.output
+		}
+		if r.refused {
+			out.Refused++
+			out.Refusals[r.reason]++
+		}
+		if r.firstAt > 0 {
+			firsts = append(firsts, r.firstAt-r.at)
+		}
+		gaps = append(gaps, r.latencies...)
+	}
+	out.ByPhase = s.goodputByPhase(sc.phases)
+	out.Goodput = float64(out.InTime) / float64(out.Offered)
+	out.Tokens = float64(tokensInTime) / float64(tokens)
+	out.RefusedPart = float64(out.Refused) / float64(out.Offered)
+	out.FirstTokenP95 = percentile(firsts, 0.95)
+	out.TokenGapP95 = percentile(gaps, 0.95)
+	return out
+}
+
+func (s *Sim) goodputByPhase(phases []phase) []float64 {
+	var out []float64
+	end := fleet.Instant(0)
+	i := 0
+	for _, p := range phases {
+		end += p.length
+		var k KindResult
+		for ; i < len(s.order) && s.order[i].at < end; i++ {
+			k.count(s.order[i])
+		}
+		out = append(out, float64(k.InTime)/float64(max(1, k.Offered)))
+	}
+	return out
+}
+
+// lateGapsAllowed is the part of an answer's token gaps that may exceed the
+// target: the target holds for 95 in 100.
+const lateGapsAllowed = 0.05
+
+// count adds a request and tells whether it was answered within its targets.
+func (k *KindResult) count(r *request) bool {
+	k.Offered++
+	switch {
+	case r.refused:
+		k.Refused++
+	case !r.answered:
+		k.Unfinished++
+	case r.firstAt-r.at > r.kind.TargetFirstToken:
+		k.LateFirst++
+	case float64(r.lateGaps) > lateGapsAllowed*float64(r.gaps):
+		k.LateGaps++
+	default:
+		k.InTime++
+		return true
+	}
+	return false
+}
+
+func percentile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sort.Slice(values, func(i, j int) bool { return values[i] < values[j] })
+	return values[int(q*float64(len(values)-1))]
+}
+
+// fluid returns the part of the offered work that whole engines in the best
+// roles carry when no second is lost, given the engines withdrawn and the
+// partition of the scenario.
+func (sc scenario) fluid() float64 {
+	const slice = 10 * time.Second
+	var carried, offered float64
+	start := fleet.Instant(0)
+	cache := map[string]float64{}
+	for i, p := range sc.phases {
+		full, _ := sc.deployment.bestDivision(sc.deployment.Speeds, p.prefillShare)
+		for at := start; at < start+p.length; at += slice {
+			state := sc.stateAt(at)
+			key := string(rune(i)) + state.key
+			if _, ok := cache[key]; !ok {
+				cache[key] = sc.carriedBy(state, p, full*sc.load)
+			}
+			carried += cache[key]
+			offered += full * sc.load
+		}
+		start += p.length
+	}
+	return carried / offered
+}
+
+// fleetState is which engines are usable and how they are connected.
+type fleetState struct {
+	key   string
+	parts [][]float64 // speeds of the engines that are connected
+	loads []float64   // part of the callers that reach each
+}
+
+func (sc scenario) stateAt(at fleet.Instant) fleetState {
+	f := sc.faults
+	withdrawn := f.withdrawn >= 0 && at >= f.withdrawAt && at < f.returnAt
+	cut := f.cutDC >= 0 && at >= f.cutAt && at < f.healAt
+	state := fleetState{parts: make([][]float64, 2), loads: make([]float64, 2)}
+	for i, speed := range sc.deployment.Speeds {
+		part := 0
+		if cut && i%dataCentres == f.cutDC {
+			part = 1
+		}
+		if !withdrawn || i != f.withdrawn {
+			state.parts[part] = append(state.parts[part], speed)
+		}
+	}
+	for i := range instances {
+		part := 0
+		if cut && instanceDataCentre(i) == f.cutDC {
+			part = 1
+		}
+		state.loads[part] += 1.0 / instances
+	}
+	if withdrawn {
+		state.key += "w"
+	}
+	if cut {
+		state.key += "c"
+	}
+	return state
+}
+
+func (sc scenario) carriedBy(state fleetState, p phase, offered float64) float64 {
+	sum := 0.0
+	for i, part := range state.parts {
+		if state.loads[i] == 0 {
+			continue
+		}
+		capacity, _ := sc.deployment.bestDivision(part, p.prefillShare)
+		sum += min(capacity, offered*state.loads[i])
+	}
+	return sum
+}
--- /dev/null
+++ b/mixshift/sim.go
@@ -0,0 +1,389 @@
+package mixshift
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/sched"
+	"github.com/bramleywick/bramleywick/emulator"
+)
+
+// Scheduler is the part of a scheduler that the measurement drives.
+type Scheduler interface {
+	Step(now fleet.Instant, ev sched.Event)
+	Ready() []sched.Command
+	TakeShared() sched.Shared
+}
+
+// Periods and delays of control traffic in the measurement.
+const (
+	tickPeriod      = 20 * time.Millisecond
+	reportPeriod    = 500 * time.Millisecond
+	reportLag       = 250 * time.Millisecond
+	exchangePeriod  = time.Second
+	cachePeriod     = time.Second
+	cacheLag        = 500 * time.Millisecond
+	planPeriod      = time.Second
+	detectionDelay  = time.Second
+	withdrawalGrace = 20 * time.Second
+	drainLimit      = 60 * time.Second
+	drainPoll       = 50 * time.Millisecond
+	cacheLossRate   = 0.02
+	tokensPerNotice = 16
+)
+
+// KV cache transfer between engines.
+const (
+	transferBase     = 5 * time.Millisecond
+	transferPerToken = time.Microsecond
+)
+
+// fault is a planned disturbance of a run.
+type faults struct {
+	withdrawn            int // engine; -1 for none
+	withdrawAt, returnAt fleet.Instant
+	cutDC                int // data centre; -1 for none
+	cutAt, healAt        fleet.Instant
+}
+
+func noFaults() faults { return faults{withdrawn: -1, cutDC: -1} }
+
+func requestID(i int) fleet.RequestID { return fleet.RequestID(fmt.Sprintf("r%06d", i)) }
+
+// event is one entry of the simulation's calendar.
+type event struct {
+	at  fleet.Instant
+	seq int64
+	run func()
+}
+
+type calendar []event
+
+func (c calendar) Len() int { return len(c) }
+func (c calendar) Less(i, j int) bool {
+	return c[i].at < c[j].at || c[i].at == c[j].at && c[i].seq < c[j].seq
+}
+func (c calendar) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+func (c *calendar) Push(x any)   { *c = append(*c, x.(event)) }
+func (c *calendar) Pop() any {
+	old := *c
+	e := old[len(old)-1]
+	*c = old[:len(old)-1]
+	return e
+}
+
+// request is the state of one arrival during a run.
+type request struct {
+	arrival
+	attempt   int
+	choice    sched.Choice
+	firstAt   fleet.Instant
+	lastAt    fleet.Instant
+	made      int
+	unsent    int // tokens not yet noticed to the scheduler
+	gaps      int
+	lateGaps  int
+	maxGap    time.Duration
+	cached    int
+	done      bool
+	refused   bool
+	answered  bool
+	reason    fleet.Reason
+	endAt     fleet.Instant
+	latencies []time.Duration
+}
+
+// engineState is an engine with what the measurement knows about it.
+type engineState struct {
+	*emulator.Engine
+	index    int
+	dc       int
+	sequence int64
+	draining bool
+	// incarnation counts restarts.
+	incarnation int
+}
+
+// Sim is one run of one policy.
+type Sim struct {
+	deployment Deployment
+	now        fleet.Instant
+	seq        int64
+	calendar   calendar
+	rng        *rand.Rand
+	engines    []*engineState
+	schedulers []Scheduler
+	requests   map[fleet.RequestID]*request
+	order      []*request
+	faults     faults
+	planner    planner
+	change     *roleChange
+	end        fleet.Instant
+	events     []emulator.Event
+
+	roleChanges int
+	tokensByMem map[int][]servedTokens
+	reasons     map[string]int
+	// latest reports by engine, as the planner's instance has them.
+	reports []sched.LoadReport
+}
+
+// servedTokens records cost served to a member, for the share error.
+type servedTokens struct {
+	at   fleet.Instant
+	cost time.Duration
+}
+
+func (s *Sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.calendar, event{at: s.now + d, seq: s.seq, run: run})
+}
+
+func (s *Sim) every(period time.Duration, run func()) {
+	var again func()
+	again = func() {
+		run()
+		if s.now < s.end {
+			s.after(period, again)
+		}
+	}
+	s.after(period, again)
+}
+
+// run processes the calendar and the engines' iterations in time order.
+func (s *Sim) run() {
+	for {
+		engine, at := s.nextIteration()
+		if len(s.calendar) > 0 && (engine == nil || s.calendar[0].at <= at) {
+			e := heap.Pop(&s.calendar).(event)
+			s.now = e.at
+			e.run()
+			continue
+		}
+		if engine == nil {
+			return
+		}
+		s.now = at
+		s.iterate(engine)
+	}
+}
+
+func (s *Sim) nextIteration() (next *engineState, at fleet.Instant) {
+	for _, e := range s.engines {
+		if t, busy := e.NextAt(); busy && (next == nil || t < at) {
+			next, at = e, t
+		}
+	}
+	return next, at
+}
+
+// connected tells whether two data centres reach each other now.
+func (s *Sim) connected(a, b int) bool {
+	cut := s.faults.cutDC
+	if cut < 0 || s.now < s.faults.cutAt || s.now >= s.faults.healAt {
+		return true
+	}
+	return a == b || a != cut && b != cut
+}
+
+func (s *Sim) delay(a, b int) time.Duration {
+	if a == b {
+		return localDelay
+	}
+	return s.deployment.Delay
+}
+
+// step gives one event to an instance and carries out its commands.
+func (s *Sim) step(instance int, ev sched.Event) {
+	sc := s.schedulers[instance]
+	sc.Step(s.now, ev)
+	for _, c := range sc.Ready() {
+		s.carryOut(instance, c)
+	}
+}
+
+func (s *Sim) carryOut(instance int, c sched.Command) {
+	switch c := c.(type) {
+	case sched.Dispatch:
+		r := s.requests[c.ID]
+		r.choice = c.Choice
+		r.attempt++
+		s.reasons[c.Choice.Reason]++
+		s.send(r, r.attempt)
+	case sched.Refuse:
+		r := s.requests[c.ID]
+		r.refused = true
+		r.reason = c.Refusal.Reason
+		s.finish(r)
+	case sched.CancelAt:
+		if e := s.engineByID(c.Upstream); e != nil {
+			e.Cancel(c.ID)
+		}
+	}
+}
+
+func (s *Sim) engineByID(id fleet.UpstreamID) *engineState {
+	for _, e := range s.engines {
+		if e.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// send starts an attempt at the engine of the request's choice.
+func (s *Sim) send(r *request, attempt int) {
+	if r.choice.Path == sched.PathSplit {
+		s.submit(r, attempt, r.choice.Prefill, emulator.ModePrefill)
+		return
+	}
+	s.submit(r, attempt, r.choice.Target, emulator.ModeFull)
+}
+
+func (s *Sim) submit(r *request, attempt int, target fleet.UpstreamID, mode emulator.Mode) {
+	e := s.engineByID(target)
+	dc := instanceDataCentre(r.instance)
+	if e == nil || !s.connected(dc, e.dc) {
+		s.after(detectionDelay, func() { s.attemptFailed(r, attempt, target) })
+		return
+	}
+	s.after(s.delay(dc, e.dc), func() {
+		if r.done || r.attempt != attempt {
+			return
+		}
+		job := emulator.Job{
+			ID: r.id, Mode: mode, Prompt: r.prompt + r.made, Output: r.output - r.made,
+			Blocks: r.blocks, Priority: r.choice.Priority,
+		}
+		if !e.Submit(s.now, job) {
+			s.after(s.delay(dc, e.dc), func() { s.attemptFailed(r, attempt, target) })
+		}
+	})
+}
+
+func (s *Sim) attemptFailed(r *request, attempt int, target fleet.UpstreamID) {
+	if r.done || r.attempt != attempt {
+		return
+	}
+	s.step(r.instance, sched.Failed{ID: r.id, Upstream: target, Retry: true})
+}
+
+// iterate ends an engine's iteration and passes its events on.
+func (s *Sim) iterate(e *engineState) {
+	s.events = e.Advance(s.now, s.events[:0])
+	for _, ev := range s.events {
+		r := s.requests[ev.ID]
+		if r.done {
+			continue
+		}
+		switch ev.Type {
+		case emulator.EventPrefilled:
+			s.prefilled(r, e, ev.Cached)
+		case emulator.EventToken:
+			s.token(r, e)
+		case emulator.EventFinished:
+			s.answered(r, e, ev.Cached)
+		}
+	}
+}
+
+// prefilled moves the KV cache to the engine that decodes. When that engine is
+// out of reach, the attempt fails.
+func (s *Sim) prefilled(r *request, e *engineState, cached int) {
+	r.cached = cached
+	target := s.engineByID(r.choice.Target)
+	attempt := r.attempt
+	dc := instanceDataCentre(r.instance)
+	if !s.connected(e.dc, target.dc) || !s.connected(dc, target.dc) {
+		s.after(detectionDelay, func() { s.attemptFailed(r, attempt, target.ID) })
+		return
+	}
+	s.after(s.delay(dc, e.dc), func() {
+		if !r.done && r.attempt == attempt {
+			s.notePrefilled(r, cached)
+		}
+	})
+	transfer := transferBase + time.Duration(r.prompt)*transferPerToken + 2*s.delay(dc, e.dc)
+	s.after(transfer, func() {
+		if !r.done && r.attempt == attempt {
+			s.submit(r, attempt, target.ID, emulator.ModeDecode)
+		}
+	})
+}
+
+// notePrefilled tells the scheduler that the prefill engine is done with r.
+func (s *Sim) notePrefilled(*request, int) {}
+
+func (s *Sim) token(r *request, e *engineState) {
+	d := s.delay(instanceDataCentre(r.instance), e.dc)
+	at := s.now + d + clientDelay
+	r.made++
+	r.unsent++
+	if r.firstAt == 0 {
+		r.firstAt = at
+		s.after(d, func() { s.step(r.instance, sched.FirstToken{ID: r.id}) })
+	} else {
+		r.gap(at - r.lastAt)
+	}
+	r.lastAt = at
+	if r.unsent >= tokensPerNotice {
+		n := r.unsent
+		r.unsent = 0
+		s.after(d, func() { s.step(r.instance, sched.Tokens{ID: r.id, N: n}) })
+	}
+}
+
+func (r *request) gap(d time.Duration) {
+	r.gaps++
+	r.maxGap = max(r.maxGap, d)
+	if d > r.kind.TargetTokenGap {
+		r.lateGaps++
+	}
+	r.latencies = append(r.latencies, d)
+}
+
+func (s *Sim) answered(r *request, e *engineState, cached int) {
+	r.answered = true
+	if r.choice.Path == sched.PathSplit {
+		cached = r.cached
+	}
+	s.finish(r)
+	usage := fleet.Usage{PromptTokens: r.prompt, CachedTokens: cached, OutputTokens: r.output}
+	s.after(s.delay(instanceDataCentre(r.instance), e.dc), func() {
+		s.step(r.instance, sched.Finished{ID: r.id, Usage: usage})
+	})
+	s.tokensByMem[r.member] = append(s.tokensByMem[r.member], servedTokens{at: s.now, cost: prefillWork(r.prompt-cached) + decodeWork(r.prompt, r.output)})
+}
+
+func (s *Sim) finish(r *request) {
+	r.done = true
+	r.endAt = s.now + clientDelay
+}
+
+// arrive enters a request at its instance and sets the caller's timeout.
+func (s *Sim) arrive(r *request) {
+	s.step(r.instance, sched.Submit{Request: sched.Request{
+		ID: r.id, Member: memberID(r.member), Kind: r.kind.Name,
+		// A caller's maximum is a round number above the real length.
+		PromptTokens: r.prompt, MaxOutputTokens: r.kind.outputMax, Blocks: r.blocks,
+	}})
+	s.after(r.kind.Deadline, func() {
+		if r.done {
+			return
+		}
+		s.finish(r)
+		s.cancelEverywhere(r)
+		s.step(r.instance, sched.Cancel{ID: r.id})
+	})
+}
+
+func (s *Sim) cancelEverywhere(r *request) {
+	for _, id := range []fleet.UpstreamID{r.choice.Prefill, r.choice.Target} {
+		if e := s.engineByID(id); e != nil {
+			e.Cancel(r.id)
+		}
+	}
+}
--- /dev/null
+++ b/mixshift/workload.go
@@ -0,0 +1,201 @@
+package mixshift
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/emulator"
+)
+
+// phase is a stretch of time with a constant mix.
+type phase struct {
+	length time.Duration
+	// prefillShare is the part of the engines' work that is prefill.
+	prefillShare float64
+}
+
+// shiftingMix moves the prefill share by half of its usual 36% up and down
+// within minutes.
+func shiftingMix() []phase {
+	const high, low = 0.54, 0.18
+	var out []phase
+	for _, share := range []float64{0.36, high, low, high, low} {
+		out = append(out, phase{length: 3 * time.Minute, prefillShare: share})
+	}
+	return out
+}
+
+func totalLength(phases []phase) time.Duration {
+	var sum time.Duration
+	for _, p := range phases {
+		sum += p.length
+	}
+	return sum
+}
+
+// arrival is one request as its caller sends it.
+type arrival struct {
+	at       fleet.Instant
+	id       fleet.RequestID
+	kind     kindSpec
+	member   int
+	instance int
+	prompt   int
+	output   int
+	blocks   []uint64
+}
+
+// work is engine time at speed 1 within the engine's role.
+type work struct{ prefill, decode time.Duration }
+
+func (w work) total() time.Duration { return w.prefill + w.decode }
+
+// prefillWork returns the time to prefill n tokens.
+func prefillWork(n int) time.Duration { return time.Duration(n) * emulator.PrefillPerToken }
+
+// decodeWork returns the time that output tokens add to iterations.
+func decodeWork(prompt, output int) time.Duration {
+	context := output*prompt + output*output/2
+	return time.Duration(output)*emulator.DecodePerSequence + time.Duration(context)*emulator.DecodePerContextToken
+}
+
+// workOf returns the least work of a request: every block that an earlier
+// request of the workload has in common counts as cached.
+func workOf(a arrival, repeated bool) work {
+	uncached := a.prompt
+	if repeated {
+		uncached -= len(a.blocks) * emulator.BlockTokens
+	}
+	return work{prefill: prefillWork(uncached), decode: decodeWork(a.prompt, a.output)}
+}
+
+// generator draws requests of one deployment.
+type generator struct {
+	rng       *rand.Rand
+	nextBlock uint64
+	recent    map[int][]arrival // by member: prompts that may be followed up
+	weights   []float64         // cumulative demand of members
+}
+
+const recentPrompts = 4
+
+func newGenerator(seed uint64, demand func(member int) float64) *generator {
+	g := &generator{rng: rand.New(rand.NewPCG(seed, 0x6d69787368696674)), recent: map[int][]arrival{}}
+	sum := 0.0
+	for i := range members {
+		sum += demand(i)
+		g.weights = append(g.weights, sum)
+	}
+	return g
+}
+
+// zipfDemand is a member's relative demand in the shifting mix.
+func zipfDemand(member int) float64 { return 1 / float64(1+member) }
+
+// equalDemand gives every member the same demand.
+func equalDemand(int) float64 { return 1 }
+
+func (g *generator) member() int {
+	x := g.rng.Float64() * g.weights[len(g.weights)-1]
+	return sort.SearchFloat64s(g.weights, x)
+}
+
+func (g *generator) between(lo, hi int) int { return lo + g.rng.IntN(hi-lo+1) }
+
+// draw returns one request and its least work.
+func (g *generator) draw(k kindSpec) (arrival, work) {
+	a := arrival{kind: k, member: g.member(), instance: g.rng.IntN(instances)}
+	a.output = g.between(k.outputMin, k.outputMax)
+	recent := g.recent[a.member]
+	if len(recent) > 0 && g.rng.Float64() < k.followUp {
+		old := recent[g.rng.IntN(len(recent))]
+		a.prompt = old.prompt + g.between(50, 300)
+		a.blocks = old.blocks
+		return a, workOf(a, true)
+	}
+	a.prompt = g.between(k.promptMin, k.promptMax)
+	for range a.prompt / emulator.BlockTokens {
+		g.nextBlock++
+		a.blocks = append(a.blocks, g.nextBlock*0x9e3779b97f4a7c15)
+	}
+	if k.followUp > 0 {
+		recent = append(recent, a)
+		g.recent[a.member] = recent[max(0, len(recent)-recentPrompts):]
+	}
+	return a, workOf(a, false)
+}
+
+// meanWork estimates the mean least work of a kind.
+func meanWork(k kindSpec) work {
+	const samples = 4000
+	g := newGenerator(1, zipfDemand)
+	var sum work
+	for range samples {
+		_, w := g.draw(k)
+		sum.prefill += w.prefill
+		sum.decode += w.decode
+	}
+	return work{prefill: sum.prefill / samples, decode: sum.decode / samples}
+}
+
+// shortShare is the part of the work that short requests make in every phase.
+const shortShare = 0.1
+
+// rates returns the requests per second of each kind for a total of work per
+// second (engine seconds at speed 1) with the given prefill share.
+func (d Deployment) rates(prefillShare, workPerSecond float64) []float64 {
+	specs := d.kinds()
+	var part, cost [3]float64 // prefill share and total work of each kind
+	for i, k := range specs {
+		w := meanWork(k)
+		part[i] = float64(w.prefill) / float64(w.total())
+		cost[i] = w.total().Seconds()
+	}
+	rest := 1 - shortShare
+	long := (prefillShare - shortShare*part[2] - rest*part[1]) / (part[0] - part[1])
+	shares := [3]float64{long, rest - long, shortShare}
+	out := make([]float64, len(specs))
+	for i := range specs {
+		out[i] = max(0, shares[i]) * workPerSecond / cost[i]
+	}
+	return out
+}
+
+// workload draws the arrivals of all phases at load times the capacity that
+// the best division of roles has in each phase.
+func (d Deployment) workload(g *generator, phases []phase, load float64) []arrival {
+	var out []arrival
+	start := fleet.Instant(0)
+	for _, p := range phases {
+		capacity, _ := d.bestDivision(d.Speeds, p.prefillShare)
+		for i, rate := range d.rates(p.prefillShare, capacity*load) {
+			out = append(out, g.poisson(d.kinds()[i], rate, start, p.length)...)
+		}
+		start += p.length
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].at < out[j].at })
+	for i := range out {
+		out[i].id = requestID(i)
+	}
+	return out
+}
+
+// poisson draws arrivals at a mean rate per second.
+func (g *generator) poisson(k kindSpec, rate float64, start fleet.Instant, length time.Duration) []arrival {
+	var out []arrival
+	if rate <= 0 {
+		return nil
+	}
+	at := start
+	for {
+		at += time.Duration(g.rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= start+length {
+			return out
+		}
+		a, _ := g.draw(k)
+		a.at = at
+		out = append(out, a)
+	}
+}
