--- /dev/null
+++ b/core/prefix/prefix.go
@@ -0,0 +1,238 @@
+// Package prefix indexes which engines hold which prompt blocks in their
+// prefix cache. The index is bounded, accepts late and incomplete events and
+// states how far it trusts its entries of each engine.
+package prefix
+
+const (
+	// slotsPerEntry engines share one entry; a block held by more engines
+	// takes several entries.
+	slotsPerEntry = 4
+	// noEngine marks a free slot.
+	noEngine = 0xffff
+	// EntryBytes is the memory of one entry.
+	EntryBytes = 16
+	// maxLoad is the filled part of a table, in eighths, at which the older
+	// generation is dropped.
+	maxLoad = 6
+	// gapFactor multiplies the confidence in an engine when events were lost.
+	gapFactor = 0.6
+	// minConfidence keeps a lossy engine's entries useful as a weak hint.
+	minConfidence = 0.2
+	// batchGain and usageGain are the weights of a batch received in sequence
+	// and of a reported usage in the confidence.
+	batchGain = 0.02
+	usageGain = 0.1
+)
+
+type entry struct {
+	hash    uint64
+	engines [slotsPerEntry]uint16
+}
+
+// table is an open-addressing multimap; a zero hash marks a free entry.
+type table struct {
+	entries []entry
+	used    int
+}
+
+func newTable(size int) table { return table{entries: make([]entry, size)} }
+
+// Index is a bounded map from block hash to engines. Two generations give an
+// approximate least-recently-used bound without per-entry bookkeeping: new and
+// reused blocks go to the current one, and the previous one is dropped when
+// the current one is full.
+type Index struct {
+	current, previous table
+	confidence        []float32
+	sequence          []int64
+	depth             []uint16
+	touched           []int32
+}
+
+// New returns an index with at most the given number of entries in both
+// generations together, rounded up to a power of two.
+func New(entries int) *Index {
+	size := 16
+	for 2*size < entries {
+		size *= 2
+	}
+	return &Index{current: newTable(size), previous: newTable(size)}
+}
+
+// Grow makes room for engines 0 to n-1.
+func (x *Index) Grow(n int) {
+	for len(x.confidence) < n {
+		x.confidence = append(x.confidence, 1)
+		x.sequence = append(x.sequence, -1)
+		x.depth = append(x.depth, 0)
+	}
+}
+
+// Bytes returns the memory of the tables.
+func (x *Index) Bytes() int {
+	return EntryBytes * (len(x.current.entries) + len(x.previous.entries))
+}
+
+// Confidence returns the trust in the entries of an engine, 0 to 1.
+func (x *Index) Confidence(engine int32) float64 { return float64(x.confidence[engine]) }
+
+// Update applies a batch of cache events. A jump in the sequence lowers the
+// confidence in the engine's entries; a batch that is not newer is ignored.
+func (x *Index) Update(engine int32, sequence int64, stored, evicted []uint64) {
+	last := x.sequence[engine]
+	if last >= 0 && sequence <= last {
+		return
+	}
+	if last >= 0 && sequence != last+1 {
+		x.confidence[engine] = max(x.confidence[engine]*gapFactor, minConfidence)
+	} else {
+		x.confidence[engine] += (1 - x.confidence[engine]) * batchGain
+	}
+	x.sequence[engine] = sequence
+	for _, h := range evicted {
+		x.remove(engine, h)
+	}
+	x.Insert(engine, stored)
+}
+
+// ObserveHit compares the predicted with the reported cached tokens.
+func (x *Index) ObserveHit(engine int32, predicted, reported float64) {
+	if predicted <= 0 {
+		return
+	}
+	hit := float32(min(reported/predicted, 1))
+	c := x.confidence[engine]
+	x.confidence[engine] = max(c+(hit-c)*usageGain, minConfidence)
+}
+
+// Insert records that an engine holds blocks, or is about to.
+func (x *Index) Insert(engine int32, blocks []uint64) {
+	for _, h := range blocks {
+		x.insert(uint16(engine), h)
+	}
+}
+
+func (x *Index) insert(engine uint16, hash uint64) {
+	if hash == 0 {
+		return
+	}
+	if x.current.used*8 >= len(x.current.entries)*maxLoad {
+		x.current, x.previous = x.previous, x.current
+		clear(x.current.entries)
+		x.current.used = 0
+	}
+	x.current.add(hash, engine)
+}
+
+func (t *table) add(hash uint64, engine uint16) {
+	mask := uint64(len(t.entries) - 1)
+	free := (*uint16)(nil)
+	for i := mix(hash) & mask; ; i = (i + 1) & mask {
+		e := &t.entries[i]
+		if e.hash == 0 {
+			if free == nil {
+				*e = entry{hash: hash, engines: [slotsPerEntry]uint16{engine, noEngine, noEngine, noEngine}}
+				t.used++
+				return
+			}
+			*free = engine
+			return
+		}
+		if e.hash != hash {
+			continue
+		}
+		for s := range e.engines {
+			if e.engines[s] == engine {
+				return
+			}
+			if e.engines[s] == noEngine && free == nil {
+				free = &e.engines[s]
+			}
+		}
+	}
+}
+
+func (t *table) remove(hash uint64, engine uint16) {
+	mask := uint64(len(t.entries) - 1)
+	for i := mix(hash) & mask; t.entries[i].hash != 0; i = (i + 1) & mask {
+		e := &t.entries[i]
+		if e.hash != hash {
+			continue
+		}
+		for s := range e.engines {
+			if e.engines[s] == engine {
+				e.engines[s] = noEngine
+			}
+		}
+	}
+}
+
+func (x *Index) remove(engine int32, hash uint64) {
+	x.current.remove(hash, uint16(engine))
+	x.previous.remove(hash, uint16(engine))
+}
+
+// DropEngine forgets an engine whose cache is empty after a restart. It scans
+// both tables.
+func (x *Index) DropEngine(engine int32) {
+	for _, t := range []*table{&x.current, &x.previous} {
+		for i := range t.entries {
+			for s := range t.entries[i].engines {
+				if t.entries[i].engines[s] == uint16(engine) {
+					t.entries[i].engines[s] = noEngine
+				}
+			}
+		}
+	}
+	x.confidence[engine] = 1
+	x.sequence[engine] = -1
+}
+
+// Match returns, per engine, how many leading blocks it holds. The slice is
+// valid until the next call.
+func (x *Index) Match(blocks []uint64) []uint16 {
+	for _, e := range x.touched {
+		x.depth[e] = 0
+	}
+	x.touched = x.touched[:0]
+	for i, h := range blocks {
+		if !x.matchBlock(uint16(i), h) {
+			break
+		}
+	}
+	return x.depth
+}
+
+// matchBlock extends the engines whose first i blocks match; it reports
+// whether any engine was extended.
+func (x *Index) matchBlock(i uint16, hash uint64) bool {
+	found := false
+	for _, t := range [...]*table{&x.current, &x.previous} {
+		mask := uint64(len(t.entries) - 1)
+		for p := mix(hash) & mask; t.entries[p].hash != 0; p = (p + 1) & mask {
+			if t.entries[p].hash != hash {
+				continue
+			}
+			for _, e := range t.entries[p].engines {
+				if e == noEngine || int(e) >= len(x.depth) || x.depth[e] != i {
+					continue
+				}
+				if i == 0 {
+					x.touched = append(x.touched, int32(e))
+				}
+				x.depth[e] = i + 1
+				found = true
+			}
+		}
+	}
+	return found
+}
+
+// mix spreads a hash over the table (splitmix64 finaliser).
+func mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,365 @@
+package route
+
+import (
+	"math"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// Reason names the rule that decided a choice.
+type Reason string
+
+// Reasons of choices.
+const (
+	// ReasonCachedPrefix: the engine holds a large part of the prompt.
+	ReasonCachedPrefix Reason = "cached_prefix"
+	// ReasonLeastWork: all targets are expected to be met; the engine adds the
+	// least work.
+	ReasonLeastWork Reason = "least_work"
+	// ReasonLeastLate: no engine is expected to meet the targets.
+	ReasonLeastLate Reason = "least_late"
+	// ReasonSplit: prefill and decode on different engines is better.
+	ReasonSplit Reason = "split_roles"
+	// ReasonOffRole: the engine works outside its role.
+	ReasonOffRole Reason = "off_role"
+	// ReasonFallback: the prefill engine of a split request failed.
+	ReasonFallback Reason = "fallback_local"
+	// ReasonService: the plain service with the least expected work.
+	ReasonService Reason = "least_expected_work"
+)
+
+const (
+	// maxAge bounds the uncertainty that a missing report adds, in seconds.
+	maxAge = 2.0
+	// targetMargin is the part of a target that is planned for; the rest
+	// covers errors of the estimates.
+	targetMargin = 0.8
+	// lateWeight is the score of missing a target by its whole length, in
+	// mean requests' work. It puts targets before work.
+	lateWeight = 8.0
+	// baseSpread and ageSpread are the width of the perturbation of scores,
+	// in mean requests' work, without and per second of report age. Instances
+	// that share one old report would otherwise pick the same engine.
+	baseSpread = 0.02
+	ageSpread  = 0.10
+	// remotePenalty is added to the score of engines in other data centres,
+	// so that home is preferred in near ties only.
+	remotePenalty = 0.02
+	// remoteSeconds is the added round trip to another data centre.
+	remoteSeconds = 0.003
+	// avoidPenalty puts an engine that just failed the request last.
+	avoidPenalty = 1e6
+	// kvPenalty puts engines without room for the request's KV cache behind
+	// those with room.
+	kvPenalty = 20.0
+	// prefixShare is the cached part of a prompt from which a choice is
+	// explained by the cache.
+	prefixShare = 0.3
+	// interference is the part of a prefill that delays the running streams
+	// of a mixed engine, as a fraction of the time prefill is in progress.
+	interference = 0.5
+)
+
+// Query is one request to route.
+type Query struct {
+	Group int32
+	// Prompt and Output are predicted tokens.
+	Prompt, Output float64
+	// Cached is the number of leading prompt blocks per engine, or nil;
+	// BlockTokens is the size of a block and Trust the confidence per engine.
+	Cached      []uint16
+	BlockTokens float64
+	Trust       func(engine int32) float64
+	// FirstToken is what is left of the first-token target, Gap the token gap
+	// target, in seconds; zero means no target.
+	FirstToken, Gap float64
+	// Hold is the longest acceptable prefill queue in seconds; zero means any.
+	Hold float64
+	// Avoid is an engine that just failed the request, or None.
+	Avoid int32
+	// Only restricts the choice to one engine, or None.
+	Only int32
+	// NoSplit and NoSlack disable the split path and the target terms.
+	NoSplit, NoSlack bool
+}
+
+// Choice is the outcome of Pick.
+type Choice struct {
+	Target  int32
+	Prefill int32 // None unless the request is split
+	Reason  Reason
+	// FirstToken and Gap are the expected seconds; Wait is the part of the
+	// first token time spent behind other prefills.
+	FirstToken, Gap, Wait float64
+	// Uncached is the predicted tokens to prefill, CachedTokens the rest.
+	Uncached, CachedTokens float64
+	// PrefillSeconds is the prefill work at the engine that prefills.
+	PrefillSeconds float64
+	// Fits tells that the streams on the target keep their token gap and that
+	// the prefill queue is short enough.
+	Fits  bool
+	score float64
+}
+
+// Router holds the state of all upstreams of an instance.
+type Router struct {
+	Engines []Engine
+	// Groups lists the engine indices per group.
+	Groups [][]int32
+	// TransferPerToken is the seconds to move one prompt token's KV cache.
+	TransferPerToken float64
+	rng              uint64
+}
+
+// New returns a router whose perturbation is derived from seed.
+func New(seed uint64) *Router {
+	return &Router{TransferPerToken: 5e-6, rng: seed*0x9e3779b97f4a7c15 + 1}
+}
+
+// noise is a table of Gumbel quantiles: the minimum of scores minus scaled
+// Gumbel noise is a random choice with probability proportional to
+// exp(-score/scale), so near ties spread and clear differences hold.
+var noise = func() [256]float64 {
+	var t [256]float64
+	for i := range t {
+		t[i] = -math.Log(-math.Log((float64(i) + 0.5) / 256))
+	}
+	return t
+}()
+
+func (r *Router) random() uint64 {
+	r.rng += 0x9e3779b97f4a7c15
+	z := r.rng
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
+
+// Pick chooses the path and engines of a request; ok is false when no engine
+// of the group is usable.
+func (r *Router) Pick(now fleet.Instant, q *Query) (best Choice, ok bool) {
+	members := r.Groups[q.Group]
+	unit := r.workUnit(members, q)
+	best = Choice{Target: None, score: math.Inf(1)}
+	var prefill, decode Choice
+	prefill.Target, decode.Target = None, None
+	prefill.score, decode.score = math.Inf(1), math.Inf(1)
+	roles := [3]int{}
+	for _, i := range members {
+		e := &r.Engines[i]
+		if !e.Usable || (q.Only != None && q.Only != i) {
+			continue
+		}
+		roles[e.Role]++
+		u := r.random()
+		spread := (baseSpread + ageSpread*e.Age(now)) * noise[u&255]
+		if c := r.local(now, q, i, unit); c.score-spread < best.score {
+			best = c
+			best.score -= spread
+		}
+		if q.NoSplit || q.Only != None {
+			continue
+		}
+		if e.Role != fleet.RoleDecode {
+			c := r.prefillPart(now, q, i, unit)
+			if c.score -= spread; c.score < prefill.score {
+				prefill = c
+			}
+		}
+		if e.Role != fleet.RolePrefill {
+			c := r.decodePart(now, q, i, unit)
+			if c.score -= spread; c.score < decode.score {
+				decode = c
+			}
+		}
+	}
+	if best.Target == None {
+		return best, false
+	}
+	if roles[fleet.RolePrefill]+roles[fleet.RoleDecode] > 0 {
+		r.split(prefill, decode, &best)
+	}
+	best.Reason = r.reason(q, &best)
+	return best, true
+}
+
+// workUnit is the engine-seconds of the request at a typical engine; scores
+// are in this unit.
+func (r *Router) workUnit(members []int32, q *Query) float64 {
+	if len(members) == 0 {
+		return 1
+	}
+	s := r.Engines[members[0]].Speed
+	return math.Max(q.Prompt*s.Prefill+q.Output*s.TokenCost(), 1e-4)
+}
+
+func (r *Router) uncached(q *Query, i int32) (uncached, cached float64) {
+	if q.Cached == nil {
+		return q.Prompt, 0
+	}
+	cached = float64(q.Cached[i]) * q.BlockTokens
+	if cached > 0 && q.Trust != nil {
+		cached *= q.Trust(i)
+	}
+	cached = math.Min(cached, q.Prompt)
+	return q.Prompt - cached, cached
+}
+
+// late returns how far expected times exceed the planned part of the targets.
+func late(q *Query, first, gap float64) float64 {
+	if q.NoSlack {
+		return 0
+	}
+	out := 0.0
+	if q.FirstToken > 0 {
+		out += math.Max(first/q.FirstToken-targetMargin, 0)
+	} else if q.FirstToken < 0 {
+		out += 1 + first
+	}
+	if q.Gap > 0 {
+		out += math.Max(gap/q.Gap-targetMargin, 0)
+	}
+	return out
+}
+
+func (e *Engine) penalty(q *Query, i int32) float64 {
+	p := 0.0
+	if !e.Home {
+		p += remotePenalty
+	}
+	if i == q.Avoid {
+		p += avoidPenalty
+	}
+	if e.kvCapacity > 0 && e.kvUsed+q.Prompt+q.Output > e.kvCapacity {
+		p += kvPenalty
+	}
+	return p
+}
+
+func (e *Engine) hop() float64 {
+	if e.Home {
+		return 0
+	}
+	return remoteSeconds
+}
+
+// gapAfter is the expected token gap once one more sequence runs.
+func (e *Engine) gapAfter() float64 { return e.Speed.Step(e.Batch() + 1) }
+
+// fits tells that one more sequence keeps the streams on the engine and the
+// request itself within the token gap target. An engine without streams
+// always fits, so that no engine is excluded by a wrong estimate for good.
+func (e *Engine) fits(q *Query, gap float64) bool {
+	if e.Batch() < 1 {
+		return true
+	}
+	target := q.Gap
+	if e.Decoding > 0 && e.tightestGap > 0 && (target <= 0 || e.tightestGap < target) {
+		target = e.tightestGap
+	}
+	return target <= 0 || gap <= target
+}
+
+func (r *Router) local(now fleet.Instant, q *Query, i int32, unit float64) Choice {
+	e := &r.Engines[i]
+	uncached, cached := r.uncached(q, i)
+	wait := e.Backlog(now)
+	work := uncached * e.Speed.Prefill
+	gap := e.gapAfter()
+	first := wait + work + gap + e.hop()
+	c := Choice{Target: i, Prefill: None, FirstToken: first, Gap: gap, Wait: wait,
+		Uncached: uncached, CachedTokens: cached, PrefillSeconds: work, Fits: e.fits(q, gap) && q.short(wait)}
+	added := work + q.Output*e.Speed.TokenCost()
+	if e.Role != fleet.RoleDecode && e.Batch() > 0 {
+		added += interference * work
+	}
+	c.score = r.score(q, e, i, first, gap, c.Fits, (added+wait)/unit)
+	return c
+}
+
+func (q *Query) short(wait float64) bool { return q.Hold <= 0 || wait <= q.Hold }
+
+func (r *Router) score(q *Query, e *Engine, i int32, first, gap float64, fits bool, work float64) float64 {
+	s := work + e.penalty(q, i) + lateWeight*late(q, first, gap)
+	if !fits {
+		s += lateWeight
+	}
+	return s
+}
+
+func (r *Router) prefillPart(now fleet.Instant, q *Query, i int32, unit float64) Choice {
+	e := &r.Engines[i]
+	uncached, cached := r.uncached(q, i)
+	wait := e.Backlog(now)
+	work := uncached * e.Speed.Prefill
+	first := wait + work + e.hop() + q.Prompt*r.TransferPerToken
+	c := Choice{Target: i, FirstToken: first, Wait: wait, Uncached: uncached, CachedTokens: cached, PrefillSeconds: work,
+		Fits: q.short(wait)}
+	c.score = r.score(q, e, i, first, 0, c.Fits, (work+wait)/unit)
+	return c
+}
+
+func (r *Router) decodePart(_ fleet.Instant, q *Query, i int32, unit float64) Choice {
+	e := &r.Engines[i]
+	gap := e.gapAfter()
+	c := Choice{Target: i, Gap: gap, FirstToken: gap + e.hop(), Fits: e.fits(q, gap)}
+	c.score = r.score(q, e, i, 0, gap, c.Fits, q.Output*e.Speed.TokenCost()/unit)
+	return c
+}
+
+// split replaces best by the pair of prefill and decode engine if it is
+// better than every local choice.
+func (r *Router) split(prefill, decode Choice, best *Choice) {
+	if prefill.Target == None || decode.Target == None || prefill.Target == decode.Target {
+		return
+	}
+	score := prefill.score + decode.score
+	if score >= best.score {
+		return
+	}
+	pair := prefill
+	pair.Target, pair.Prefill = decode.Target, prefill.Target
+	pair.FirstToken = prefill.FirstToken + decode.FirstToken
+	pair.Gap, pair.Fits, pair.score = decode.Gap, prefill.Fits && decode.Fits, score
+	*best = pair
+}
+
+func (r *Router) reason(q *Query, c *Choice) Reason {
+	switch {
+	case q.Only != None:
+		return ReasonFallback
+	case c.CachedTokens > prefixShare*q.Prompt:
+		return ReasonCachedPrefix
+	case late(q, c.FirstToken*targetMargin, c.Gap*targetMargin) > 0:
+		return ReasonLeastLate
+	case c.Prefill != None:
+		return ReasonSplit
+	case r.Engines[c.Target].Role != fleet.RoleMixed:
+		return ReasonOffRole
+	}
+	return ReasonLeastWork
+}
+
+// PickService chooses the plain service with the least expected work.
+func (r *Router) PickService(group, avoid int32) (int32, bool) {
+	best, bestScore := None, math.Inf(1)
+	for _, i := range r.Groups[group] {
+		e := &r.Engines[i]
+		if !e.Usable {
+			continue
+		}
+		calls := math.Max(float64(e.InFlight), e.batch)
+		score := (calls + 1) * math.Max(e.ServiceTime, 1e-3)
+		if !e.Home {
+			score += remoteSeconds
+		}
+		if i == avoid {
+			score += avoidPenalty
+		}
+		score *= 1 + baseSpread*float64(r.random()&255)/256
+		if score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best, best != None
+}
--- /dev/null
+++ b/core/sched/flight.go
@@ -0,0 +1,278 @@
+package sched
+
+import (
+	"math"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/route"
+)
+
+const (
+	// gapSampleTokens is the number of tokens over which a token gap is
+	// averaged for learning.
+	gapSampleTokens = 16
+	// minOwnPrefill is the least part of a first token time that must be the
+	// request's own prefill for it to teach the prefill speed; the rest is an
+	// estimate of other work.
+	minOwnPrefill = 0.5
+	// initialServiceTime is the assumed seconds of a call at a plain service.
+	initialServiceTime = 0.05
+	serviceTimeGain    = 0.1
+)
+
+func (s *Scheduler) dispatch(t *tracked) {
+	c := &t.choice
+	g := &s.groupStates[t.group]
+	actual := s.cost(t.group, c.Uncached, t.output)
+	g.queue.Charge(t.item.Member, actual-t.item.Cost)
+	g.released += actual
+	s.account(t, actual)
+	t.dispatched, t.running = s.now, true
+	t.attempts++
+	s.memberStates[t.member].running++
+	path := PathLocal
+	prefill := fleet.UpstreamID("")
+	target := &s.router.Engines[c.Target]
+	if c.Prefill != route.None {
+		path, prefill = PathSplit, s.upstreams.names[c.Prefill]
+		s.router.Engines[c.Prefill].InFlight++
+		s.send(c.Prefill, c.Uncached, 0, c.PrefillSeconds, t.prompt)
+		s.send(c.Target, 0, t.output, 0, t.prompt+t.output)
+	} else {
+		s.send(c.Target, c.Uncached, t.output, c.PrefillSeconds, t.prompt+t.output)
+	}
+	target.Protect(s.kindStates[t.kind].gap)
+	target.InFlight++
+	target.Decoding++
+	s.learnPlacement(t)
+	s.ready = append(s.ready, Dispatch{ID: t.ID, Choice: Choice{
+		Path: path, Target: s.upstreams.names[c.Target], Prefill: prefill, Reason: string(c.Reason),
+	}})
+}
+
+// send records work at an engine, here and for the peers.
+func (s *Scheduler) send(i int32, prompt, output, prefillSeconds, kv float64) {
+	s.router.Engines[i].Dispatched(s.now, prefillSeconds, output > 0, kv)
+	s.shared.dispatched(PeerDispatch{
+		Upstream: s.upstreams.names[i], At: s.now,
+		PromptTokens: int(math.Ceil(prompt)), OutputTokens: int(math.Ceil(output)),
+	})
+}
+
+// learnPlacement expects the engines that see the prompt to cache it.
+func (s *Scheduler) learnPlacement(t *tracked) {
+	if s.blocks == nil {
+		return
+	}
+	s.blocks.Insert(t.choice.Target, t.Blocks)
+	if t.choice.Prefill != route.None {
+		s.blocks.Insert(t.choice.Prefill, t.Blocks)
+	}
+}
+
+// account charges cost to a member for peers and operators.
+func (s *Scheduler) account(t *tracked, cost float64) {
+	t.charged += cost
+	s.memberStates[t.member].served += cost
+	s.shared.served(t.member, t.group, cost)
+}
+
+func (s *Scheduler) dispatchService(t *tracked) {
+	i, ok := s.router.PickService(t.group, t.avoid)
+	if !ok {
+		s.refuse(t, fleet.Refuse(fleet.ReasonNoUpstream, "no upstream of the group is available"))
+		return
+	}
+	t.choice = route.Choice{Target: i, Prefill: route.None, Reason: route.ReasonService}
+	t.dispatched, t.running = s.now, true
+	t.attempts++
+	s.router.Engines[i].InFlight++
+	s.memberStates[t.member].running++
+	s.ready = append(s.ready, Dispatch{ID: t.ID, Choice: Choice{
+		Path: PathService, Target: s.upstreams.names[i], Reason: string(route.ReasonService),
+	}})
+}
+
+// land removes a running request's work from its engines.
+func (s *Scheduler) land(t *tracked) {
+	t.running = false
+	s.memberStates[t.member].running--
+	target := &s.router.Engines[t.choice.Target]
+	target.InFlight--
+	if s.groupStates[t.group].service {
+		return
+	}
+	target.Decoding--
+	target.Ended(s.now, true, t.prompt+t.output)
+	if t.choice.Prefill != route.None {
+		p := &s.router.Engines[t.choice.Prefill]
+		p.InFlight--
+		p.Ended(s.now, false, t.prompt)
+	}
+}
+
+func (s *Scheduler) firstToken(id fleet.RequestID) {
+	t, ok := s.requests[id]
+	if !ok || !t.running || t.first != 0 {
+		return
+	}
+	t.first, t.sampledAt = s.now, s.now
+	if s.config.Ablate.NoLearning || s.groupStates[t.group].service {
+		return
+	}
+	c := &t.choice
+	own := c.PrefillSeconds
+	if own < minOwnPrefill*(c.Wait+own) {
+		return
+	}
+	// Everything in the estimate but prefill, such as one decode step and the
+	// KV transfer, is taken as correct.
+	other := c.FirstToken - c.Wait - own
+	took := (s.now - t.dispatched).Seconds() - other
+	engine := c.Target
+	if c.Prefill != route.None {
+		engine = c.Prefill
+	}
+	s.speeds.ObservePrefill(engine, s.router.Engines[engine].Role, c.Uncached, took*own/(c.Wait+own))
+	s.updateEngine(engine)
+}
+
+func (s *Scheduler) progress(ev Tokens) {
+	t, ok := s.requests[ev.ID]
+	if !ok || !t.running {
+		return
+	}
+	t.produced += ev.N
+	n := t.produced - t.sampled
+	if n < gapSampleTokens || t.first == 0 || s.config.Ablate.NoLearning {
+		return
+	}
+	e := &s.router.Engines[t.choice.Target]
+	gap := (s.now - t.sampledAt).Seconds() / float64(n)
+	s.speeds.ObserveStep(t.choice.Target, e.Role, math.Max(e.Batch(), 1), gap)
+	t.sampled, t.sampledAt = t.produced, s.now
+	s.updateEngine(t.choice.Target)
+}
+
+func (s *Scheduler) finished(ev Finished) {
+	t, ok := s.requests[ev.ID]
+	if !ok || !t.running {
+		return
+	}
+	s.land(t)
+	if s.groupStates[t.group].service {
+		e := &s.router.Engines[t.choice.Target]
+		e.ServiceTime += serviceTimeGain * ((s.now - t.dispatched).Seconds() - e.ServiceTime)
+		s.forget(t)
+		return
+	}
+	s.settle(t, ev.Usage)
+	s.learnUsage(t, ev.Usage)
+	group := t.group
+	s.forget(t)
+	s.pump(group)
+}
+
+// settle replaces the predicted cost by the cost of the real usage.
+func (s *Scheduler) settle(t *tracked, u fleet.Usage) {
+	if u.PromptTokens == 0 && u.OutputTokens == 0 {
+		return
+	}
+	actual := s.cost(t.group, float64(u.PromptTokens-u.CachedTokens), float64(u.OutputTokens))
+	s.correct(t, actual)
+}
+
+func (s *Scheduler) correct(t *tracked, actual float64) {
+	difference := actual - t.charged
+	s.groupStates[t.group].queue.Charge(t.item.Member, difference)
+	s.account(t, difference)
+}
+
+func (s *Scheduler) learnUsage(t *tracked, u fleet.Usage) {
+	if !s.config.Ablate.NoLearning {
+		s.tokens.Observe(t.member, t.kind, t.PromptTokens, u.PromptTokens, u.OutputTokens)
+	}
+	if s.blocks == nil || u.PromptTokens == 0 {
+		return
+	}
+	engine := t.choice.Target
+	if t.choice.Prefill != route.None {
+		engine = t.choice.Prefill
+	}
+	s.blocks.ObserveHit(engine, t.choice.CachedTokens, float64(u.CachedTokens))
+}
+
+func (s *Scheduler) cancel(id fleet.RequestID) {
+	t, ok := s.requests[id]
+	if !ok {
+		return
+	}
+	if !t.running {
+		s.groupStates[t.group].queue.Remove(&t.item)
+		s.unqueue(t)
+		s.forget(t)
+		return
+	}
+	s.ready = append(s.ready, CancelAt{ID: id, Upstream: s.upstreams.names[t.choice.Target]})
+	if t.choice.Prefill != route.None {
+		s.ready = append(s.ready, CancelAt{ID: id, Upstream: s.upstreams.names[t.choice.Prefill]})
+	}
+	s.abandon(t)
+	group := t.group
+	s.forget(t)
+	s.pump(group)
+}
+
+// abandon lands a request without an answer; its member pays for the prefill
+// and for the tokens that were produced.
+func (s *Scheduler) abandon(t *tracked) {
+	s.land(t)
+	if !s.groupStates[t.group].service {
+		s.correct(t, s.cost(t.group, t.choice.Uncached, float64(t.produced)))
+	}
+}
+
+func (s *Scheduler) failed(ev Failed) {
+	t, ok := s.requests[ev.ID]
+	if !ok || !t.running {
+		return
+	}
+	s.land(t)
+	service := s.groupStates[t.group].service
+	if !service {
+		// The member does not pay for work lost with an upstream.
+		s.correct(t, 0)
+	}
+	group := t.group
+	if !ev.Retry {
+		s.forget(t)
+		s.pump(group)
+		return
+	}
+	s.retry(t, ev.Upstream)
+	if !service {
+		s.pump(group)
+	}
+}
+
+// retry queues a request again; the failed upstream is its last choice. When
+// the prefill of a split request failed, the decode engine does both parts.
+func (s *Scheduler) retry(t *tracked, failed fleet.UpstreamID) {
+	t.avoid, t.only = t.choice.Target, route.None
+	if i, ok := s.upstreams.find(failed); ok {
+		t.avoid = i
+	}
+	if t.choice.Prefill != route.None && t.avoid == t.choice.Prefill {
+		t.only = t.choice.Target
+	}
+	t.first, t.produced, t.sampled, t.charged = 0, 0, 0, 0
+	if s.groupStates[t.group].service {
+		s.dispatchService(t)
+		return
+	}
+	if !s.usable(t.group) {
+		s.refuse(t, fleet.Refuse(fleet.ReasonNoUpstream, "no upstream of the group is available"))
+		return
+	}
+	s.enqueue(t)
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -1,61 +1,171 @@
 package sched
 
 import (
-	"github.com/bramleywick/bramleywick/core/declare"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/admit"
+	"github.com/bramleywick/bramleywick/core/cost"
+	"github.com/bramleywick/bramleywick/core/fair"
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/prefix"
+	"github.com/bramleywick/bramleywick/core/route"
 )
 
-// Config fixes the parameters of a scheduler for its lifetime.
+// Config fixes the parameters of a scheduler for its lifetime. Zero values
+// select the defaults.
 type Config struct {
 	Instance   fleet.InstanceID
 	DataCentre fleet.DataCentre
 	// Seed makes tie-breaking differ between instances and reproducible.
 	Seed uint64
+	// Prior is the engine speed assumed before anything has been observed.
+	Prior cost.Speed
+	// BlockTokens is the size of the engines' prefix cache blocks.
+	BlockTokens int
+	// PrefixEntries bounds the prefix index.
+	PrefixEntries int
+	// HoldPrefill is the expected prefill queue of the chosen engine up to
+	// which a request is released to it.
+	HoldPrefill time.Duration
+	Limits      admit.Limits
+	Ablate      Ablate
+}
+
+// Ablate turns off one mechanism each, for measurements.
+type Ablate struct {
+	// NoPrefix ignores prompt blocks and cache events.
+	NoPrefix bool
+	// NoPeerDispatch ignores the dispatches of peers.
+	NoPeerDispatch bool
+	// NoFair serves in order of arrival instead of by member and urgency.
+	NoFair bool
+	// NoAdmission refuses only for full queues and missed deadlines.
+	NoAdmission bool
+	// NoSplit never uses PathSplit.
+	NoSplit bool
+	// NoLearning keeps the prior speeds and token predictions.
+	NoLearning bool
+	// NoSlack ignores the targets when choosing and ordering.
+	NoSlack bool
+}
+
+const (
+	defaultBlockTokens = 2000
+	// defaultPrefixEntries is enough for the blocks of 284 engines (one of
+	// three regions at the two-year size) in 8 MB.
+	defaultPrefixEntries = 1 << 19
+	// defaultHoldPrefill keeps an engine busy for longer than a round of
+	// reports to this instance takes, and is short against the first-token
+	// target of 1 s.
+	defaultHoldPrefill = 300 * time.Millisecond
+	// expiryPeriod and refreshPeriod are the intervals of the queue's expiry
+	// scan and of the recomputation of group means and rates.
+	expiryPeriod  = 100 * time.Millisecond
+	refreshPeriod = time.Second
+)
+
+func (c *Config) setDefaults() {
+	if c.Prior == (cost.Speed{}) {
+		c.Prior = cost.DefaultSpeed
+	}
+	if c.BlockTokens == 0 {
+		c.BlockTokens = defaultBlockTokens
+	}
+	if c.PrefixEntries == 0 {
+		c.PrefixEntries = defaultPrefixEntries
+	}
+	if c.HoldPrefill == 0 {
+		c.HoldPrefill = defaultHoldPrefill
+	}
+	if c.Limits == (admit.Limits{}) {
+		c.Limits = admit.DefaultLimits
+	}
 }
 
 // Scheduler is not safe for concurrent use.
 type Scheduler struct {
-	config    Config
-	kinds     map[fleet.KindName]declare.Kind
-	upstreams []upstreamView
-	requests  map[fleet.RequestID]*tracked
-	draining  bool
-	ready     []Command
-}
-
-type upstreamView struct {
-	declare.Upstream
-	available bool
-	inFlight  int
-}
-
-type tracked struct {
-	Request
-	target fleet.UpstreamID
+	config     Config
+	configured bool
+	draining   bool
+	now        fleet.Instant
+
+	members   table[fleet.MemberID]
+	kinds     table[fleet.KindName]
+	groups    table[fleet.GroupName]
+	upstreams table[fleet.UpstreamID]
+
+	memberStates   []memberState
+	kindStates     []kindState
+	groupStates    []groupState
+	upstreamStates []upstreamState
+
+	tokens *cost.Tokens
+	speeds *cost.Speeds
+	blocks *prefix.Index
+	router *route.Router
+
+	requests map[fleet.RequestID]*tracked
+	// queued lists the queued requests in no particular order; the position
+	// of each is its item's Owner.
+	queued      []*tracked
+	queuedBytes int
+	free        []*tracked
+
+	lastExpiry, lastRefresh fleet.Instant
+	shared                  sharedLog
+	query                   route.Query
+	ready                   []Command
 }
 
 // New returns a scheduler that refuses everything until Configure.
 func New(config Config) *Scheduler {
-	return &Scheduler{config: config, requests: map[fleet.RequestID]*tracked{}}
+	config.setDefaults()
+	s := &Scheduler{
+		config:   config,
+		tokens:   cost.NewTokens(),
+		speeds:   cost.NewSpeeds(config.Prior),
+		router:   route.New(config.Seed),
+		requests: map[fleet.RequestID]*tracked{},
+	}
+	if !config.Ablate.NoPrefix {
+		s.blocks = prefix.New(config.PrefixEntries)
+		s.query.Trust = s.blocks.Confidence
+	}
+	return s
 }
 
 // Step applies one event at the given time. Times must not decrease.
-func (s *Scheduler) Step(_ fleet.Instant, ev Event) {
+func (s *Scheduler) Step(now fleet.Instant, ev Event) {
+	s.now = max(s.now, now)
 	switch ev := ev.(type) {
 	case Configure:
 		s.configure(ev.Declaration)
 	case Submit:
 		s.submit(ev.Request)
-	case Finished:
-		s.release(ev.ID)
 	case Cancel:
 		s.cancel(ev.ID)
+	case FirstToken:
+		s.firstToken(ev.ID)
+	case Tokens:
+		s.progress(ev)
+	case Finished:
+		s.finished(ev)
 	case Failed:
 		s.failed(ev)
+	case Report:
+		s.report(ev.Load)
+	case PeerService:
+		s.peerService(ev)
+	case PeerDispatch:
+		s.peerDispatch(ev)
 	case UpstreamState:
 		s.setState(ev)
+	case CacheUpdate:
+		s.cacheUpdate(ev)
 	case Drain:
 		s.draining = true
+	case Tick:
+		s.tick()
 	}
 }
 
@@ -66,109 +176,19 @@
 	return out
 }
 
-func (s *Scheduler) configure(d *declare.Declaration) {
-	s.kinds = map[fleet.KindName]declare.Kind{}
-	for _, k := range d.Kinds {
-		s.kinds[k.Name] = k
-	}
-	old := s.upstreams
-	s.upstreams = nil
-	for _, u := range d.Upstreams {
-		view := upstreamView{Upstream: u, available: true}
-		for _, o := range old {
-			if o.ID == u.ID {
-				view.available, view.inFlight = o.available, o.inFlight
-			}
-		}
-		s.upstreams = append(s.upstreams, view)
-	}
-}
-
-func (s *Scheduler) submit(r Request) {
-	if s.draining {
-		s.refuse(r.ID, fleet.Refuse(fleet.ReasonDraining, "the instance is stopping"))
-		return
-	}
-	if s.kinds == nil {
-		s.refuse(r.ID, fleet.Refuse(fleet.ReasonConfigUnknown, "no configuration is in force yet"))
-		return
-	}
-	s.requests[r.ID] = &tracked{Request: r}
-	s.dispatch(r.ID)
-}
-
-func (s *Scheduler) dispatch(id fleet.RequestID) {
-	t := s.requests[id]
-	best := s.leastInFlight(s.kinds[t.Kind].Group, t.target)
-	if best == nil {
-		delete(s.requests, id)
-		s.refuse(id, fleet.Refuse(fleet.ReasonNoUpstream, "no upstream of the group is available"))
-		return
+func (s *Scheduler) tick() {
+	if s.now-s.lastRefresh >= refreshPeriod {
+		s.refresh((s.now - s.lastRefresh).Seconds())
+		s.lastRefresh = s.now
 	}
-	best.inFlight++
-	t.target = best.ID
-	s.ready = append(s.ready, Dispatch{ID: id, Choice: Choice{Target: best.ID, Reason: "least_in_flight"}})
-}
-
-func (s *Scheduler) leastInFlight(group fleet.GroupName, not fleet.UpstreamID) *upstreamView {
-	var best *upstreamView
-	for i := range s.upstreams {
-		u := &s.upstreams[i]
-		if u.Group != group || !u.available || u.ID == not {
-			continue
-		}
-		if best == nil || u.inFlight < best.inFlight {
-			best = u
-		}
+	if s.now-s.lastExpiry >= expiryPeriod {
+		s.expire()
+		s.lastExpiry = s.now
 	}
-	return best
-}
-
-func (s *Scheduler) refuse(id fleet.RequestID, r *fleet.Refusal) {
-	s.ready = append(s.ready, Refuse{ID: id, Refusal: r})
-}
-
-func (s *Scheduler) release(id fleet.RequestID) {
-	t, ok := s.requests[id]
-	if !ok {
-		return
+	for g := range s.groupStates {
+		s.pump(int32(g))
 	}
-	s.leave(t.target)
-	delete(s.requests, id)
 }
 
-func (s *Scheduler) leave(id fleet.UpstreamID) {
-	for i := range s.upstreams {
-		if s.upstreams[i].ID == id {
-			s.upstreams[i].inFlight--
-		}
-	}
-}
-
-func (s *Scheduler) cancel(id fleet.RequestID) {
-	if t, ok := s.requests[id]; ok {
-		s.ready = append(s.ready, CancelAt{ID: id, Upstream: t.target})
-		s.release(id)
-	}
-}
-
-func (s *Scheduler) failed(ev Failed) {
-	t, ok := s.requests[ev.ID]
-	if !ok {
-		return
-	}
-	if !ev.Retry {
-		s.release(ev.ID)
-		return
-	}
-	s.leave(t.target)
-	s.dispatch(ev.ID)
-}
-
-func (s *Scheduler) setState(ev UpstreamState) {
-	for i := range s.upstreams {
-		if s.upstreams[i].ID == ev.Upstream {
-			s.upstreams[i].available = ev.Available && !ev.Leaving
-		}
-	}
-}
+// newQueue returns the fair queue of a group.
+func newQueue() *fair.Queue { return fair.New() }
--- /dev/null
+++ b/core/sched/sched_test.go
@@ -0,0 +1,130 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/sched"
+)
+
+// declaration has engines e0.. in one group, one plain service and members
+// m0.. with the given shares.
+func declaration(engines int, shares ...float64) *declare.Declaration {
+	d := &declare.Declaration{
+		Groups: []declare.Group{{Name: "language", Type: declare.GroupEngine}, {Name: "accounts", Type: declare.GroupService}},
+		Kinds: []declare.Kind{
+			{Name: "ledger", Group: "language", TargetFirstToken: time.Second, TargetTokenGap: 74 * time.Millisecond,
+				Deadline: 60 * time.Second, MaxPromptTokens: 100000, MaxOutputTokens: 400, Repeatable: true},
+			{Name: "bulk", Group: "language", MaxOutputTokens: 400},
+			{Name: "lookup", Group: "accounts", Deadline: 5 * time.Second},
+		},
+		Upstreams: []declare.Upstream{{ID: "s0", Group: "accounts"}, {ID: "s1", Group: "accounts"}},
+	}
+	for i := range engines {
+		d.Upstreams = append(d.Upstreams, declare.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("e%d", i)), Group: "language"})
+	}
+	for i, share := range shares {
+		d.Members = append(d.Members, declare.Member{ID: fleet.MemberID(fmt.Sprintf("m%d", i)), Share: share})
+	}
+	return d
+}
+
+func started(engines int, shares ...float64) *sched.Scheduler {
+	s := sched.New(sched.Config{Seed: 1})
+	s.Step(0, sched.Configure{Version: 1, Declaration: declaration(engines, shares...)})
+	return s
+}
+
+func request(id, member, kind string, prompt int) sched.Submit {
+	return sched.Submit{Request: sched.Request{
+		ID: fleet.RequestID(id), Member: fleet.MemberID(member), Kind: fleet.KindName(kind), PromptTokens: prompt, MaxOutputTokens: 100,
+	}}
+}
+
+// one returns the only pending command as a C.
+func one[C sched.Command](t *testing.T, s *sched.Scheduler) C {
+	t.Helper()
+	commands := s.Ready()
+	if len(commands) != 1 {
+		t.Fatalf("want one command, have %+v", commands)
+	}
+	c, ok := commands[0].(C)
+	if !ok {
+		t.Fatalf("unexpected command %+v", commands[0])
+	}
+	return c
+}
+
+// TestRefusals guards against refusals with the wrong reason or with an
+// outcome that is not certain.
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before []sched.Event
+		submit sched.Submit
+		want   fleet.Reason
+	}{
+		{"unknown kind", nil, request("a", "m0", "other", 10), fleet.ReasonKindNotGranted},
+		{"unknown member", nil, request("a", "nobody", "ledger", 10), fleet.ReasonUnknownKey},
+		{"draining", []sched.Event{sched.Drain{}}, request("a", "m0", "ledger", 10), fleet.ReasonDraining},
+		{"no upstream", []sched.Event{sched.UpstreamState{Upstream: "e0"}}, request("a", "m0", "ledger", 10), fleet.ReasonNoUpstream},
+		{"leaving", []sched.Event{sched.Report{Load: sched.LoadReport{Upstream: "e0", Leaving: true}}},
+			request("a", "m0", "ledger", 10), fleet.ReasonNoUpstream},
+		{"deadline shorter than the prefill", nil, request("a", "m0", "ledger", 900000), fleet.ReasonDeadlineUnmeetable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := started(1, 1)
+			for _, ev := range c.before {
+				s.Step(0, ev)
+			}
+			s.Step(time.Millisecond, c.submit)
+			got := one[sched.Refuse](t, s).Refusal
+			if got.Reason != c.want || got.Outcome != fleet.OutcomeNotRun {
+				t.Fatalf("refused with %v", got)
+			}
+		})
+	}
+}
+
+// TestRetry guards against a repeated attempt at the upstream that failed
+// while another is available, and against "not run" after an attempt.
+func TestRetry(t *testing.T) {
+	for _, kind := range []string{"ledger", "lookup"} {
+		s := started(2, 1)
+		s.Step(0, request("a", "m0", kind, 1000))
+		first := one[sched.Dispatch](t, s).Choice.Target
+		s.Step(time.Millisecond, sched.Failed{ID: "a", Upstream: first, Retry: true})
+		second := one[sched.Dispatch](t, s).Choice.Target
+		if second == first {
+			t.Fatalf("%s: second attempt at %s again", kind, second)
+		}
+		for _, id := range []fleet.UpstreamID{"e0", "e1", "s0", "s1"} {
+			s.Step(2*time.Millisecond, sched.UpstreamState{Upstream: id})
+		}
+		s.Step(3*time.Millisecond, sched.Failed{ID: "a", Upstream: second, Retry: true})
+		if got := one[sched.Refuse](t, s).Refusal; got.Outcome != fleet.OutcomeUnknown {
+			t.Fatalf("%s: refused after two attempts with %v", kind, got)
+		}
+	}
+}
+
+// TestSplitFallsBack guards against a split request that is lost when its
+// prefill engine fails.
+func TestSplitFallsBack(t *testing.T) {
+	s := started(2, 1)
+	s.Step(0, sched.UpstreamState{Upstream: "e0", Available: true, Role: fleet.RolePrefill})
+	s.Step(0, sched.UpstreamState{Upstream: "e1", Available: true, Role: fleet.RoleDecode})
+	s.Step(0, request("a", "m0", "ledger", 5000))
+	c := one[sched.Dispatch](t, s).Choice
+	if c.Path != sched.PathSplit || c.Prefill != "e0" || c.Target != "e1" {
+		t.Fatalf("chose %+v", c)
+	}
+	s.Step(time.Millisecond, sched.Failed{ID: "a", Upstream: "e0", Retry: true})
+	c = one[sched.Dispatch](t, s).Choice
+	if c.Path != sched.PathLocal || c.Target != "e1" {
+		t.Fatalf("after the failure chose %+v", c)
+	}
+}
--- a/core/sched/shared.go
+++ b/core/sched/shared.go
@@ -41,16 +41,80 @@
 	ReportedAt fleet.Instant
 }
 
+// maxSharedDispatches bounds the log when nobody takes it; the oldest entries
+// matter least because load reports overtake them.
+const maxSharedDispatches = 1024
+
+// sharedLog collects what peers must learn.
+type sharedLog struct {
+	service    []memberService
+	index      map[memberGroup]int
+	dispatches []PeerDispatch
+}
+
+type memberGroup struct{ member, group int32 }
+
+type memberService struct {
+	memberGroup
+	cost float64
+}
+
+func (l *sharedLog) served(member, group int32, cost float64) {
+	key := memberGroup{member, group}
+	if i, ok := l.index[key]; ok {
+		l.service[i].cost += cost
+		return
+	}
+	if l.index == nil {
+		l.index = map[memberGroup]int{}
+	}
+	l.index[key] = len(l.service)
+	l.service = append(l.service, memberService{key, cost})
+}
+
+func (l *sharedLog) dispatched(d PeerDispatch) {
+	if len(l.dispatches) >= maxSharedDispatches {
+		n := copy(l.dispatches, l.dispatches[maxSharedDispatches/2:])
+		l.dispatches = l.dispatches[:n]
+	}
+	l.dispatches = append(l.dispatches, d)
+}
+
 // TakeShared returns and clears what peers must learn.
-func (s *Scheduler) TakeShared() Shared { return Shared{} }
+func (s *Scheduler) TakeShared() Shared {
+	var out Shared
+	for _, m := range s.shared.service {
+		out.Service = append(out.Service, PeerService{
+			Member: s.members.names[m.member], Group: s.groups.names[m.group], Cost: m.cost,
+		})
+	}
+	out.Dispatches = append(out.Dispatches, s.shared.dispatches...)
+	s.shared.service = s.shared.service[:0]
+	clear(s.shared.index)
+	s.shared.dispatches = s.shared.dispatches[:0]
+	return out
+}
 
 // Status returns a snapshot.
 func (s *Scheduler) Status() Status {
 	out := Status{Draining: s.draining}
-	for _, u := range s.upstreams {
+	for i, m := range s.memberStates {
+		if !m.declared && m.queued+m.running == 0 {
+			continue
+		}
+		out.Members = append(out.Members, MemberStatus{
+			ID: s.members.names[i], Share: m.share, Queued: m.queued, Running: m.running, ServedCost: m.served,
+		})
+	}
+	for i := range s.upstreamStates {
+		u, e := &s.upstreamStates[i], &s.router.Engines[i]
+		if !u.declared && e.InFlight == 0 {
+			continue
+		}
 		out.Upstreams = append(out.Upstreams, UpstreamStatus{
-			ID: u.ID, Group: u.Group, DataCentre: u.DataCentre, Role: u.Role,
-			Available: u.available, InFlight: u.inFlight,
+			ID: s.upstreams.names[i], Group: e.Group, DataCentre: u.dataCentre, Role: e.Role,
+			Incarnation: u.incarnation, Available: u.declared && u.available, Leaving: u.leaving,
+			InFlight: e.InFlight, ReportedAt: e.ReportedAt,
 		})
 	}
 	return out
--- /dev/null
+++ b/core/sched/state.go
@@ -0,0 +1,335 @@
+package sched
+
+import (
+	"math"
+
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fair"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/route"
+)
+
+// table gives names dense indices. An index stays valid for the life of the
+// scheduler, so that learned state survives changes of the configuration.
+type table[K comparable] struct {
+	index map[K]int32
+	names []K
+}
+
+// of returns the index of a name and adds it if it is new.
+func (t *table[K]) of(name K) int32 {
+	if i, ok := t.index[name]; ok {
+		return i
+	}
+	if t.index == nil {
+		t.index = map[K]int32{}
+	}
+	i := int32(len(t.names))
+	t.index[name] = i
+	t.names = append(t.names, name)
+	return i
+}
+
+func (t *table[K]) find(name K) (int32, bool) {
+	i, ok := t.index[name]
+	return i, ok
+}
+
+type memberState struct {
+	declared        bool
+	share           float64
+	queued, running int
+	served          float64
+}
+
+type kindState struct {
+	declared               bool
+	kind                   declare.Kind
+	group                  int32
+	firstToken, gap, limit float64 // seconds
+}
+
+type groupState struct {
+	service bool
+	queue   *fair.Queue
+	// prefillCost and tokenCost are the group's cost units: mean engine-seconds
+	// per uncached prompt token and per output token.
+	prefillCost, tokenCost float64
+	// released is the cost released since the last refresh, rate the cost per
+	// second that this instance can release, learned while work is queued.
+	released, rate float64
+	backlogged     bool
+}
+
+type upstreamState struct {
+	declared    bool
+	dataCentre  fleet.DataCentre
+	group       int32
+	available   bool
+	leaving     bool
+	incarnation fleet.Incarnation
+}
+
+// maxLeadSeconds is the time for which service received while others were idle
+// is held against a member; the share error is stated over a minute.
+const maxLeadSeconds = 60
+
+func (s *Scheduler) configure(d *declare.Declaration) {
+	s.configured = true
+	for i := range s.kindStates {
+		s.kindStates[i].declared = false
+	}
+	for i := range s.memberStates {
+		s.memberStates[i].declared = false
+	}
+	for i := range s.upstreamStates {
+		s.upstreamStates[i].declared = false
+	}
+	for i := range d.Groups {
+		s.configureGroup(&d.Groups[i])
+	}
+	for i := range d.Kinds {
+		s.configureKind(&d.Kinds[i])
+	}
+	for i := range d.Upstreams {
+		s.configureUpstream(&d.Upstreams[i])
+	}
+	s.listGroups(d)
+	s.configureMembers(d.Members)
+	s.refreshUnits()
+}
+
+func (s *Scheduler) configureGroup(g *declare.Group) {
+	i := s.groups.of(g.Name)
+	for int(i) >= len(s.groupStates) {
+		s.groupStates = append(s.groupStates, groupState{queue: newQueue()})
+		s.router.Groups = append(s.router.Groups, nil)
+	}
+	s.groupStates[i].service = g.Type == declare.GroupService
+}
+
+func (s *Scheduler) configureKind(k *declare.Kind) {
+	group, ok := s.groups.find(k.Group)
+	if !ok {
+		return
+	}
+	i := s.kinds.of(k.Name)
+	for int(i) >= len(s.kindStates) {
+		s.kindStates = append(s.kindStates, kindState{})
+	}
+	s.kindStates[i] = kindState{
+		declared: true, kind: *k, group: group,
+		firstToken: k.TargetFirstToken.Seconds(), gap: k.TargetTokenGap.Seconds(), limit: k.Deadline.Seconds(),
+	}
+	s.tokens.Grow(len(s.kindStates))
+}
+
+func (s *Scheduler) configureUpstream(u *declare.Upstream) {
+	group, ok := s.groups.find(u.Group)
+	if !ok {
+		return
+	}
+	i := s.upstreams.of(u.ID)
+	for int(i) >= len(s.upstreamStates) {
+		s.upstreamStates = append(s.upstreamStates, upstreamState{available: true, group: -1})
+		s.router.Engines = append(s.router.Engines, route.Engine{Role: u.Role, ServiceTime: initialServiceTime})
+	}
+	x := &s.upstreamStates[i]
+	x.declared, x.dataCentre, x.group = true, u.DataCentre, group
+	e := &s.router.Engines[i]
+	e.Group = u.Group
+	e.Home = u.DataCentre == s.config.DataCentre
+	s.speeds.SetGroup(i, group)
+	if s.blocks != nil {
+		s.blocks.Grow(len(s.upstreamStates))
+	}
+	s.updateEngine(i)
+}
+
+// updateEngine copies learned and declared state to the router's view.
+func (s *Scheduler) updateEngine(i int32) {
+	x, e := &s.upstreamStates[i], &s.router.Engines[i]
+	e.Usable = x.declared && x.available && !x.leaving
+	e.Speed = s.speeds.Of(i, e.Role)
+}
+
+func (s *Scheduler) listGroups(d *declare.Declaration) {
+	for g := range s.router.Groups {
+		s.router.Groups[g] = s.router.Groups[g][:0]
+	}
+	for i := range d.Upstreams {
+		if u, ok := s.upstreams.find(d.Upstreams[i].ID); ok {
+			g := s.upstreamStates[u].group
+			s.router.Groups[g] = append(s.router.Groups[g], u)
+		}
+	}
+	for i := range s.upstreamStates {
+		s.updateEngine(int32(i))
+	}
+}
+
+func (s *Scheduler) configureMembers(members []declare.Member) {
+	total := 0.0
+	for i := range members {
+		m := s.members.of(members[i].ID)
+		for int(m) >= len(s.memberStates) {
+			s.memberStates = append(s.memberStates, memberState{})
+		}
+		share := members[i].Share
+		if share <= 0 {
+			share = 1
+		}
+		s.memberStates[m].declared, s.memberStates[m].share = true, share
+		total += share
+	}
+	for g := range s.groupStates {
+		q := s.groupStates[g].queue
+		for m := range s.memberStates {
+			q.SetWeight(int32(m), s.memberStates[m].share)
+		}
+		q.SetMaxLead(maxLeadSeconds * float64(len(s.router.Groups[g])) / math.Max(total, 1e-9))
+	}
+}
+
+// refresh recomputes what changes slowly. elapsed is seconds.
+func (s *Scheduler) refresh(elapsed float64) {
+	if !s.config.Ablate.NoLearning {
+		s.speeds.Refresh()
+	}
+	for i := range s.upstreamStates {
+		s.updateEngine(int32(i))
+	}
+	s.refreshUnits()
+	for g := range s.groupStates {
+		s.groupStates[g].refreshRate(elapsed)
+	}
+}
+
+// rateGain is the weight of a new second in the learned release rate.
+const rateGain = 0.2
+
+func (g *groupState) refreshRate(elapsed float64) {
+	rate := g.released / math.Max(elapsed, 1e-3)
+	switch {
+	case g.rate == 0 && g.backlogged:
+		g.rate = rate
+	case g.backlogged:
+		g.rate += rateGain * (rate - g.rate)
+	default:
+		g.rate = math.Max(g.rate, rate)
+	}
+	g.released, g.backlogged = 0, false
+}
+
+// refreshUnits recomputes the groups' cost units as the mean over the engines
+// that do the work in their role.
+func (s *Scheduler) refreshUnits() {
+	for g := range s.groupStates {
+		var prefill, token mean
+		for _, i := range s.router.Groups[g] {
+			e := &s.router.Engines[i]
+			if e.Role != fleet.RoleDecode {
+				prefill.add(e.Speed.Prefill)
+			}
+			if e.Role != fleet.RolePrefill {
+				token.add(e.Speed.TokenCost())
+			}
+		}
+		s.groupStates[g].prefillCost = prefill.or(s.config.Prior.Prefill)
+		s.groupStates[g].tokenCost = token.or(s.config.Prior.TokenCost())
+	}
+}
+
+type mean struct{ sum, n float64 }
+
+func (m *mean) add(x float64) {
+	m.sum += x
+	m.n++
+}
+
+func (m *mean) or(x float64) float64 {
+	if m.n == 0 {
+		return x
+	}
+	return m.sum / m.n
+}
+
+func (s *Scheduler) report(l LoadReport) {
+	i, ok := s.upstreams.find(l.Upstream)
+	if !ok {
+		return
+	}
+	s.setIncarnation(i, l.Incarnation)
+	x, e := &s.upstreamStates[i], &s.router.Engines[i]
+	x.leaving = x.leaving || l.Leaving
+	if !e.Reported || l.At >= e.ReportedAt {
+		e.Role = l.Role
+	}
+	s.updateEngine(i)
+	e.Report(route.Load{
+		At: l.At, Running: l.Running, Waiting: l.Waiting, WaitingPrompt: float64(l.WaitingPromptTokens),
+		KVUsed: float64(l.KVUsedTokens), KVCapacity: float64(l.KVCapacityTokens),
+	})
+	s.pump(x.group)
+}
+
+// setIncarnation starts afresh with an upstream that has restarted.
+func (s *Scheduler) setIncarnation(i int32, incarnation fleet.Incarnation) {
+	x := &s.upstreamStates[i]
+	if incarnation == "" || x.incarnation == incarnation {
+		return
+	}
+	known := x.incarnation != ""
+	x.incarnation = incarnation
+	if !known {
+		return
+	}
+	x.leaving = false
+	s.router.Engines[i].Restart()
+	if s.blocks != nil {
+		s.blocks.DropEngine(i)
+	}
+}
+
+func (s *Scheduler) setState(ev UpstreamState) {
+	i, ok := s.upstreams.find(ev.Upstream)
+	if !ok {
+		return
+	}
+	s.setIncarnation(i, ev.Incarnation)
+	x := &s.upstreamStates[i]
+	x.available = ev.Available
+	x.leaving = ev.Leaving
+	s.router.Engines[i].Role = ev.Role
+	s.updateEngine(i)
+	s.pump(x.group)
+}
+
+func (s *Scheduler) cacheUpdate(ev CacheUpdate) {
+	if i, ok := s.upstreams.find(ev.Upstream); ok && s.blocks != nil {
+		s.blocks.Update(i, ev.Sequence, ev.Stored, ev.Evicted)
+	}
+}
+
+func (s *Scheduler) peerService(ev PeerService) {
+	m, ok := s.members.find(ev.Member)
+	g, ok2 := s.groups.find(ev.Group)
+	if ok && ok2 && !s.config.Ablate.NoFair {
+		s.groupStates[g].queue.Charge(m, ev.Cost)
+	}
+}
+
+func (s *Scheduler) peerDispatch(ev PeerDispatch) {
+	i, ok := s.upstreams.find(ev.Upstream)
+	if !ok || s.config.Ablate.NoPeerDispatch {
+		return
+	}
+	e := &s.router.Engines[i]
+	tokens := float64(ev.PromptTokens)
+	e.Dispatched(ev.At, tokens*e.Speed.Prefill, ev.OutputTokens > 0, float64(ev.PromptTokens+ev.OutputTokens))
+}
+
+func (s *Scheduler) cost(group int32, uncached, output float64) float64 {
+	g := &s.groupStates[group]
+	return uncached*g.prefillCost + output*g.tokenCost
+}
