--- /dev/null
+++ b/core/role/plan.go
@@ -0,0 +1,467 @@
+package role
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// Config fixes the planner's parameters; zero values select the defaults.
+type Config struct {
+	// ChangeTime is the expected time an engine is out of service for a
+	// change, with its drain.
+	ChangeTime time.Duration
+	// Dwell is the assumed time between two shifts of the mix until shifts
+	// have been observed.
+	Dwell time.Duration
+	// MixedEfficiency and OffRoleEfficiency are the speed of a mixed engine
+	// and of work outside an engine's role, relative to work in the role.
+	MixedEfficiency, OffRoleEfficiency float64
+}
+
+const (
+	defaultChangeTime        = 10 * time.Second
+	defaultDwell             = 5 * time.Minute
+	defaultMixedEfficiency   = 0.85
+	defaultOffRoleEfficiency = 0.7
+
+	// evalPeriod is how often a division is evaluated.
+	evalPeriod = 2 * time.Second
+	// staleAfter is the age of a report from which an engine is not changed,
+	// and the age of the demand from which nothing is.
+	staleAfter = 10 * time.Second
+	// settleLimit ends a change that was neither settled nor observed.
+	settleLimit = 3 * time.Minute
+	// plannedUse is the utilisation up to which all demand is expected to be
+	// on time; the rest absorbs bursts.
+	plannedUse = 0.85
+	// minGain is the least rise of the carried part of the demand for which a
+	// change is made; smaller ones are within the error of the estimates.
+	minGain = 0.03
+	// shiftDistance is the change of the prefill share that counts as a shift
+	// of the mix. It exceeds the noise of the short horizon at the smallest
+	// deployment (standard deviation about 0.04).
+	shiftDistance = 0.15
+	// settledDistance is how close the short and the middle horizon must be
+	// before a change: during a shift the final mix is not yet known.
+	settledDistance = 0.07
+	// driftLimit is how long a shift may take before it is acted upon
+	// although it goes on.
+	driftLimit = 90 * time.Second
+	// heavyWeight is the declared weight from which a shift gets one change.
+	heavyWeight       = 2
+	changesPerShift   = 2
+	minDwell          = 2 * time.Minute
+	maxDwell          = 30 * time.Minute
+	dwellGain         = 0.3
+	maxBatch          = 64.0
+	defaultTargetGap  = 74 * time.Millisecond
+	loadTieGain       = 0.9
+	minDemandSeconds  = 0.05
+	warmupHorizons    = 1
+	pendingNothing    = fleet.UpstreamID("")
+	numberOfHorizons  = 2
+	shortHorizon      = 0
+	middleHorizon     = 1
+	numberOfRoles     = 3
+	noReference       = -1.0
+	engineSecondFloor = 1e-9
+)
+
+// horizons are the averaging times of the demand. A change must pay at
+// both.
+var horizons = [numberOfHorizons]time.Duration{12 * time.Second, 35 * time.Second}
+
+// Planner is not safe for concurrent use. The same events give the same
+// changes, so planners at several data centres agree without messages.
+type Planner struct {
+	config Config
+	groups []*group
+	ready  []Change
+}
+
+type engine struct {
+	EngineState
+	prefillRate, decodeRate float64 // tokens per second in role
+}
+
+type group struct {
+	Group
+	engines  []*engine // sorted by id
+	prompt   [numberOfHorizons]average
+	output   [numberOfHorizons]average
+	started  fleet.Instant
+	demandAt fleet.Instant
+	seen     bool
+	evalAt   fleet.Instant
+
+	pending   fleet.UpstreamID
+	pendingTo fleet.Role
+	pendingAt fleet.Instant
+
+	// reference is the prefill share of the last shift, noReference before
+	// the first evaluation; budget is the changes left for that shift.
+	reference    float64
+	budget       int
+	shiftAt      fleet.Instant
+	unsettledAt  fleet.Instant
+	unsettled    bool
+	dwellSeconds float64
+}
+
+// average is an exponentially decaying rate per second.
+type average struct {
+	sum float64
+	at  fleet.Instant
+}
+
+func (a *average) decay(now fleet.Instant, horizon time.Duration) {
+	if now > a.at {
+		a.sum *= math.Exp(-(now - a.at).Seconds() / horizon.Seconds())
+		a.at = now
+	}
+}
+
+// rate corrects for the time since the start being short of the horizon.
+func (a *average) rate(now, started fleet.Instant, horizon time.Duration) float64 {
+	a.decay(now, horizon)
+	h := horizon.Seconds()
+	filled := 1 - math.Exp(-(now-started).Seconds()/h)
+	return a.sum / (h * math.Max(filled, engineSecondFloor))
+}
+
+// New returns a planner without groups.
+func New(config Config) *Planner {
+	if config.ChangeTime == 0 {
+		config.ChangeTime = defaultChangeTime
+	}
+	if config.Dwell == 0 {
+		config.Dwell = defaultDwell
+	}
+	if config.MixedEfficiency == 0 {
+		config.MixedEfficiency = defaultMixedEfficiency
+	}
+	if config.OffRoleEfficiency == 0 {
+		config.OffRoleEfficiency = defaultOffRoleEfficiency
+	}
+	return &Planner{config: config}
+}
+
+// Ready returns the pending changes and clears them.
+func (p *Planner) Ready() []Change {
+	out := p.ready
+	p.ready = nil
+	return out
+}
+
+// Step applies one event at the given time. Times must not decrease.
+func (p *Planner) Step(now fleet.Instant, ev Event) {
+	switch ev := ev.(type) {
+	case Group:
+		g := p.group(now, ev.Name)
+		g.Group = ev
+		g.setDefaults()
+	case EngineState:
+		p.group(now, ev.Group).setEngine(ev)
+	case Demand:
+		p.group(now, ev.Group).addDemand(now, ev)
+	case Settled:
+		if g := p.group(now, ev.Group); g.pending == ev.Upstream {
+			g.pending = pendingNothing
+		}
+	}
+	for _, g := range p.groups {
+		p.evaluate(now, g)
+	}
+}
+
+func (p *Planner) group(now fleet.Instant, name fleet.GroupName) *group {
+	for _, g := range p.groups {
+		if g.Name == name {
+			return g
+		}
+	}
+	g := &group{Group: Group{Name: name}, started: now, evalAt: now, shiftAt: now, reference: noReference,
+		dwellSeconds: p.config.Dwell.Seconds()}
+	g.setDefaults()
+	p.groups = append(p.groups, g)
+	return g
+}
+
+func (g *group) setDefaults() {
+	if g.Weight <= 0 {
+		g.Weight = 1
+	}
+	if g.TargetGap <= 0 {
+		g.TargetGap = defaultTargetGap
+	}
+}
+
+func (g *group) setEngine(s EngineState) {
+	i := sort.Search(len(g.engines), func(i int) bool { return g.engines[i].Upstream >= s.Upstream })
+	if i == len(g.engines) || g.engines[i].Upstream != s.Upstream {
+		g.engines = append(g.engines, nil)
+		copy(g.engines[i+1:], g.engines[i:])
+		g.engines[i] = &engine{}
+	}
+	e := g.engines[i]
+	if s.At < e.At {
+		return
+	}
+	e.EngineState = s
+	gap := g.TargetGap.Seconds()
+	batch := math.Min((gap-s.Speed.Base)/math.Max(s.Speed.Slope, engineSecondFloor), maxBatch)
+	batch = math.Max(batch, 1)
+	e.prefillRate = 1 / math.Max(s.Speed.Prefill, engineSecondFloor)
+	e.decodeRate = batch / math.Max(s.Speed.Step(batch), engineSecondFloor)
+	if g.pending == s.Upstream && s.Available && s.Role == g.pendingTo {
+		g.pending = pendingNothing
+	}
+}
+
+func (g *group) addDemand(now fleet.Instant, d Demand) {
+	if !g.seen {
+		g.seen, g.started, g.evalAt, g.shiftAt = true, now, now, now
+	}
+	g.demandAt = now
+	for h := range horizons {
+		g.prompt[h].decay(now, horizons[h])
+		g.output[h].decay(now, horizons[h])
+		g.prompt[h].sum += d.PromptTokens
+		g.output[h].sum += d.OutputTokens
+	}
+}
+
+// demand is a mix in tokens per second.
+type demand struct{ prompt, output float64 }
+
+func (g *group) demandAtHorizon(now fleet.Instant, h int) demand {
+	return demand{
+		prompt: g.prompt[h].rate(now, g.started, horizons[h]),
+		output: g.output[h].rate(now, g.started, horizons[h]),
+	}
+}
+
+// work returns the demand in mean engine-seconds per second and the share of
+// prefill in it.
+func (g *group) work(d demand) (total, share float64) {
+	var prefill, decode, n float64
+	for _, e := range g.engines {
+		prefill += e.prefillRate
+		decode += e.decodeRate
+		n++
+	}
+	if n == 0 {
+		return 0, 0
+	}
+	a, b := d.prompt*n/prefill, d.output*n/decode
+	if a+b < engineSecondFloor {
+		return 0, 0
+	}
+	return a + b, a / (a + b)
+}
+
+func (p *Planner) evaluate(now fleet.Instant, g *group) {
+	if now-g.evalAt < evalPeriod {
+		return
+	}
+	g.evalAt = now
+	if g.pending != pendingNothing && now-g.pendingAt > settleLimit {
+		g.pending = pendingNothing
+	}
+	if !g.seen || now-g.demandAt > staleAfter || now-g.started < warmupHorizons*horizons[middleHorizon] {
+		return
+	}
+	if !g.trackShift(now) || g.pending != pendingNothing || g.budget <= 0 {
+		return
+	}
+	p.propose(now, g)
+}
+
+// trackShift notices shifts of the mix and refills the budget of changes; it
+// reports whether the mix has settled.
+func (g *group) trackShift(now fleet.Instant) bool {
+	total, short := g.work(g.demandAtHorizon(now, shortHorizon))
+	_, middle := g.work(g.demandAtHorizon(now, middleHorizon))
+	if total < minDemandSeconds {
+		return false
+	}
+	if math.Abs(short-middle) > settledDistance {
+		if !g.unsettled {
+			g.unsettled, g.unsettledAt = true, now
+		}
+		if now-g.unsettledAt < driftLimit {
+			return false
+		}
+	} else {
+		g.unsettled = false
+	}
+	if g.reference == noReference || math.Abs(middle-g.reference) > shiftDistance {
+		if g.reference != noReference {
+			interval := math.Min(math.Max((now-g.shiftAt).Seconds(), minDwell.Seconds()), maxDwell.Seconds())
+			g.dwellSeconds += dwellGain * (interval - g.dwellSeconds)
+		}
+		g.reference, g.shiftAt, g.budget = middle, now, changesPerShift
+		if g.Weight >= heavyWeight {
+			g.budget = 1
+		}
+	}
+	return true
+}
+
+// move is one possible change and its gain in engine-seconds.
+type move struct {
+	engine *engine
+	to     fleet.Role
+	gain   float64
+	rise   float64
+}
+
+func (p *Planner) propose(now fleet.Instant, g *group) {
+	short, middle := g.demandAtHorizon(now, shortHorizon), g.demandAtHorizon(now, middleHorizon)
+	work, share := g.work(middle)
+	before := p.carried(g, middle, nil, 0)
+	beforeShort := p.carried(g, short, nil, 0)
+	var moves []move
+	best := 0.0
+	for _, e := range g.engines {
+		if !g.changeable(now, e) {
+			continue
+		}
+		for r := range fleet.Role(numberOfRoles) {
+			if r == e.Role {
+				continue
+			}
+			rise := math.Min(p.carried(g, middle, e, r)-before, p.carried(g, short, e, r)-beforeShort)
+			if rise < minGain {
+				continue
+			}
+			price := g.Weight * p.config.ChangeTime.Seconds() * g.relativeSpeed(e)
+			gain := rise*work*g.dwellSeconds - price
+			if gain > 0 {
+				moves = append(moves, move{e, r, gain, rise})
+				best = math.Max(best, gain)
+			}
+		}
+	}
+	if len(moves) == 0 {
+		return
+	}
+	m := pickMove(moves, best)
+	g.budget--
+	g.pending, g.pendingTo, g.pendingAt = m.engine.Upstream, m.to, now
+	p.ready = append(p.ready, Change{
+		Group: g.Name, Upstream: m.engine.Upstream, To: m.to,
+		Reason: fmt.Sprintf("prefill is %.0f%% of the work; from %s to %s carries %.0f%% more of the demand, a gain of %.0f engine-seconds over an expected %.0f s",
+			100*share, m.engine.Role, m.to, 100*m.rise, m.gain, g.dwellSeconds),
+	})
+}
+
+// pickMove prefers the most lightly loaded engine among nearly equal gains.
+func pickMove(moves []move, best float64) move {
+	var out move
+	for _, m := range moves {
+		if m.gain < loadTieGain*best {
+			continue
+		}
+		if out.engine == nil || m.engine.Load < out.engine.Load {
+			out = m
+		}
+	}
+	return out
+}
+
+// changeable excludes engines that are out of service or reported late, and
+// the last available engine of a role.
+func (g *group) changeable(now fleet.Instant, e *engine) bool {
+	if !e.Available || now-e.At > staleAfter {
+		return false
+	}
+	n := 0
+	for _, o := range g.engines {
+		if o.Available && o.Role == e.Role {
+			n++
+		}
+	}
+	return n > 1
+}
+
+// relativeSpeed is an engine's speed relative to the group's mean.
+func (g *group) relativeSpeed(e *engine) float64 {
+	var prefill, decode, n float64
+	for _, o := range g.engines {
+		prefill += o.prefillRate
+		decode += o.decodeRate
+		n++
+	}
+	return (e.prefillRate*n/prefill + e.decodeRate*n/decode) / 2
+}
+
+// option is an engine's capacity if it only prefilled or only decoded.
+type option struct{ prefill, decode float64 }
+
+// carried returns the part of a demand that a division carries on time, 0 to
+// 1; changed takes role to instead of its own.
+func (p *Planner) carried(g *group, d demand, changed *engine, to fleet.Role) float64 {
+	options := make([]option, 0, len(g.engines))
+	for _, e := range g.engines {
+		if !e.Available {
+			continue
+		}
+		role := e.Role
+		if e == changed {
+			role = to
+		}
+		prefill, decode := p.efficiency(role)
+		options = append(options, option{e.prefillRate * prefill, e.decodeRate * decode})
+	}
+	return math.Min(1, plannedUse*multiple(options, d))
+}
+
+func (p *Planner) efficiency(role fleet.Role) (prefill, decode float64) {
+	switch role {
+	case fleet.RolePrefill:
+		return 1, p.config.OffRoleEfficiency
+	case fleet.RoleDecode:
+		return p.config.OffRoleEfficiency, 1
+	}
+	return p.config.MixedEfficiency, p.config.MixedEfficiency
+}
+
+// multiple returns the largest multiple of the demand that the engines can
+// carry when each divides its time freely. It walks the frontier of possible
+// (prefill, decode) totals in order of comparative advantage.
+func multiple(options []option, d demand) float64 {
+	sort.SliceStable(options, func(i, j int) bool {
+		return options[i].prefill*options[j].decode > options[j].prefill*options[i].decode
+	})
+	prefill, decode := 0.0, 0.0
+	for _, o := range options {
+		decode += o.decode
+	}
+	for _, o := range options {
+		// With a part x of this engine prefilling, the totals are in the
+		// proportion of the demand when
+		// (prefill + x*o.prefill)*d.output = (decode - x*o.decode)*d.prompt.
+		x := (decode*d.prompt - prefill*d.output) / math.Max(o.prefill*d.output+o.decode*d.prompt, engineSecondFloor)
+		if x <= 1 {
+			x = math.Max(x, 0)
+			prefill += x * o.prefill
+			decode -= x * o.decode
+			break
+		}
+		prefill += o.prefill
+		decode -= o.decode
+	}
+	m := math.Inf(1)
+	if d.prompt > 0 {
+		m = math.Min(m, prefill/d.prompt)
+	}
+	if d.output > 0 {
+		m = math.Min(m, decode/d.output)
+	}
+	return m
+}
--- /dev/null
+++ b/core/role/plan_test.go
@@ -0,0 +1,144 @@
+package role_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/cost"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/role"
+)
+
+// fleetLoop feeds a planner with Poisson-like demand and carries out its
+// changes after a delay.
+type fleetLoop struct {
+	p       *role.Planner
+	engines []role.EngineState
+	now     fleet.Instant
+	seed    uint64
+	changes []role.Change
+	ends    map[int]fleet.Instant
+}
+
+func newLoop(n int, weight float64, seed uint64) *fleetLoop {
+	l := &fleetLoop{p: role.New(role.Config{}), seed: seed, ends: map[int]fleet.Instant{}}
+	l.p.Step(0, role.Group{Name: "g", Weight: weight, TargetGap: 74 * time.Millisecond})
+	for i := range n {
+		f := 1 + 2*float64(i%4)/3
+		r := fleet.RoleDecode
+		if i%2 == 0 {
+			r = fleet.RolePrefill
+		}
+		l.engines = append(l.engines, role.EngineState{
+			Group: "g", Upstream: fleet.UpstreamID(fmt.Sprintf("e%02d", i)), Role: r, Available: true,
+			Speed: cost.Speed{Prefill: 1e-4 * f, Base: 15e-3 * f, Slope: 4e-4 * f},
+		})
+	}
+	return l
+}
+
+func (l *fleetLoop) uniform() float64 {
+	l.seed += 0x9e3779b97f4a7c15
+	z := (l.seed ^ l.seed>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return float64((z^z>>31)>>11) / (1 << 53)
+}
+
+// run offers rate requests a second of prompt and output tokens each (both
+// vary by an exponential factor).
+func (l *fleetLoop) run(d time.Duration, rate, prompt, output float64) {
+	for end := l.now + d; l.now < end; l.now += time.Second {
+		var ev role.Demand
+		ev.Group = "g"
+		for t := -math.Log(1 - l.uniform()); t < rate; t += -math.Log(1 - l.uniform()) {
+			ev.PromptTokens += prompt * -math.Log(1-l.uniform())
+			ev.OutputTokens += output * -math.Log(1-l.uniform())
+		}
+		l.p.Step(l.now, ev)
+		for i := range l.engines {
+			if until, ok := l.ends[i]; ok && l.now >= until {
+				delete(l.ends, i)
+				l.engines[i].Available = true
+			}
+			l.engines[i].At = l.now - time.Second
+			l.p.Step(l.now, l.engines[i])
+		}
+		for _, c := range l.p.Ready() {
+			l.changes = append(l.changes, c)
+			for i := range l.engines {
+				if l.engines[i].Upstream == c.Upstream {
+					l.engines[i].Role, l.engines[i].Available = c.To, false
+					l.ends[i] = l.now + 8*time.Second
+				}
+			}
+		}
+	}
+}
+
+// Rates of requests that load 12 engines with mean factor 2 at about 80%.
+const (
+	promptHeavyPrompt, promptHeavyOutput = 6000, 100
+	answerHeavyPrompt, answerHeavyOutput = 800, 300
+	promptHeavyRate, answerHeavyRate     = 9, 22
+)
+
+// TestSteadyLoad guards against role changes that follow noise.
+func TestSteadyLoad(t *testing.T) {
+	for seed := uint64(1); seed <= 10; seed++ {
+		for _, weight := range []float64{1, 3} {
+			l := newLoop(12, weight, seed)
+			l.run(2*time.Minute, 15, 2500, 180)
+			l.changes = nil
+			l.run(time.Hour, 15, 2500, 180)
+			if len(l.changes) > 0 {
+				t.Errorf("seed %d weight %v: %d changes in a steady hour, first %+v", seed, weight, len(l.changes), l.changes[0])
+			}
+		}
+	}
+}
+
+// TestShifts guards against more changes per shift than declared, and against
+// a planner that never changes anything.
+func TestShifts(t *testing.T) {
+	for _, c := range []struct {
+		weight float64
+		limit  int
+	}{{1, 2}, {3, 1}} {
+		total := 0
+		for seed := uint64(1); seed <= 10; seed++ {
+			l := newLoop(12, c.weight, seed)
+			l.run(4*time.Minute, answerHeavyRate, answerHeavyPrompt, answerHeavyOutput)
+			for shift := range 6 {
+				l.changes = nil
+				if shift%2 == 0 {
+					l.run(5*time.Minute, promptHeavyRate, promptHeavyPrompt, promptHeavyOutput)
+				} else {
+					l.run(5*time.Minute, answerHeavyRate, answerHeavyPrompt, answerHeavyOutput)
+				}
+				total += len(l.changes)
+				if len(l.changes) > c.limit {
+					t.Errorf("seed %d weight %v shift %d: %d changes", seed, c.weight, shift, len(l.changes))
+				}
+			}
+		}
+		t.Logf("weight %v: %d changes in 60 shifts", c.weight, total)
+		if total == 0 {
+			t.Errorf("weight %v: no change in 60 shifts", c.weight)
+		}
+	}
+}
+
+// TestKeepsLastOfRole guards against a role that no available engine has, and
+// against changes at engines that are withdrawn or reported late.
+func TestKeepsLastOfRole(t *testing.T) {
+	l := newLoop(4, 1, 1)
+	l.engines[0].Available = false
+	l.run(20*time.Minute, 6, 200, 600)
+	for _, c := range l.changes {
+		if c.Upstream == "e00" || c.Upstream == "e02" {
+			t.Fatalf("changed %+v", c)
+		}
+	}
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -97,8 +97,7 @@
 	PrefillSeconds float64
 	// Fits tells that the streams on the target keep their token gap and that
 	// the prefill queue is short enough.
-	Fits  bool
-	score float64
+	Fits bool
 }
 
 // Router holds the state of all upstreams of an instance.
@@ -135,52 +134,57 @@
 	return z ^ z>>31
 }
 
+// candidate is the best engine so far for one way to run a request.
+type candidate struct {
+	engine int32
+	score  float64
+}
+
+func (c *candidate) offer(engine int32, score float64) {
+	if score < c.score {
+		c.engine, c.score = engine, score
+	}
+}
+
 // Pick chooses the path and engines of a request; ok is false when no engine
 // of the group is usable.
-func (r *Router) Pick(now fleet.Instant, q *Query) (best Choice, ok bool) {
+func (r *Router) Pick(now fleet.Instant, q *Query) (Choice, bool) {
 	members := r.Groups[q.Group]
 	unit := r.workUnit(members, q)
-	best = Choice{Target: None, score: math.Inf(1)}
-	var prefill, decode Choice
-	prefill.Target, decode.Target = None, None
-	prefill.score, decode.score = math.Inf(1), math.Inf(1)
-	roles := [3]int{}
+	none := candidate{None, math.Inf(1)}
+	local, prefill, decode := none, none, none
+	split := false
 	for _, i := range members {
 		e := &r.Engines[i]
 		if !e.Usable || (q.Only != None && q.Only != i) {
 			continue
 		}
-		roles[e.Role]++
-		u := r.random()
-		spread := (baseSpread + ageSpread*e.Age(now)) * noise[u&255]
-		if c := r.local(now, q, i, unit); c.score-spread < best.score {
-			best = c
-			best.score -= spread
-		}
+		x := r.assess(now, q, e, i)
+		spread := (baseSpread + ageSpread*e.Age(now)) * noise[r.random()&255]
+		local.offer(i, x.localScore(q, e, unit)-spread)
 		if q.NoSplit || q.Only != None {
 			continue
 		}
+		split = split || e.Role != fleet.RoleMixed
 		if e.Role != fleet.RoleDecode {
-			c := r.prefillPart(now, q, i, unit)
-			if c.score -= spread; c.score < prefill.score {
-				prefill = c
-			}
+			prefill.offer(i, x.prefillScore(q, unit, r.TransferPerToken)-spread)
 		}
 		if e.Role != fleet.RolePrefill {
-			c := r.decodePart(now, q, i, unit)
-			if c.score -= spread; c.score < decode.score {
-				decode = c
-			}
+			decode.offer(i, x.decodeScore(q, e, unit)-spread)
 		}
 	}
-	if best.Target == None {
-		return best, false
+	if local.engine == None {
+		return Choice{Target: None, Prefill: None}, false
 	}
-	if roles[fleet.RolePrefill]+roles[fleet.RoleDecode] > 0 {
-		r.split(prefill, decode, &best)
+	c := r.localChoice(now, q, local.engine)
+	// A split costs a transfer and both scores carry their own perturbation
+	// and penalties, so it must win against the best local choice as a sum.
+	if split && prefill.engine != None && decode.engine != None && prefill.engine != decode.engine &&
+		prefill.score+decode.score < local.score {
+		c = r.splitChoice(now, q, prefill.engine, decode.engine)
 	}
-	best.Reason = r.reason(q, &best)
-	return best, true
+	c.Reason = r.reason(q, &c)
+	return c, true
 }
 
 // workUnit is the engine-seconds of the request at a typical engine; scores
@@ -243,9 +247,6 @@
 	return remoteSeconds
 }
 
-// gapAfter is the expected token gap once one more sequence runs.
-func (e *Engine) gapAfter() float64 { return e.Speed.Step(e.Batch() + 1) }
-
 // fits tells that one more sequence keeps the streams on the engine and the
 // request itself within the token gap target. An engine without streams
 // always fits, so that no engine is excluded by a wrong estimate for good.
@@ -260,68 +261,69 @@
 	return target <= 0 || gap <= target
 }
 
-func (r *Router) local(now fleet.Instant, q *Query, i int32, unit float64) Choice {
-	e := &r.Engines[i]
-	uncached, cached := r.uncached(q, i)
-	wait := e.Backlog(now)
-	work := uncached * e.Speed.Prefill
-	gap := e.gapAfter()
-	first := wait + work + gap + e.hop()
-	c := Choice{Target: i, Prefill: None, FirstToken: first, Gap: gap, Wait: wait,
-		Uncached: uncached, CachedTokens: cached, PrefillSeconds: work, Fits: e.fits(q, gap) && q.short(wait)}
-	added := work + q.Output*e.Speed.TokenCost()
-	if e.Role != fleet.RoleDecode && e.Batch() > 0 {
-		added += interference * work
-	}
-	c.score = r.score(q, e, i, first, gap, c.Fits, (added+wait)/unit)
-	return c
+func (q *Query) short(wait float64) bool { return q.Hold <= 0 || wait <= q.Hold }
+
+// assessment is what the scores of one engine have in common, in seconds.
+type assessment struct {
+	uncached, cached       float64
+	wait, work, gap, first float64
+	penalty                float64
+	fitsGap, short         bool
 }
 
-func (q *Query) short(wait float64) bool { return q.Hold <= 0 || wait <= q.Hold }
+func (r *Router) assess(now fleet.Instant, q *Query, e *Engine, i int32) (x assessment) {
+	x.uncached, x.cached = r.uncached(q, i)
+	x.wait = e.Backlog(now)
+	x.work = x.uncached * e.Speed.Prefill
+	x.gap = e.Speed.Step(e.Batch() + 1)
+	x.first = x.wait + x.work + e.hop()
+	x.penalty = e.penalty(q, i)
+	x.fitsGap = e.fits(q, x.gap)
+	x.short = q.short(x.wait)
+	return x
+}
+
+// misfit is the score of holding the request back or of harming streams.
+func misfit(fits bool) float64 {
+	if fits {
+		return 0
+	}
+	return lateWeight
+}
 
-func (r *Router) score(q *Query, e *Engine, i int32, first, gap float64, fits bool, work float64) float64 {
-	s := work + e.penalty(q, i) + lateWeight*late(q, first, gap)
-	if !fits {
-		s += lateWeight
+func (x *assessment) localScore(q *Query, e *Engine, unit float64) float64 {
+	work := x.wait + x.work + q.Output*e.Speed.TokenCost()
+	if e.Role != fleet.RoleDecode && e.Batch() > 0 {
+		work += interference * x.work
 	}
-	return s
+	return work/unit + x.penalty + lateWeight*late(q, x.first+x.gap, x.gap) + misfit(x.fitsGap && x.short)
 }
 
-func (r *Router) prefillPart(now fleet.Instant, q *Query, i int32, unit float64) Choice {
-	e := &r.Engines[i]
-	uncached, cached := r.uncached(q, i)
-	wait := e.Backlog(now)
-	work := uncached * e.Speed.Prefill
-	first := wait + work + e.hop() + q.Prompt*r.TransferPerToken
-	c := Choice{Target: i, FirstToken: first, Wait: wait, Uncached: uncached, CachedTokens: cached, PrefillSeconds: work,
-		Fits: q.short(wait)}
-	c.score = r.score(q, e, i, first, 0, c.Fits, (work+wait)/unit)
-	return c
+func (x *assessment) prefillScore(q *Query, unit, transfer float64) float64 {
+	moved := q.Prompt * transfer
+	return (x.wait+x.work+moved)/unit + x.penalty + lateWeight*late(q, x.first+moved, 0) + misfit(x.short)
 }
 
-func (r *Router) decodePart(_ fleet.Instant, q *Query, i int32, unit float64) Choice {
-	e := &r.Engines[i]
-	gap := e.gapAfter()
-	c := Choice{Target: i, Gap: gap, FirstToken: gap + e.hop(), Fits: e.fits(q, gap)}
-	c.score = r.score(q, e, i, 0, gap, c.Fits, q.Output*e.Speed.TokenCost()/unit)
-	return c
+func (x *assessment) decodeScore(q *Query, e *Engine, unit float64) float64 {
+	return q.Output*e.Speed.TokenCost()/unit + x.penalty + lateWeight*late(q, 0, x.gap) + misfit(x.fitsGap)
 }
 
-// split replaces best by the pair of prefill and decode engine if it is
-// better than every local choice.
-func (r *Router) split(prefill, decode Choice, best *Choice) {
-	if prefill.Target == None || decode.Target == None || prefill.Target == decode.Target {
-		return
+func (r *Router) localChoice(now fleet.Instant, q *Query, i int32) Choice {
+	x := r.assess(now, q, &r.Engines[i], i)
+	return Choice{
+		Target: i, Prefill: None, FirstToken: x.first + x.gap, Gap: x.gap, Wait: x.wait,
+		Uncached: x.uncached, CachedTokens: x.cached, PrefillSeconds: x.work, Fits: x.fitsGap && x.short,
 	}
-	score := prefill.score + decode.score
-	if score >= best.score {
-		return
+}
+
+func (r *Router) splitChoice(now fleet.Instant, q *Query, prefill, decode int32) Choice {
+	p := r.assess(now, q, &r.Engines[prefill], prefill)
+	d := r.assess(now, q, &r.Engines[decode], decode)
+	return Choice{
+		Target: decode, Prefill: prefill, Gap: d.gap, Wait: p.wait,
+		FirstToken: p.first + q.Prompt*r.TransferPerToken + d.gap + r.Engines[decode].hop(),
+		Uncached:   p.uncached, CachedTokens: p.cached, PrefillSeconds: p.work, Fits: p.short && d.fitsGap,
 	}
-	pair := prefill
-	pair.Target, pair.Prefill = decode.Target, prefill.Target
-	pair.FirstToken = prefill.FirstToken + decode.FirstToken
-	pair.Gap, pair.Fits, pair.score = decode.Gap, prefill.Fits && decode.Fits, score
-	*best = pair
 }
 
 func (r *Router) reason(q *Query, c *Choice) Reason {
--- /dev/null
+++ b/core/sched/bench_test.go
@@ -0,0 +1,54 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// BenchmarkDecide measures one turn of the fair queue over 1,300 backlogged
+// members: peek, prefix look-up over 8 blocks, route, pop, charge and a new
+// request of the same member.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{18, 71, 780} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) { benchmarkDecide(b, n) })
+	}
+}
+
+func benchmarkDecide(b *testing.B, n int) {
+	const members = 1300
+	s := New(Config{Seed: 1})
+	d := &declare.Declaration{
+		Groups: []declare.Group{{Name: "g", Type: declare.GroupEngine}},
+		Kinds: []declare.Kind{{Name: "k", Group: "g", TargetFirstToken: time.Second, TargetTokenGap: 74 * time.Millisecond,
+			Deadline: time.Hour, MaxOutputTokens: 400}},
+	}
+	for i := range n {
+		d.Upstreams = append(d.Upstreams, declare.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("e%d", i)), Group: "g", Role: fleet.Role(i % 3)})
+	}
+	for i := range members {
+		d.Members = append(d.Members, declare.Member{ID: fleet.MemberID(fmt.Sprintf("m%d", i)), Share: float64(1 + i%5)})
+	}
+	s.Step(0, Configure{Declaration: d})
+	for i := range members {
+		blocks := make([]uint64, 8)
+		for j := range blocks {
+			blocks[j] = uint64(i/20*100 + j + 1)
+		}
+		s.blocks.Insert(int32(i%n), blocks)
+		t := &tracked{Request: Request{PromptTokens: 16000, MaxOutputTokens: 400, Blocks: blocks}, member: int32(i), avoid: -1, only: -1}
+		t.prompt, t.output = 16000, 200
+		s.enqueue(t)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q := s.groupStates[0].queue
+		t := s.queued[q.Peek().Owner]
+		s.decide(t)
+		q.Pop()
+		q.Push(&t.item)
+	}
+}
