Space follow-ups in time and size the emulated prefix cache

Cause: follow-ups extended prompts that were still being answered, so no policy could hit the cache, and a slowest engine's cache held 25 long prompts; the capacity that sets the load counted every follow-up as a hit. Change: a follow-up comes 5 to 60 s after the prompt it extends; an engine's cache holds 1,000 blocks per unit of speed.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -32,7 +32,9 @@
 // Limits of an engine of speed 1; memory grows with speed.
 const (
 	kvTokensPerSpeed    = 600_000
-	cacheBlocksPerSpeed = 200
+	// cacheBlocksPerSpeed is two million tokens: host memory holds what has left
+	// the accelerators.
+	cacheBlocksPerSpeed = 1000
 	maxSequences        = 256
 )
 
--- a/mixshift/workload.go
+++ b/mixshift/workload.go
@@ -79,7 +79,13 @@
 	weights   []float64         // cumulative demand of members
 }
 
-const recentPrompts = 4
+// A follow-up comes after the caller has read the answer and before the
+// conversation ends.
+const (
+	followUpMin   = 5 * time.Second
+	followUpMax   = time.Minute
+	recentPrompts = 32 // per member
+)
 
 func newGenerator(seed uint64, demand func(member int) float64) *generator {
 	g := &generator{rng: rand.New(rand.NewPCG(seed, 0x6d69787368696674)), recent: map[int][]arrival{}}
@@ -104,16 +110,16 @@
 
 func (g *generator) between(lo, hi int) int { return lo + g.rng.IntN(hi-lo+1) }
 
-// draw returns one request and its least work.
-func (g *generator) draw(k kindSpec) (arrival, work) {
-	a := arrival{kind: k, member: g.member(), instance: g.rng.IntN(instances)}
+// draw returns one request at the given time and its least work.
+func (g *generator) draw(k kindSpec, at fleet.Instant) (arrival, work) {
+	a := arrival{at: at, kind: k, member: g.member(), instance: g.rng.IntN(instances)}
 	a.output = g.between(k.outputMin, k.outputMax)
-	recent := g.recent[a.member]
-	if len(recent) > 0 && g.rng.Float64() < k.followUp {
-		old := recent[g.rng.IntN(len(recent))]
-		a.prompt = old.prompt + g.between(50, 300)
-		a.blocks = old.blocks
-		return a, workOf(a, true)
+	if k.followUp > 0 && g.rng.Float64() < k.followUp {
+		if old, ok := g.earlier(a.member, at); ok {
+			a.prompt = old.prompt + g.between(50, 300)
+			a.blocks = old.blocks
+			return a, workOf(a, true)
+		}
 	}
 	a.prompt = g.between(k.promptMin, k.promptMax)
 	for range a.prompt / emulator.BlockTokens {
@@ -121,19 +127,34 @@
 		a.blocks = append(a.blocks, g.nextBlock*0x9e3779b97f4a7c15)
 	}
 	if k.followUp > 0 {
-		recent = append(recent, a)
+		recent := append(g.recent[a.member], a)
 		g.recent[a.member] = recent[max(0, len(recent)-recentPrompts):]
 	}
 	return a, workOf(a, false)
 }
 
+// earlier picks a prompt of the member that a follow-up can extend.
+func (g *generator) earlier(member int, at fleet.Instant) (arrival, bool) {
+	var fit []arrival
+	for _, a := range g.recent[member] {
+		if age := at - a.at; age >= followUpMin && age <= followUpMax {
+			fit = append(fit, a)
+		}
+	}
+	if len(fit) == 0 {
+		return arrival{}, false
+	}
+	return fit[g.rng.IntN(len(fit))], true
+}
+
 // meanWork estimates the mean least work of a kind.
 func meanWork(k kindSpec) work {
 	const samples = 4000
+	const sampleGap = 50 * time.Millisecond
 	g := newGenerator(1, zipfDemand)
 	var sum work
-	for range samples {
-		_, w := g.draw(k)
+	for i := range samples {
+		_, w := g.draw(k, fleet.Instant(i)*sampleGap)
 		sum.prefill += w.prefill
 		sum.decode += w.decode
 	}
@@ -194,8 +215,7 @@
 		if at >= start+length {
 			return out
 		}
-		a, _ := g.draw(k)
-		a.at = at
+		a, _ := g.draw(k, at)
 		out = append(out, a)
 	}
 }
