--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -31,7 +31,7 @@
 
 // Limits of an engine of speed 1; memory grows with speed.
 const (
-	kvTokensPerSpeed    = 600_000
+	kvTokensPerSpeed = 600_000
 	// cacheBlocksPerSpeed is two million tokens: host memory holds what has left
 	// the accelerators.
 	cacheBlocksPerSpeed = 1000
