Bound every wait and share the demand with the role planner

Queued requests of a kind without a deadline, or of a group that lost its last upstream, could wait without end, and an engine whose reports stop looked full for good because peers' work was never forgotten.

--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,40 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/admit"
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// TestCheck guards against a missing bound and against refusing requests that
+// can be on time or that nobody gains by refusing.
+func TestCheck(t *testing.T) {
+	limits := admit.Limits{Requests: 10, MemberRequests: 5, Bytes: 1000}
+	ok := admit.Situation{First: 0.2, Whole: 5, TargetFirst: 1, Deadline: 60}
+	for _, c := range []struct {
+		name   string
+		change func(*admit.Situation)
+		want   fleet.Reason
+	}{
+		{"idle", func(*admit.Situation) {}, ""},
+		{"queue full", func(s *admit.Situation) { s.Queued = 10 }, fleet.ReasonQueueFull},
+		{"member's queue full", func(s *admit.Situation) { s.MemberQueued = 5 }, fleet.ReasonShareUsedUp},
+		{"bytes", func(s *admit.Situation) { s.Queued, s.QueuedBytes, s.Bytes = 1, 900, 200 }, fleet.ReasonQueueFull},
+		{"large but alone", func(s *admit.Situation) { s.Bytes = 2000 }, ""},
+		{"deadline", func(s *admit.Situation) { s.Wait = 56 }, fleet.ReasonDeadlineUnmeetable},
+		{"first token late, others wait", func(s *admit.Situation) { s.Wait, s.Contended = 0.9, true }, fleet.ReasonDeadlineUnmeetable},
+		{"first token late, nobody waits", func(s *admit.Situation) { s.Wait = 0.9 }, ""},
+		{"target out of reach", func(s *admit.Situation) { s.First, s.Wait, s.Contended = 2, 0.9, true }, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := ok
+			c.change(&s)
+			r := admit.Check(limits, s)
+			if (r == nil) != (c.want == "") || r != nil && (r.Reason != c.want || r.Outcome != fleet.OutcomeNotRun || r.RetryAfter < time.Second) {
+				t.Fatalf("refusal %v", r)
+			}
+		})
+	}
+}
--- a/core/route/engine.go
+++ b/core/route/engine.go
@@ -152,10 +152,22 @@
 // peerRateGain is the weight of a new second in the rate of peers' work.
 const peerRateGain = 0.3
 
-// RefreshPeerRate learns the rate of peers' work over the last seconds.
-func (e *Engine) RefreshPeerRate(elapsed float64) {
+// unreportedDecay is the time constant, in seconds, with which work of others
+// is forgotten once reports stop; it is the order of an answer's length.
+const unreportedDecay = 10
+
+// Refresh learns the rate of peers' work over the last elapsed seconds and
+// forgets work of others that no report confirms any more. Without that an
+// engine whose reports stop would look full for good.
+func (e *Engine) Refresh(now fleet.Instant, elapsed float64) {
 	e.peerRate += peerRateGain * (e.peerSent/math.Max(elapsed, 1e-3) - e.peerRate)
 	e.peerSent = 0
+	if e.Reported && now-e.ReportedAt < maxUnseen {
+		return
+	}
+	keep := math.Exp(-elapsed / unreportedDecay)
+	e.batch = float64(e.Decoding) + (e.batch-float64(e.Decoding))*keep
+	e.kvUsed *= keep
 }
 
 // Ended records that work of this instance left the engine.
--- a/core/sched/flight.go
+++ b/core/sched/flight.go
@@ -20,6 +20,7 @@
 	// initialServiceTime is the assumed seconds of a call at a plain service.
 	initialServiceTime = 0.05
 	serviceTimeGain    = 0.1
+	cachedShareGain    = 0.02
 )
 
 func (s *Scheduler) dispatch(t *tracked) {
@@ -201,7 +202,12 @@
 	if !s.config.Ablate.NoLearning {
 		s.tokens.Observe(t.member, t.kind, t.PromptTokens, u.PromptTokens, u.OutputTokens)
 	}
-	if s.blocks == nil || u.PromptTokens == 0 {
+	if u.PromptTokens == 0 {
+		return
+	}
+	g := &s.groupStates[t.group]
+	g.cachedShare += cachedShareGain * (float64(u.CachedTokens)/float64(u.PromptTokens) - g.cachedShare)
+	if s.blocks == nil {
 		return
 	}
 	engine := t.choice.Target
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -62,6 +62,7 @@
 	k := &s.kindStates[kind]
 	t.prompt = s.tokens.Prompt(kind, r.PromptTokens)
 	t.output = s.tokens.OutputMean(member, kind, limit(r.MaxOutputTokens, k.kind.MaxOutputTokens))
+	s.groupStates[t.group].demand(t)
 	if refusal := s.admit(t); refusal != nil {
 		s.free = append(s.free, t)
 		s.ready = append(s.ready, Refuse{ID: r.ID, Refusal: refusal})
@@ -72,6 +73,12 @@
 	s.pump(t.group)
 }
 
+// demand counts a request's expected work for the role planner.
+func (g *groupState) demand(t *tracked) {
+	g.promptDemand += t.prompt * (1 - g.cachedShare)
+	g.outputDemand += t.output
+}
+
 func limit(requested, declared int) int {
 	if requested <= 0 || (declared > 0 && declared < requested) {
 		return declared
@@ -319,11 +326,24 @@
 	s.free = append(s.free, t)
 }
 
-// expire refuses queued requests whose deadline has become unmeetable.
+const (
+	// maxWait bounds the time in the queue of kinds without a deadline.
+	maxWait = 2 * time.Minute
+	// upstreamWait is how long queued requests wait for a group without a
+	// usable upstream; a restart of an engine takes a few seconds.
+	upstreamWait = 5 * time.Second
+)
+
+// expire refuses queued requests that can no longer be served in time.
 func (s *Scheduler) expire() {
+	for g := range s.groupStates {
+		if s.usable(int32(g)) {
+			s.groupStates[g].usableAt = s.now
+		}
+	}
 	for i := 0; i < len(s.queued); {
 		t := s.queued[i]
-		if s.pastDeadline(t) || s.dropLate(t, &s.groupStates[t.group]) {
+		if s.pastDeadline(t) || s.withoutUpstream(t) || s.dropLate(t, &s.groupStates[t.group]) {
 			continue
 		}
 		i++
@@ -334,9 +354,20 @@
 // when early refusal is turned off.
 func (s *Scheduler) pastDeadline(t *tracked) bool {
 	limit := s.kindStates[t.kind].kind.Deadline
-	if limit <= 0 || s.now-t.arrived < limit {
+	if limit <= 0 {
+		limit = maxWait
+	}
+	if s.now-t.arrived < limit {
+		return false
+	}
+	s.drop(t, fleet.Refuse(fleet.ReasonDeadlineUnmeetable, "the request waited %s in the queue", limit))
+	return true
+}
+
+func (s *Scheduler) withoutUpstream(t *tracked) bool {
+	if s.now-s.groupStates[t.group].usableAt < upstreamWait {
 		return false
 	}
-	s.drop(t, fleet.Refuse(fleet.ReasonDeadlineUnmeetable, "the deadline of %s passed in the queue", limit))
+	s.drop(t, fleet.Refuse(fleet.ReasonNoUpstream, "no upstream of the group has been available for %s", upstreamWait))
 	return true
 }
--- a/core/sched/shared.go
+++ b/core/sched/shared.go
@@ -1,6 +1,11 @@
 package sched
 
-import "github.com/bramleywick/bramleywick/core/fleet"
+import (
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/cost"
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
 
 // Shared is what the instance's peers must learn about its recent work.
 type Shared struct {
@@ -8,6 +13,16 @@
 	Service []PeerService
 	// Dispatches is the work sent to engines since the last call.
 	Dispatches []PeerDispatch
+	// Demand is the work of the requests that arrived since the last call,
+	// refused ones included, for the role planner.
+	Demand []GroupDemand
+}
+
+// GroupDemand is work that arrived for one group.
+type GroupDemand struct {
+	Group fleet.GroupName
+	// PromptTokens are expected without the cached part.
+	PromptTokens, OutputTokens float64
 }
 
 // Status is a snapshot of the scheduler for operators.
@@ -39,6 +54,14 @@
 	InFlight int
 	// ReportedAt is the time of the last load report.
 	ReportedAt fleet.Instant
+	// Speed is the learned speed of an engine in its role.
+	Speed cost.Speed
+	// Batch is the expected number of running sequences, Backlog the expected
+	// time until a new prefill could start.
+	Batch   float64
+	Backlog time.Duration
+	// CacheConfidence is the trust in the engine's prefix index, 0 to 1.
+	CacheConfidence float64
 }
 
 // maxSharedDispatches bounds the log when nobody takes it; the oldest entries
@@ -88,6 +111,13 @@
 			Member: s.members.names[m.member], Group: s.groups.names[m.group], Cost: m.cost,
 		})
 	}
+	for i := range s.groupStates {
+		g := &s.groupStates[i]
+		if g.promptDemand+g.outputDemand > 0 {
+			out.Demand = append(out.Demand, GroupDemand{Group: s.groups.names[i], PromptTokens: g.promptDemand, OutputTokens: g.outputDemand})
+		}
+		g.promptDemand, g.outputDemand = 0, 0
+	}
 	out.Dispatches = append(out.Dispatches, s.shared.dispatches...)
 	s.shared.service = s.shared.service[:0]
 	clear(s.shared.index)
@@ -111,10 +141,15 @@
 		if !u.declared && e.InFlight == 0 {
 			continue
 		}
+		confidence := 0.0
+		if s.blocks != nil {
+			confidence = s.blocks.Confidence(int32(i))
+		}
 		out.Upstreams = append(out.Upstreams, UpstreamStatus{
 			ID: s.upstreams.names[i], Group: e.Group, DataCentre: u.dataCentre, Role: e.Role,
 			Incarnation: u.incarnation, Available: u.declared && u.available, Leaving: u.leaving,
-			InFlight: e.InFlight, ReportedAt: e.ReportedAt,
+			InFlight: e.InFlight, ReportedAt: e.ReportedAt, Speed: e.Speed, Batch: e.Batch(),
+			Backlog: time.Duration(e.Backlog(s.now) * float64(time.Second)), CacheConfidence: confidence,
 		})
 	}
 	return out
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -59,6 +59,13 @@
 	// second that this instance can release, learned while work is queued.
 	released, rate float64
 	backlogged     bool
+	// usableAt is when the group last had a usable upstream.
+	usableAt fleet.Instant
+	// cachedShare is the learned part of prompts found in prefix caches.
+	cachedShare float64
+	// promptDemand and outputDemand are the tokens of the requests that
+	// arrived since the last TakeShared, refused ones included.
+	promptDemand, outputDemand float64
 	// firstError and firstDeviation are the mean and the mean deviation of
 	// observed over expected first-token times. They cover what the estimate
 	// leaves out, such as prefill that shares an engine with decode.
@@ -220,7 +227,7 @@
 	}
 	for i := range s.upstreamStates {
 		s.updateEngine(int32(i))
-		s.router.Engines[i].RefreshPeerRate(elapsed)
+		s.router.Engines[i].Refresh(s.now, elapsed)
 	}
 	s.refreshUnits()
 	for g := range s.groupStates {
@@ -322,7 +329,8 @@
 	s.setIncarnation(i, ev.Incarnation)
 	x := &s.upstreamStates[i]
 	x.available = ev.Available
-	x.leaving = ev.Leaving
+	// Only a new incarnation clears the mark.
+	x.leaving = x.leaving || ev.Leaving
 	s.router.Engines[i].Role = ev.Role
 	s.updateEngine(i)
 	s.pump(x.group)
