--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -16,6 +16,11 @@
 // deadlineQuantile of the predicted output is used against the deadline.
 const deadlineQuantile = 0.5
 
+// edgeFraction of the first-token target is what the expected first token of a
+// released request may use while others wait. Requests released at the edge
+// of the target are late about half of the time.
+const edgeFraction = 0.8
+
 // tracked is one request from admission to its end.
 type tracked struct {
 	Request
@@ -33,6 +38,8 @@
 	// sampled are the time and count at the last speed sample.
 	first, sampledAt  fleet.Instant
 	produced, sampled int
+	// prefillDone is the target's PrefillDone at the last speed sample.
+	prefillDone float64
 }
 
 func (s *Scheduler) submit(r Request) {
@@ -55,6 +62,7 @@
 	k := &s.kindStates[kind]
 	t.prompt = s.tokens.Prompt(kind, r.PromptTokens)
 	t.output = s.tokens.OutputMean(member, kind, limit(r.MaxOutputTokens, k.kind.MaxOutputTokens))
+	s.groupStates[t.group].demand(t)
 	if refusal := s.admit(t); refusal != nil {
 		s.free = append(s.free, t)
 		s.ready = append(s.ready, Refuse{ID: r.ID, Refusal: refusal})
@@ -65,6 +73,12 @@
 	s.pump(t.group)
 }
 
+// demand counts a request's expected work for the role planner.
+func (g *groupState) demand(t *tracked) {
+	g.promptDemand += t.prompt * (1 - g.cachedShare)
+	g.outputDemand += t.output
+}
+
 func limit(requested, declared int) int {
 	if requested <= 0 || (declared > 0 && declared < requested) {
 		return declared
@@ -134,7 +148,7 @@
 // runs on an engine of mean speed without a prefix hit.
 func (s *Scheduler) situation(t *tracked, wait float64) admit.Situation {
 	k, g := &s.kindStates[t.kind], &s.groupStates[t.group]
-	first := t.prompt * g.prefillCost
+	first := g.plannedFirst(t.prompt * g.prefillCost)
 	output := s.tokens.Output(t.member, t.kind, deadlineQuantile, limit(t.MaxOutputTokens, k.kind.MaxOutputTokens))
 	step := g.tokenCost * 4 // the step time of a batch a quarter of the reference
 	return admit.Situation{
@@ -214,6 +228,10 @@
 			g.backlogged = true
 			return
 		}
+		if s.lateThere(t) {
+			s.drop(t, admit.LateAtBest(t.choice.FirstToken))
+			continue
+		}
 		g.queue.Pop()
 		s.unqueue(t)
 		s.dispatch(t)
@@ -235,6 +253,20 @@
 	return true
 }
 
+// lateThere tells that a request is expected to miss its first-token target
+// at its chosen engine, which is the best one now, while others wait. Holding
+// it back instead would leave the engine idle. An idle engine takes it anyway:
+// otherwise a wrong estimate would never be corrected.
+func (s *Scheduler) lateThere(t *tracked) bool {
+	k, g := &s.kindStates[t.kind], &s.groupStates[t.group]
+	if s.config.Ablate.NoAdmission || k.firstToken == 0 || g.queue.Len() < 2 {
+		return false
+	}
+	elapsed := (s.now - t.arrived).Seconds()
+	idle := t.choice.Wait == 0 && s.router.Engines[t.choice.Target].Batch() < 1
+	return elapsed > 0 && !idle && elapsed+g.plannedFirst(t.choice.FirstToken) > edgeFraction*k.firstToken
+}
+
 func (s *Scheduler) fillQuery(t *tracked) {
 	k := &s.kindStates[t.kind]
 	q := &s.query
@@ -294,11 +326,24 @@
 	s.free = append(s.free, t)
 }
 
-// expire refuses queued requests whose deadline has become unmeetable.
+const (
+	// maxWait bounds the time in the queue of kinds without a deadline.
+	maxWait = 2 * time.Minute
+	// upstreamWait is how long queued requests wait for a group without a
+	// usable upstream; a restart of an engine takes a few seconds.
+	upstreamWait = 5 * time.Second
+)
+
+// expire refuses queued requests that can no longer be served in time.
 func (s *Scheduler) expire() {
+	for g := range s.groupStates {
+		if s.usable(int32(g)) {
+			s.groupStates[g].usableAt = s.now
+		}
+	}
 	for i := 0; i < len(s.queued); {
 		t := s.queued[i]
-		if s.pastDeadline(t) || s.dropLate(t, &s.groupStates[t.group]) {
+		if s.pastDeadline(t) || s.withoutUpstream(t) || s.dropLate(t, &s.groupStates[t.group]) {
 			continue
 		}
 		i++
@@ -309,9 +354,20 @@
 // when early refusal is turned off.
 func (s *Scheduler) pastDeadline(t *tracked) bool {
 	limit := s.kindStates[t.kind].kind.Deadline
-	if limit <= 0 || s.now-t.arrived < limit {
+	if limit <= 0 {
+		limit = maxWait
+	}
+	if s.now-t.arrived < limit {
+		return false
+	}
+	s.drop(t, fleet.Refuse(fleet.ReasonDeadlineUnmeetable, "the request waited %s in the queue", limit))
+	return true
+}
+
+func (s *Scheduler) withoutUpstream(t *tracked) bool {
+	if s.now-s.groupStates[t.group].usableAt < upstreamWait {
 		return false
 	}
-	s.drop(t, fleet.Refuse(fleet.ReasonDeadlineUnmeetable, "the deadline of %s passed in the queue", limit))
+	s.drop(t, fleet.Refuse(fleet.ReasonNoUpstream, "no upstream of the group has been available for %s", upstreamWait))
 	return true
 }
