Price engine time per pool and learn decode steps per group

Cause: with learned prefill times up to 40 times too long (short prompts taught them) and waits counted as cost, requests left their role and cached prefixes were not used: 28% of follow-ups hit a cache that held 90% of them. Change: decode steps are learned as base, batch and context per group with one level per engine; prefill speeds are a quantile over long prompts; work is priced by how much of the targets each pool uses; batches decay with the mean life of streams; requests that do not fit are passed over for others.

--- a/core/cost/speeds.go
+++ b/core/cost/speeds.go
@@ -6,8 +6,7 @@
 	"github.com/bramleywick/bramleywick/core/fleet"
 )
 
-// Speed describes one engine. The step time of a decode batch of n sequences
-// is Base + Slope*n.
+// Speed describes one engine in one role.
 type Speed struct {
 	// Prefill is seconds per uncached prompt token.
 	Prefill float64
@@ -15,39 +14,66 @@
 	Base float64
 	// Slope is the additional seconds of a decode step per running sequence.
 	Slope float64
+	// Context is the additional seconds of a decode step per token of KV
+	// cache that its sequences read.
+	Context float64
 }
 
-// Step returns the seconds of one decode step with n running sequences.
-func (s Speed) Step(n float64) float64 { return s.Base + s.Slope*n }
+// Step returns the seconds of one decode step with n running sequences whose
+// KV caches hold context tokens together.
+func (s Speed) Step(n, context float64) float64 { return s.Base + s.Slope*n + s.Context*context }
 
-// ReferenceBatch is the batch at which decode cost per token is stated. A
-// fixed batch keeps cost units comparable across instances and over time.
-const ReferenceBatch = 16
+// ReferenceBatch and ReferenceContext are the batch at which decode cost per
+// token is stated. A fixed batch keeps cost units comparable across instances
+// and over time.
+const (
+	ReferenceBatch   = 16
+	ReferenceContext = 16 * 1000
+)
 
 // TokenCost returns engine-seconds per output token at the reference batch.
-func (s Speed) TokenCost() float64 { return s.Step(ReferenceBatch) / ReferenceBatch }
+func (s Speed) TokenCost() float64 {
+	return s.Step(ReferenceBatch, ReferenceContext) / ReferenceBatch
+}
+
+func (s Speed) scaled(f float64) Speed {
+	return Speed{Prefill: s.Prefill * f, Base: s.Base * f, Slope: s.Slope * f, Context: s.Context * f}
+}
 
 // DefaultSpeed is the prior before any engine of a group has been observed.
-var DefaultSpeed = Speed{Prefill: 1e-4, Base: 15e-3, Slope: 4e-4}
+var DefaultSpeed = Speed{Prefill: 3e-5, Base: 15e-3, Slope: 4e-4, Context: 1e-7}
 
 const (
 	roles = 3
 	// offRolePenalty multiplies the prior time of work outside an engine's
 	// role until it has been observed.
-	offRolePenalty = 1.4
-	// priorWeight is the weight of the group's mean in samples.
-	priorWeight = 2
-	// sampleDecay is the factor on old decode samples per new sample; the
-	// effective memory is 50 samples.
-	sampleDecay = 0.98
-	// maxPrefillSamples bounds the weight of old prefill samples.
-	maxPrefillSamples = 30
+	offRolePenalty = 2
+	// priorSamples is the weight of the prior shape of decode steps.
+	priorSamples = 10
+	// shapeDecay is the factor on old decode samples of a group per new one.
+	shapeDecay = 0.999
+	// levelGain is the least weight of a new sample in an engine's level. The
+	// level must move slower than the load, or it would explain what the batch
+	// causes and the slope would be lost.
+	levelGain = 0.003
+	// maxSampleRatio bounds the influence of one sample.
+	maxSampleRatio = 3
+	// prefillQuantile of the observed seconds per token is the speed: queueing
+	// that the estimate missed only ever adds to a sample.
+	prefillQuantile = 0.7
+	// prefillStep is the change of the logarithm of a prefill speed per sample.
+	prefillStep = 0.05
+	// firstSamples replace the prior by their least.
+	firstSamples = 5
 	// learnedSamples is how many samples an engine needs to enter its group's
 	// mean.
 	learnedSamples = 3
+	// minPart bounds how far a coefficient falls below its prior, so that noise
+	// cannot make a cost vanish.
+	minPart = 5
 	// minPrefillTokens is the shortest prefill that teaches a speed; shorter
-	// ones are dominated by transport and step times.
-	minPrefillTokens = 200
+	// ones are dominated by the iteration that they share.
+	minPrefillTokens = 1000
 )
 
 // engineSpeed is the learned state of one engine in one role. Speeds of a role
@@ -56,16 +82,30 @@
 	speed        Speed
 	prefillLog   float64
 	prefillCount float64
-	// Weighted least squares of step time y over batch x.
-	n, x, xx, y, xy float64
+	// level is the engine's decode time relative to the group's shape.
+	level      float64
+	levelCount float64
 }
 
-// Speeds learns the speeds of engines, which are dense indices.
+// shape is the decode step of a group's mean engine in one role: weighted
+// least squares of step time over 1, batch and context.
+type shape struct {
+	speed, prior Speed
+	xx           [3][3]float64
+	xy           [3]float64
+}
+
+// contextUnit scales context so that the regressors are of one magnitude.
+const contextUnit = 1e4
+
+// Speeds learns the speeds of engines, which are dense indices. Engines of a
+// group differ mostly by a common factor, so the shape of the decode step is
+// learned per group and only its level per engine.
 type Speeds struct {
 	prior   Speed
 	engines [][roles]engineSpeed
 	groups  []int32
-	means   [][roles]Speed
+	shapes  [][roles]shape
 }
 
 // NewSpeeds returns a learner that starts from prior.
@@ -73,8 +113,8 @@
 
 // SetGroup places an engine in a group of engines of one kind of work.
 func (s *Speeds) SetGroup(engine, group int32) {
-	for int(group) >= len(s.means) {
-		s.means = append(s.means, priorByRole(s.prior))
+	for int(group) >= len(s.shapes) {
+		s.shapes = append(s.shapes, priorByRole(s.prior))
 	}
 	for int(engine) >= len(s.engines) {
 		s.engines = append(s.engines, [roles]engineSpeed{})
@@ -85,26 +125,88 @@
 	}
 	s.groups[engine] = group
 	for r := range roles {
-		s.engines[engine][r] = engineSpeed{speed: s.means[group][r]}
+		s.engines[engine][r] = engineSpeed{level: 1}
+		s.solve(engine, fleet.Role(r))
 	}
 }
 
-func priorByRole(p Speed) [roles]Speed {
-	var out [roles]Speed
+func priorByRole(p Speed) [roles]shape {
+	var out [roles]shape
 	for r := range out {
-		out[r] = p
+		speed := p
+		switch fleet.Role(r) {
+		case fleet.RoleDecode:
+			speed.Prefill *= offRolePenalty
+		case fleet.RolePrefill:
+			speed = p.scaled(offRolePenalty)
+			speed.Prefill = p.Prefill
+		}
+		out[r] = shape{speed: speed, prior: speed}
 	}
-	out[fleet.RoleDecode].Prefill *= offRolePenalty
-	out[fleet.RolePrefill].Base *= offRolePenalty
-	out[fleet.RolePrefill].Slope *= offRolePenalty
 	return out
 }
 
+// withPrior returns the samples with the prior's at small and large batches.
+func (h shape) withPrior(scale float64) shape {
+	for _, x := range [...][2]float64{{1, 1000}, {32, 32_000}, {8, 80_000}} {
+		h.add(x[0], x[1], scale*h.prior.Step(x[0], x[1]), priorSamples/3.0)
+	}
+	return h
+}
+
+func (h *shape) add(batch, context, seconds, weight float64) {
+	x := [3]float64{1, batch, context / contextUnit}
+	for i := range x {
+		for j := range x {
+			h.xx[i][j] += weight * x[i] * x[j]
+		}
+		h.xy[i] += weight * x[i] * seconds
+	}
+}
+
+func (h *shape) decay() {
+	for i := range h.xx {
+		for j := range h.xx {
+			h.xx[i][j] *= shapeDecay
+		}
+		h.xy[i] *= shapeDecay
+	}
+}
+
+// solve recomputes the coefficients.
+func (h *shape) solve() {
+	all := h.withPrior(h.speed.Step(ReferenceBatch, ReferenceContext) / h.prior.Step(ReferenceBatch, ReferenceContext))
+	a, y := all.xx, all.xy
+	for i := range 3 {
+		if math.Abs(a[i][i]) < 1e-12 {
+			return
+		}
+		for j := i + 1; j < 3; j++ {
+			f := a[j][i] / a[i][i]
+			for k := i; k < 3; k++ {
+				a[j][k] -= f * a[i][k]
+			}
+			y[j] -= f * y[i]
+		}
+	}
+	var c [3]float64
+	for i := 2; i >= 0; i-- {
+		c[i] = y[i]
+		for k := i + 1; k < 3; k++ {
+			c[i] -= a[i][k] * c[k]
+		}
+		c[i] /= a[i][i]
+	}
+	h.speed.Base = math.Max(c[0], h.prior.Base/minPart)
+	h.speed.Slope = math.Max(c[1], h.prior.Slope/minPart)
+	h.speed.Context = math.Max(c[2]/contextUnit, h.prior.Context/minPart)
+}
+
 // Of returns the current estimate for an engine in a role.
 func (s *Speeds) Of(engine int32, role fleet.Role) Speed { return s.engines[engine][role].speed }
 
 // Mean returns the mean of a group's engines in a role.
-func (s *Speeds) Mean(group int32, role fleet.Role) Speed { return s.means[group][role] }
+func (s *Speeds) Mean(group int32, role fleet.Role) Speed { return s.shapes[group][role].speed }
 
 // ObservePrefill learns from a prefill of tokens that took seconds.
 func (s *Speeds) ObservePrefill(engine int32, role fleet.Role, tokens, seconds float64) {
@@ -112,62 +214,71 @@
 		return
 	}
 	e := &s.engines[engine][role]
-	sample := clamp(seconds/tokens, e.speed.Prefill/5, e.speed.Prefill*5)
-	e.prefillCount = math.Min(e.prefillCount+1, maxPrefillSamples)
-	e.prefillLog += (math.Log(sample) - e.prefillLog) / e.prefillCount
+	sample := math.Log(seconds / tokens)
+	e.prefillCount++
+	switch {
+	case e.prefillCount == 1, e.prefillCount <= firstSamples && sample < e.prefillLog:
+		e.prefillLog = sample
+	case sample < e.prefillLog:
+		e.prefillLog -= math.Min(prefillStep*(1-prefillQuantile), e.prefillLog-sample)
+	default:
+		e.prefillLog += math.Min(prefillStep*prefillQuantile, sample-e.prefillLog)
+	}
 	s.solve(engine, role)
 }
 
-// ObserveStep learns that a decode step with batch running sequences took
-// seconds.
-func (s *Speeds) ObserveStep(engine int32, role fleet.Role, batch, seconds float64) {
+// ObserveStep learns that a decode step with batch running sequences and
+// context tokens of KV cache took seconds.
+func (s *Speeds) ObserveStep(engine int32, role fleet.Role, batch, context, seconds float64) {
 	if seconds <= 0 || batch <= 0 {
 		return
 	}
 	e := &s.engines[engine][role]
-	seconds = math.Min(seconds, 5*e.speed.Step(batch))
-	e.n = e.n*sampleDecay + 1
-	e.x = e.x*sampleDecay + batch
-	e.xx = e.xx*sampleDecay + batch*batch
-	e.y = e.y*sampleDecay + seconds
-	e.xy = e.xy*sampleDecay + batch*seconds
+	h := &s.shapes[s.groups[engine]][role]
+	expected := h.speed.Step(batch, context)
+	ratio := clamp(seconds/(expected*e.level), 1/maxSampleRatio, maxSampleRatio)
+	e.levelCount++
+	e.level *= math.Pow(ratio, math.Max(1/(e.levelCount+1), levelGain))
+	h.decay()
+	h.add(batch, context, expected*ratio, 1)
 	s.solve(engine, role)
 }
 
-// solve combines the samples with the group's mean as two pseudo-samples, so
-// that samples at a single batch size still give a sane slope.
+// solve combines what is known of an engine. A prefill speed that has not been
+// observed follows the engine's decode level in any role, since a fast machine
+// is fast at both.
 func (s *Speeds) solve(engine int32, role fleet.Role) {
 	e := &s.engines[engine][role]
-	mean := s.means[s.groups[engine]][role]
-	weight := priorWeight + e.prefillCount
-	e.speed.Prefill = math.Exp((priorWeight*math.Log(mean.Prefill) + e.prefillCount*e.prefillLog) / weight)
-	if e.n == 0 {
-		e.speed.Base, e.speed.Slope = mean.Base, mean.Slope
-		return
+	mean := s.shapes[s.groups[engine]][role].speed
+	level := s.levelOf(engine, role)
+	e.speed = mean.scaled(level)
+	if e.prefillCount > 0 {
+		e.speed.Prefill = math.Exp(e.prefillLog)
+	}
+}
+
+// levelOf returns the engine's level in a role, or the one of the role in
+// which it has been observed most.
+func (s *Speeds) levelOf(engine int32, role fleet.Role) float64 {
+	x := &s.engines[engine]
+	if x[role].levelCount >= learnedSamples {
+		return x[role].level
 	}
-	n, x, xx, y, xy := e.n, e.x, e.xx, e.y, e.xy
-	// The pseudo-samples keep the group's shape and take the engine's level,
-	// because engines of a group differ mostly by a common factor.
-	scale := (e.y + priorWeight*mean.Step(e.x/e.n)) / (e.n + priorWeight) / mean.Step(e.x/e.n)
-	for _, at := range [...]float64{1, 2 * ReferenceBatch} {
-		v := mean.Step(at) * scale
-		n += priorWeight
-		x += priorWeight * at
-		xx += priorWeight * at * at
-		y += priorWeight * v
-		xy += priorWeight * at * v
+	best := int(role)
+	for r := range x {
+		if x[r].levelCount > x[best].levelCount {
+			best = r
+		}
 	}
-	slope := math.Max((n*xy-x*y)/(n*xx-x*x), mean.Slope*scale/10)
-	e.speed.Slope = slope
-	e.speed.Base = math.Max((y-slope*x)/n, mean.Base*scale/10)
+	return x[best].level
 }
 
-// Refresh recomputes the groups' means and moves engines without samples to
+// Refresh recomputes the groups' shapes and moves engines without samples to
 // them. It is called about once a second.
 func (s *Speeds) Refresh() {
-	for g := range s.means {
+	for g := range s.shapes {
 		for r := range roles {
-			s.refreshMean(int32(g), fleet.Role(r))
+			s.refreshShape(int32(g), fleet.Role(r))
 		}
 	}
 	for e := range s.engines {
@@ -180,28 +291,46 @@
 	}
 }
 
-func (s *Speeds) refreshMean(group int32, role fleet.Role) {
-	var prefill, base, slope, nPrefill, nDecode float64
+// refreshShape solves the shape, moves the mean level of its engines to 1 and
+// takes the mean prefill speed.
+func (s *Speeds) refreshShape(group int32, role fleet.Role) {
+	h := &s.shapes[group][role]
+	h.solve()
+	var level, prefill, nLevel, nPrefill float64
 	for e := range s.engines {
 		if s.groups[e] != group {
 			continue
 		}
 		x := &s.engines[e][role]
+		if x.levelCount >= learnedSamples {
+			level += math.Log(x.level)
+			nLevel++
+		}
 		if x.prefillCount >= learnedSamples {
-			prefill += math.Log(x.speed.Prefill)
+			prefill += x.prefillLog
 			nPrefill++
 		}
-		if x.n >= learnedSamples {
-			base += x.speed.Base
-			slope += x.speed.Slope
-			nDecode++
-		}
 	}
-	mean := &s.means[group][role]
 	if nPrefill > 0 {
-		mean.Prefill = math.Exp(prefill / nPrefill)
+		h.speed.Prefill = math.Exp(prefill / nPrefill)
+	}
+	if nLevel > 0 {
+		s.rescale(group, role, math.Exp(level/nLevel))
 	}
-	if nDecode > 0 {
-		mean.Base, mean.Slope = base/nDecode, slope/nDecode
+}
+
+// rescale moves a common factor from the engines' levels to the shape.
+func (s *Speeds) rescale(group int32, role fleet.Role, f float64) {
+	h := &s.shapes[group][role]
+	h.speed.Base *= f
+	h.speed.Slope *= f
+	h.speed.Context *= f
+	for i := range h.xy {
+		h.xy[i] *= f
+	}
+	for e := range s.engines {
+		if s.groups[e] == group && s.engines[e][role].levelCount > 0 {
+			s.engines[e][role].level /= f
+		}
 	}
 }
--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -44,6 +44,7 @@
 	items          int
 	cost           float64
 	backloggedSize float64
+	aside          []int32
 }
 
 // New returns an empty queue.
@@ -99,6 +100,23 @@
 	return q.members[q.heap[0]].items[0]
 }
 
+// Skip sets the member whose turn it is aside until Restore.
+func (q *Queue) Skip() {
+	m := q.heap[0]
+	q.removeMember(m)
+	q.aside = append(q.aside, m)
+}
+
+// Restore puts the members that were set aside back.
+func (q *Queue) Restore() {
+	for _, m := range q.aside {
+		if len(q.members[m].items) > 0 {
+			q.pushMember(m)
+		}
+	}
+	q.aside = q.aside[:0]
+}
+
 // Pop removes the item that Peek returns and charges its cost.
 func (q *Queue) Pop() *Item {
 	it := q.Peek()
--- a/core/role/plan.go
+++ b/core/role/plan.go
@@ -216,7 +216,7 @@
 	batch := math.Min((gap-s.Speed.Base)/math.Max(s.Speed.Slope, engineSecondFloor), maxBatch)
 	batch = math.Max(batch, 1)
 	e.prefillRate = 1 / math.Max(s.Speed.Prefill, engineSecondFloor)
-	e.decodeRate = batch / math.Max(s.Speed.Step(batch), engineSecondFloor)
+	e.decodeRate = batch / math.Max(s.Speed.Step(batch, 0), engineSecondFloor)
 	if g.pending == s.Upstream && s.Available && s.Role == g.pendingTo {
 		g.pending = pendingNothing
 	}
--- a/core/route/engine.go
+++ b/core/route/engine.go
@@ -51,7 +51,14 @@
 	// peerSent is the prefill seconds that peers have sent since the last
 	// refresh, peerRate its learned rate in seconds per second.
 	peerSent, peerRate float64
-	batch              float64
+	// batch and kvUsed are as of asOf.
+	asOf  fleet.Instant
+	batch float64
+	// gapError is the recent ratio of observed over expected token gaps; it
+	// follows what the learned speed leaves out. Zero means no samples.
+	gapError float64
+	// Life is the learned mean seconds of a stream here.
+	Life               float64
 	kvUsed, kvCapacity float64
 	// tightestGap is the smallest token gap target of the own streams here.
 	tightestGap float64
@@ -75,7 +82,63 @@
 }
 
 // Batch returns the expected number of running sequences.
-func (e *Engine) Batch() float64 { return math.Max(e.batch, float64(e.Decoding)) }
+func (e *Engine) Batch(now fleet.Instant) float64 {
+	return math.Max(e.batch*e.remaining(now), float64(e.Decoding))
+}
+
+// Context returns the expected tokens of KV cache in use.
+func (e *Engine) Context(now fleet.Instant) float64 { return e.kvUsed * e.remaining(now) }
+
+// remaining is the part of the sequences known at asOf that still run. Ends of
+// peers' streams are not announced, so the mean life of a stream stands for them.
+func (e *Engine) remaining(now fleet.Instant) float64 {
+	if now <= e.asOf {
+		return 1
+	}
+	life := e.Life
+	if life <= 0 {
+		life = initialLife
+	}
+	return math.Exp(-(now - e.asOf).Seconds() / life)
+}
+
+// gapErrorGain is the weight of a new sample in the recent gap error.
+const gapErrorGain = 0.1
+
+// minGapError and maxGapError bound the correction of expected gaps.
+const minGapError, maxGapError = 0.8, 2
+
+// ObserveGap compares an observed token gap with the expected one.
+func (e *Engine) ObserveGap(now fleet.Instant, seconds float64) {
+	ratio := seconds / e.Speed.Step(math.Max(e.Batch(now), 1), e.Context(now))
+	if e.gapError == 0 {
+		e.gapError = 1
+	}
+	e.gapError += gapErrorGain * (math.Min(math.Max(ratio, minGapError), maxGapError) - e.gapError)
+}
+
+// GapWith returns the expected token gap with more sequences and context.
+func (e *Engine) GapWith(now fleet.Instant, sequences, context float64) float64 {
+	gap := e.Speed.Step(e.Batch(now)+sequences, e.Context(now)+context)
+	if e.gapError == 0 {
+		return gap
+	}
+	return gap * e.gapError
+}
+
+// initialLife is the assumed seconds that a stream runs at an engine.
+const initialLife = 5
+
+// lifeGain is the weight of a finished stream in the mean life.
+const lifeGain = 0.05
+
+// ObserveLife learns from a stream that ran for seconds.
+func (e *Engine) ObserveLife(seconds float64) {
+	if e.Life <= 0 {
+		e.Life = seconds
+	}
+	e.Life += lifeGain * (seconds - e.Life)
+}
 
 // PrefillDone returns the prefill seconds expected to have been worked off
 // since the start; differences give the part of a time spent on prefill.
@@ -106,6 +169,7 @@
 	e.reportedBatch = float64(l.Running + l.Waiting)
 	e.batch = e.reportedBatch
 	e.kvUsed, e.kvCapacity = l.KVUsed, l.KVCapacity
+	e.asOf = l.At
 	e.prefillFree = l.At + seconds(l.WaitingPrompt*e.Speed.Prefill)
 	for _, c := range e.recent {
 		e.apply(c)
@@ -116,8 +180,14 @@
 	if c.prefill > 0 {
 		e.prefillFree = max(e.prefillFree, c.at) + seconds(c.prefill)
 	}
-	e.batch = math.Max(e.batch+float64(c.sequences), 0)
-	e.kvUsed = math.Max(e.kvUsed+float64(c.kv), 0)
+	if c.at > e.asOf {
+		left := e.remaining(c.at)
+		e.batch *= left
+		e.kvUsed *= left
+		e.asOf = c.at
+	}
+	e.batch += float64(c.sequences)
+	e.kvUsed += float64(c.kv)
 }
 
 func (e *Engine) add(c change) {
@@ -152,31 +222,10 @@
 // peerRateGain is the weight of a new second in the rate of peers' work.
 const peerRateGain = 0.3
 
-// unreportedDecay is the time constant, in seconds, with which work of others
-// is forgotten once reports stop; it is the order of an answer's length.
-const unreportedDecay = 10
-
-// Refresh learns the rate of peers' work over the last elapsed seconds and
-// forgets work of others that no report confirms any more. Without that an
-// engine whose reports stop would look full for good.
-func (e *Engine) Refresh(now fleet.Instant, elapsed float64) {
+// Refresh learns the rate of peers' work over the last elapsed seconds.
+func (e *Engine) Refresh(elapsed float64) {
 	e.peerRate += peerRateGain * (e.peerSent/math.Max(elapsed, 1e-3) - e.peerRate)
 	e.peerSent = 0
-	if e.Reported && now-e.ReportedAt < maxUnseen {
-		return
-	}
-	keep := math.Exp(-elapsed / unreportedDecay)
-	e.batch = float64(e.Decoding) + (e.batch-float64(e.Decoding))*keep
-	e.kvUsed *= keep
-}
-
-// Ended records that work of this instance left the engine.
-func (e *Engine) Ended(at fleet.Instant, decoded bool, kv float64) {
-	c := change{at: at, kv: float32(-kv)}
-	if decoded {
-		c.sequences = -1
-	}
-	e.add(c)
 }
 
 // Protect records the token gap target of a stream that starts at the engine.
--- /dev/null
+++ b/core/route/price.go
@@ -0,0 +1,116 @@
+package route
+
+import (
+	"math"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+const (
+	// prefillHeadroom is the mean prefill backlog, in seconds, at which a
+	// second of a pool's time has the price 1.
+	prefillHeadroom = 0.15
+	// gapHeadroom is the part of the token gap target at which the price is 1.
+	gapHeadroom = 0.7
+	// minPrice and maxPrice bound the price of a second of a pool's time.
+	minPrice, maxPrice = 0.2, 5
+	// balanceWeight is the score of expected times that use up their targets.
+	// Within the targets time costs nothing, so it only balances engines.
+	balanceWeight = 0.3
+	// minFirst and minGap, in seconds, bound the targets that times are
+	// related to; a kind without a target gets them too.
+	minFirst, minGap = 0.2, 0.02
+	defaultGap       = 0.1
+)
+
+// Work outside its role keeps an engine busy for longer. These are the factors
+// by role on the time of the same work on a mean engine of the right role; the
+// time to the first token there is learned and says nothing about the cost.
+var (
+	prefillFactor = [...]float64{fleet.RoleMixed: 1.25, fleet.RolePrefill: 1, fleet.RoleDecode: 2}
+	decodeFactor  = [...]float64{fleet.RoleMixed: 1.25, fleet.RolePrefill: 2, fleet.RoleDecode: 1}
+)
+
+// market holds the price of a second of engine time per role: scarce where
+// targets are nearly used up, cheap where there is room. It decides when work
+// outside an engine's role is worth its lower efficiency.
+type market struct {
+	price [3]float64
+	// prefill and token are the seconds per prompt token and per output token
+	// on a mean engine of the right role.
+	prefill, token float64
+}
+
+// pool sums up the engines of one role.
+type pool struct {
+	n, backlog, gap      float64
+	prefillRate, tokRate float64
+}
+
+func (r *Router) measure(now fleet.Instant, members []int32, gapTarget float64) market {
+	var pools [3]pool
+	for _, i := range members {
+		e := &r.Engines[i]
+		if !e.Usable {
+			continue
+		}
+		p := &pools[e.Role]
+		p.n++
+		p.backlog += e.Backlog(now)
+		p.gap += e.GapWith(now, 1, 0)
+		p.prefillRate += 1 / e.Speed.Prefill
+		p.tokRate += 1 / e.Speed.TokenCost()
+	}
+	if gapTarget <= 0 {
+		gapTarget = defaultGap
+	}
+	var m market
+	for role := range pools {
+		m.price[role] = pools[role].price(fleet.Role(role), gapTarget)
+	}
+	m.prefill = 1 / firstOf(pools[fleet.RolePrefill].meanPrefill(), pools[fleet.RoleMixed].meanPrefill(), pools[fleet.RoleDecode].meanPrefill())
+	m.token = 1 / firstOf(pools[fleet.RoleDecode].meanToken(), pools[fleet.RoleMixed].meanToken(), pools[fleet.RolePrefill].meanToken())
+	return m
+}
+
+func (p *pool) meanPrefill() float64 { return p.prefillRate / math.Max(p.n, 1) }
+func (p *pool) meanToken() float64   { return p.tokRate / math.Max(p.n, 1) }
+
+// firstOf returns the first positive value, or 1.
+func firstOf(values ...float64) float64 {
+	for _, v := range values {
+		if v > 0 {
+			return v
+		}
+	}
+	return 1
+}
+
+func (p *pool) price(role fleet.Role, gapTarget float64) float64 {
+	if p.n == 0 {
+		return 1
+	}
+	backlog := p.backlog / p.n / prefillHeadroom
+	gap := p.gap / p.n / gapTarget / gapHeadroom
+	price := math.Max(backlog, gap)
+	switch role {
+	case fleet.RolePrefill:
+		price = backlog
+	case fleet.RoleDecode:
+		price = gap
+	}
+	return math.Min(math.Max(price, minPrice), maxPrice)
+}
+
+func (m *market) prefillCost(e *Engine, uncached float64) float64 {
+	return uncached * m.prefill * prefillFactor[e.Role] * m.price[e.Role]
+}
+
+func (m *market) decodeCost(e *Engine, output float64) float64 {
+	return output * m.token * decodeFactor[e.Role] * m.price[e.Role]
+}
+
+// balance relates expected times to their targets.
+func balance(q *Query, first, gap float64) float64 {
+	return balanceWeight * (first/math.Max(q.FirstToken, minFirst) + gap/math.Max(q.Gap, minGap))
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -56,9 +56,6 @@
 	// prefixShare is the cached part of a prompt from which a choice is
 	// explained by the cache.
 	prefixShare = 0.3
-	// interference is the part of a prefill that delays the running streams
-	// of a mixed engine, as a fraction of the time prefill is in progress.
-	interference = 0.5
 )
 
 // Query is one request to route.
@@ -153,7 +150,8 @@
 // of the group is usable.
 func (r *Router) Pick(now fleet.Instant, q *Query) (Choice, bool) {
 	members := r.Groups[q.Group]
-	unit := r.workUnit(members, q)
+	m := r.measure(now, members, q.Gap)
+	unit := math.Max(q.Prompt*m.prefill+q.Output*m.token, minUnit)
 	none := candidate{None, math.Inf(1)}
 	local, prefill, decode := none, none, none
 	split := false
@@ -164,16 +162,16 @@
 		}
 		x := r.assess(now, q, e, i)
 		spread := (baseSpread + ageSpread*e.Age(now)) * noise[r.random()&255]
-		local.offer(i, x.localScore(q, e, unit)-spread)
+		local.offer(i, x.localScore(q, e, &m, unit)-spread)
 		if q.NoSplit || q.Only != None {
 			continue
 		}
 		split = split || e.Role != fleet.RoleMixed
 		if e.Role != fleet.RoleDecode {
-			prefill.offer(i, x.prefillScore(q, unit, r.TransferPerToken)-spread)
+			prefill.offer(i, x.prefillScore(q, e, &m, unit, r.TransferPerToken)-spread)
 		}
 		if e.Role != fleet.RolePrefill {
-			decode.offer(i, x.decodeScore(q, e, unit)-spread)
+			decode.offer(i, x.decodeScore(q, e, &m, unit)-spread)
 		}
 	}
 	if local.engine == None {
@@ -190,15 +188,8 @@
 	return c, true
 }
 
-// workUnit is the engine-seconds of the request at a typical engine; scores
-// are in this unit.
-func (r *Router) workUnit(members []int32, q *Query) float64 {
-	if len(members) == 0 {
-		return 1
-	}
-	s := r.Engines[members[0]].Speed
-	return math.Max(q.Prompt*s.Prefill+q.Output*s.TokenCost(), 1e-4)
-}
+// minUnit bounds the seconds of a mean request, to which scores are related.
+const minUnit = 1e-4
 
 func (r *Router) uncached(q *Query, i int32) (uncached, cached float64) {
 	if q.Cached == nil {
@@ -253,8 +244,8 @@
 // fits tells that one more sequence keeps the streams on the engine and the
 // request itself within the token gap target. An engine without streams
 // always fits, so that no engine is excluded by a wrong estimate for good.
-func (e *Engine) fits(q *Query, gap float64) bool {
-	if e.Batch() < 1 {
+func (e *Engine) fits(now fleet.Instant, q *Query, gap float64) bool {
+	if e.Batch(now) < 1 {
 		return true
 	}
 	target := q.Gap
@@ -278,11 +269,11 @@
 	x.uncached, x.cached = r.uncached(q, i)
 	x.wait = r.wait(e, now)
 	x.work = x.uncached * e.Speed.Prefill
-	x.gap = e.Speed.Step(e.Batch() + 1)
+	x.gap = e.GapWith(now, 1, q.Prompt)
 	x.first = x.wait + x.work + e.hop()
 	x.penalty = e.penalty(q, i)
-	x.fitsGap = e.fits(q, x.gap)
-	x.short = q.short(x.wait)
+	x.fitsGap = e.fits(now, q, x.gap)
+	x.short = q.short(x.wait) || x.cached > x.uncached && x.first < targetMargin*q.FirstToken
 	return x
 }
 
@@ -309,21 +300,19 @@
 	return lateWeight
 }
 
-func (x *assessment) localScore(q *Query, e *Engine, unit float64) float64 {
-	work := x.wait + x.work + q.Output*e.Speed.TokenCost()
-	if e.Role != fleet.RoleDecode && e.Batch() > 0 {
-		work += interference * x.work
-	}
-	return work/unit + x.penalty + lateWeight*late(q, x.first+x.gap, x.gap) + misfit(x.fitsGap && x.short)
+func (x *assessment) localScore(q *Query, e *Engine, m *market, unit float64) float64 {
+	first := x.first + x.gap
+	work := m.prefillCost(e, x.uncached) + m.decodeCost(e, q.Output)
+	return work/unit + x.penalty + lateWeight*late(q, first, x.gap) + misfit(x.fitsGap && x.short) + balance(q, first, x.gap)
 }
 
-func (x *assessment) prefillScore(q *Query, unit, transfer float64) float64 {
-	moved := q.Prompt * transfer
-	return (x.wait+x.work+moved)/unit + x.penalty + lateWeight*late(q, x.first+moved, 0) + misfit(x.short)
+func (x *assessment) prefillScore(q *Query, e *Engine, m *market, unit, transfer float64) float64 {
+	first := x.first + q.Prompt*transfer
+	return m.prefillCost(e, x.uncached)/unit + x.penalty + lateWeight*late(q, first, 0) + misfit(x.short) + balance(q, first, 0)
 }
 
-func (x *assessment) decodeScore(q *Query, e *Engine, unit float64) float64 {
-	return q.Output*e.Speed.TokenCost()/unit + x.penalty + lateWeight*late(q, 0, x.gap) + misfit(x.fitsGap)
+func (x *assessment) decodeScore(q *Query, e *Engine, m *market, unit float64) float64 {
+	return m.decodeCost(e, q.Output)/unit + x.penalty + lateWeight*late(q, 0, x.gap) + misfit(x.fitsGap) + balance(q, 0, x.gap)
 }
 
 func (r *Router) localChoice(now fleet.Instant, q *Query, i int32) Choice {
--- a/core/sched/flight.go
+++ b/core/sched/flight.go
@@ -106,11 +106,9 @@
 		return
 	}
 	target.Decoding--
-	target.Ended(s.now, true, t.prompt+t.output)
 	if t.choice.Prefill != route.None {
 		p := &s.router.Engines[t.choice.Prefill]
 		p.InFlight--
-		p.Ended(s.now, false, t.prompt)
 	}
 }
 
@@ -153,13 +151,9 @@
 		return
 	}
 	e := &s.router.Engines[t.choice.Target]
-	// Prefill and decode share the engine's time, so only the rest of the time
-	// went into decode steps.
 	span := (s.now - t.sampledAt).Seconds()
-	done := e.PrefillDone(s.now)
-	decoding := math.Min(math.Max(span-(done-t.prefillDone), minDecoding*span), span)
-	t.prefillDone = done
-	s.speeds.ObserveStep(t.choice.Target, e.Role, math.Max(e.Batch(), 1), decoding/float64(n))
+	e.ObserveGap(s.now, span/float64(n))
+	s.speeds.ObserveStep(t.choice.Target, e.Role, math.Max(e.Batch(s.now), 1), e.Context(s.now), span/float64(n))
 	t.sampled, t.sampledAt = t.produced, s.now
 	s.updateEngine(t.choice.Target)
 }
@@ -176,6 +170,7 @@
 		s.forget(t)
 		return
 	}
+	s.router.Engines[t.choice.Target].ObserveLife((s.now - t.dispatched).Seconds())
 	s.settle(t, ev.Usage)
 	s.learnUsage(t, ev.Usage)
 	group := t.group
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -215,6 +215,8 @@
 		return
 	}
 	g := &s.groupStates[group]
+	skipped := 0
+	defer g.queue.Restore()
 	for {
 		it := g.queue.Peek()
 		if it == nil {
@@ -226,7 +228,11 @@
 		}
 		if !s.decide(t) {
 			g.backlogged = true
-			return
+			if skipped++; skipped > 8 {
+				return
+			}
+			g.queue.Skip()
+			continue
 		}
 		if s.lateThere(t) {
 			s.drop(t, admit.LateAtBest(t.choice.FirstToken))
@@ -263,7 +269,7 @@
 		return false
 	}
 	elapsed := (s.now - t.arrived).Seconds()
-	idle := t.choice.Wait == 0 && s.router.Engines[t.choice.Target].Batch() < 1
+	idle := t.choice.Wait == 0 && s.router.Engines[t.choice.Target].Batch(s.now) < 1
 	return elapsed > 0 && !idle && elapsed+g.plannedFirst(t.choice.FirstToken) > edgeFraction*k.firstToken
 }
 
--- a/core/sched/shared.go
+++ b/core/sched/shared.go
@@ -148,7 +148,7 @@
 		out.Upstreams = append(out.Upstreams, UpstreamStatus{
 			ID: s.upstreams.names[i], Group: e.Group, DataCentre: u.dataCentre, Role: e.Role,
 			Incarnation: u.incarnation, Available: u.declared && u.available, Leaving: u.leaving,
-			InFlight: e.InFlight, ReportedAt: e.ReportedAt, Speed: e.Speed, Batch: e.Batch(),
+			InFlight: e.InFlight, ReportedAt: e.ReportedAt, Speed: e.Speed, Batch: e.Batch(s.now),
 			Backlog: time.Duration(e.Backlog(s.now) * float64(time.Second)), CacheConfidence: confidence,
 		})
 	}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -227,7 +227,7 @@
 	}
 	for i := range s.upstreamStates {
 		s.updateEngine(int32(i))
-		s.router.Engines[i].Refresh(s.now, elapsed)
+		s.router.Engines[i].Refresh(elapsed)
 	}
 	s.refreshUnits()
 	for g := range s.groupStates {
