--- a/core/prefix/prefix.go
+++ b/core/prefix/prefix.go
@@ -203,6 +203,9 @@
 	return x.depth
 }
 
+// Holders returns the engines that the last Match found to hold a block.
+func (x *Index) Holders() []int32 { return x.touched }
+
 // matchBlock extends the engines whose first i blocks match; it reports
 // whether any engine was extended.
 func (x *Index) matchBlock(i uint16, hash uint64) bool {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -68,7 +68,9 @@
 	Prompt, Output float64
 	// Cached is the number of leading prompt blocks per engine, or nil;
 	// BlockTokens is the size of a block and Trust the confidence per engine.
+	// Holders lists the engines with any cached block, of all groups.
 	Cached      []uint16
+	Holders     []int32
 	BlockTokens float64
 	Trust       func(engine int32) float64
 	// FirstToken is what is left of the first-token target, Gap the token gap
@@ -149,45 +151,82 @@
 	}
 }
 
+// maxCandidates bounds the engines assessed per choice. The largest region at
+// the two-year size has 284; in a larger group a random window of this size and
+// the engines that hold a prefix are as good as all.
+const maxCandidates = 288
+
+// scan collects the best candidates of one choice.
+type scan struct {
+	now                    fleet.Instant
+	q                      *Query
+	unit                   float64
+	local, prefill, decode candidate
+	split                  bool
+}
+
 // Pick chooses the path and engines of a request; ok is false when no engine
 // of the group is usable.
 func (r *Router) Pick(now fleet.Instant, q *Query) (Choice, bool) {
 	members := r.Groups[q.Group]
-	unit := r.workUnit(members, q)
 	none := candidate{None, math.Inf(1)}
-	local, prefill, decode := none, none, none
-	split := false
-	for _, i := range members {
-		e := &r.Engines[i]
-		if !e.Usable || (q.Only != None && q.Only != i) {
-			continue
-		}
-		x := r.assess(now, q, e, i)
-		spread := (baseSpread + ageSpread*e.Age(now)) * noise[r.random()&255]
-		local.offer(i, x.localScore(q, e, unit)-spread)
-		if q.NoSplit || q.Only != None {
-			continue
+	s := scan{now: now, q: q, unit: r.workUnit(members, q), local: none, prefill: none, decode: none}
+	r.scan(&s, members)
+	if s.local.engine == None {
+		return Choice{Target: None, Prefill: None}, false
+	}
+	c := r.localChoice(now, q, s.local.engine)
+	if s.split && s.prefill.engine != None && s.decode.engine != None && s.prefill.engine != s.decode.engine &&
+		s.prefill.score+s.decode.score < s.local.score {
+		c = r.splitChoice(now, q, s.prefill.engine, s.decode.engine)
+	}
+	c.Reason = r.reason(q, &c)
+	return c, true
+}
+
+func (r *Router) scan(s *scan, members []int32) {
+	if len(members) <= maxCandidates || s.q.Only != None {
+		for _, i := range members {
+			r.consider(s, i)
 		}
-		split = split || e.Role != fleet.RoleMixed
-		if e.Role != fleet.RoleDecode {
-			prefill.offer(i, x.prefillScore(q, unit, r.TransferPerToken)-spread)
+		return
+	}
+	start := int(r.random() % uint64(len(members)))
+	for k := start; k < len(members); k++ {
+		if k == start+maxCandidates && s.local.engine != None {
+			break
 		}
-		if e.Role != fleet.RolePrefill {
-			decode.offer(i, x.decodeScore(q, e, unit)-spread)
+		r.consider(s, members[k])
+	}
+	for k := 0; k < start && (k < start+maxCandidates-len(members) || s.local.engine == None); k++ {
+		r.consider(s, members[k])
+	}
+	group := r.Engines[members[0]].Group
+	for _, i := range s.q.Holders {
+		if r.Engines[i].Group == group {
+			r.consider(s, i)
 		}
 	}
-	if local.engine == None {
-		return Choice{Target: None, Prefill: None}, false
+}
+
+func (r *Router) consider(s *scan, i int32) {
+	e, q := &r.Engines[i], s.q
+	if !e.Usable || (q.Only != None && q.Only != i) {
+		return
 	}
-	c := r.localChoice(now, q, local.engine)
-	// A split costs a transfer and both scores carry their own perturbation
-	// and penalties, so it must win against the best local choice as a sum.
-	if split && prefill.engine != None && decode.engine != None && prefill.engine != decode.engine &&
-		prefill.score+decode.score < local.score {
-		c = r.splitChoice(now, q, prefill.engine, decode.engine)
+	x := r.assess(s.now, q, e, i)
+	spread := (baseSpread + ageSpread*e.Age(s.now)) * noise[r.random()&255]
+	s.local.offer(i, x.localScore(q, e, s.unit)-spread)
+	if q.NoSplit || q.Only != None {
+		return
+	}
+	s.split = s.split || e.Role != fleet.RoleMixed
+	if e.Role != fleet.RoleDecode {
+		s.prefill.offer(i, x.prefillScore(q, s.unit, r.TransferPerToken)-spread)
+	}
+	if e.Role != fleet.RolePrefill {
+		s.decode.offer(i, x.decodeScore(q, e, s.unit)-spread)
 	}
-	c.Reason = r.reason(q, &c)
-	return c, true
 }
 
 // workUnit is the engine-seconds of the request at a typical engine; scores
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -106,3 +106,24 @@
 		t.Fatalf("batch %v, backlog %v", e.Batch(), e.Backlog(3*time.Second))
 	}
 }
+
+// TestLargeGroup guards against a usable engine, or one with a cached prefix,
+// that is not found when not all engines are assessed.
+func TestLargeGroup(t *testing.T) {
+	const n = 1000
+	for seed := range uint64(50) {
+		r := router(seed, n)
+		q := query()
+		q.Prompt, q.BlockTokens, q.Cached, q.Holders = 8000, 2000, make([]uint16, n), []int32{17}
+		q.Cached[17] = 4
+		if c, _ := r.Pick(time.Second, q); c.Target != 17 {
+			t.Fatalf("seed %d: prefix not used: %+v", seed, c)
+		}
+		for i := range r.Engines {
+			r.Engines[i].Usable = i == 903
+		}
+		if c, ok := r.Pick(time.Second, query()); !ok || c.Target != 903 {
+			t.Fatalf("seed %d: chose %+v", seed, c)
+		}
+	}
+}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -271,9 +271,10 @@
 	k := &s.kindStates[t.kind]
 	q := &s.query
 	q.Group, q.Prompt, q.Output = t.group, t.prompt, t.output
-	q.Cached, q.BlockTokens = nil, float64(s.config.BlockTokens)
+	q.Cached, q.Holders, q.BlockTokens = nil, nil, float64(s.config.BlockTokens)
 	if s.blocks != nil && len(t.Blocks) > 0 {
 		q.Cached = s.blocks.Match(t.Blocks)
+		q.Holders = s.blocks.Holders()
 	}
 	q.FirstToken, q.Gap = 0, k.gap
 	if k.firstToken > 0 {
