--- a/core/cost/speeds.go
+++ b/core/cost/speeds.go
@@ -41,7 +41,7 @@
 }
 
 // DefaultSpeed is the prior before any engine of a group has been observed.
-var DefaultSpeed = Speed{Prefill: 3e-5, Base: 15e-3, Slope: 4e-4, Context: 1e-7}
+var DefaultSpeed = Speed{Prefill: 1e-4, Base: 15e-3, Slope: 4e-4, Context: 1e-7}
 
 const (
 	roles = 3
--- a/core/route/engine.go
+++ b/core/route/engine.go
@@ -51,6 +51,8 @@
 	// peerSent is the prefill seconds that peers have sent since the last
 	// refresh, peerRate its learned rate in seconds per second.
 	peerSent, peerRate float64
+	// peerStarts and peerContext are the same for sequences and KV cache.
+	peerStarts, peerContext rate
 	// batch and kvUsed are as of asOf.
 	asOf  fleet.Instant
 	batch float64
@@ -119,6 +121,9 @@
 
 // GapWith returns the expected token gap with more sequences and context.
 func (e *Engine) GapWith(now fleet.Instant, sequences, context float64) float64 {
+	unseen := e.unseen(now)
+	sequences += e.peerStarts.perSecond * unseen
+	context += e.peerContext.perSecond * unseen
 	gap := e.Speed.Step(e.Batch(now)+sequences, e.Context(now)+context)
 	if e.gapError == 0 {
 		return gap
@@ -216,6 +221,10 @@
 // PeerDispatched records work that a peer sent to the engine.
 func (e *Engine) PeerDispatched(at fleet.Instant, prefill float64, decodes bool, kv float64) {
 	e.peerSent += prefill
+	if decodes {
+		e.peerStarts.sum++
+		e.peerContext.sum += kv
+	}
 	e.Dispatched(at, prefill, decodes, kv)
 }
 
@@ -226,6 +235,26 @@
 func (e *Engine) Refresh(elapsed float64) {
 	e.peerRate += peerRateGain * (e.peerSent/math.Max(elapsed, 1e-3) - e.peerRate)
 	e.peerSent = 0
+	e.peerStarts.refresh(elapsed)
+	e.peerContext.refresh(elapsed)
+}
+
+// rate is a learned amount per second.
+type rate struct{ sum, perSecond float64 }
+
+func (r *rate) refresh(elapsed float64) {
+	r.perSecond += peerRateGain * (r.sum/math.Max(elapsed, 1e-3) - r.perSecond)
+	r.sum = 0
+}
+
+// meanExchangeAge is how old the last news of a peer's dispatches is on
+// average: half of the period of the exchange between instances.
+const meanExchangeAge = 0.5 // seconds
+
+// unseen is the seconds over which peers' dispatches are not known yet; what
+// was sent before the last report is part of the report.
+func (e *Engine) unseen(now fleet.Instant) float64 {
+	return math.Min((now - e.ReportedAt).Seconds(), meanExchangeAge)
 }
 
 // Protect records the token gap target of a stream that starts at the engine.
--- a/core/route/price.go
+++ b/core/route/price.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 )
@@ -13,7 +14,7 @@
 	// gapHeadroom is the part of the token gap target at which the price is 1.
 	gapHeadroom = 0.7
 	// minPrice and maxPrice bound the price of a second of a pool's time.
-	minPrice, maxPrice = 0.2, 5
+	minPrice, maxPrice = 0.5, 5
 	// balanceWeight is the score of expected times that use up their targets.
 	// Within the targets time costs nothing, so it only balances engines.
 	balanceWeight = 0.3
@@ -47,6 +48,29 @@
 	prefillRate, tokRate float64
 }
 
+// marketPeriod is how long prices hold; they move with whole pools, and
+// measuring them takes a pass over the group's engines.
+const marketPeriod = 20 * time.Millisecond
+
+// cachedMarket is the market of one group for one token gap target.
+type cachedMarket struct {
+	market
+	at        fleet.Instant
+	gapTarget float64
+	valid     bool
+}
+
+func (r *Router) marketOf(now fleet.Instant, q *Query) *market {
+	for int(q.Group) >= len(r.markets) {
+		r.markets = append(r.markets, cachedMarket{})
+	}
+	c := &r.markets[q.Group]
+	if !c.valid || now >= c.at+marketPeriod || c.gapTarget != q.Gap {
+		*c = cachedMarket{market: r.measure(now, r.Groups[q.Group], q.Gap), at: now, gapTarget: q.Gap, valid: true}
+	}
+	return &c.market
+}
+
 func (r *Router) measure(now fleet.Instant, members []int32, gapTarget float64) market {
 	var pools [3]pool
 	for _, i := range members {
--- a/core/sched/flight.go
+++ b/core/sched/flight.go
@@ -151,9 +151,13 @@
 		return
 	}
 	e := &s.router.Engines[t.choice.Target]
+	// Prefill and decode share the engine's time, so only the rest of the time
+	// went into decode steps.
 	span := (s.now - t.sampledAt).Seconds()
-	e.ObserveGap(s.now, span/float64(n))
-	s.speeds.ObserveStep(t.choice.Target, e.Role, math.Max(e.Batch(s.now), 1), e.Context(s.now), span/float64(n))
+	done := e.PrefillDone(s.now)
+	decoding := math.Min(math.Max(span-(done-t.prefillDone), minDecoding*span), span)
+	t.prefillDone = done
+	s.speeds.ObserveStep(t.choice.Target, e.Role, math.Max(e.Batch(s.now), 1), e.Context(s.now), decoding/float64(n))
 	t.sampled, t.sampledAt = t.produced, s.now
 	s.updateEngine(t.choice.Target)
 }
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -357,7 +357,7 @@
 	}
 	e := &s.router.Engines[i]
 	tokens := float64(ev.PromptTokens)
-	s.router.PeersAt = s.now
+
 	e.PeerDispatched(ev.At, tokens*e.Speed.Prefill, ev.OutputTokens > 0, float64(ev.PromptTokens+ev.OutputTokens))
 }
 
