Exchange turns so that instances share engines fairly

A member at 2 or 8 instances took all but 0.001 or 0.025 of the engines' time from a member that queued at one instance: whichever instance acted first took every free place, and each charged in its own learned units.

Instances exchange the start tag at the head of their queues and their costs per token (PeerTurn in TakeShared). One that is 4 s ahead uses 0.4 of an engine's room, all charge the mean units, and virtual time follows the least turn. Kinds without a token gap target get one of 150 ms, because their batches grew until prefill stopped.

--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -99,6 +99,19 @@
 	return q.members[q.heap[0]].items[0]
 }
 
+// Turn returns the start tag of the member whose turn it is; ok is false for an
+// empty queue. Start tags of instances that exchange service are comparable.
+func (q *Queue) Turn() (start float64, ok bool) {
+	if len(q.heap) == 0 {
+		return 0, false
+	}
+	return q.members[q.heap[0]].start, true
+}
+
+// Advance moves virtual time forward to v, the least start tag of the fleet,
+// so that an instance that was idle gives its members no credit.
+func (q *Queue) Advance(v float64) { q.virtual = max(q.virtual, v) }
+
 // Pop removes the item that Peek returns and charges its cost.
 func (q *Queue) Pop() *Item {
 	it := q.Peek()
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -78,6 +78,9 @@
 	FirstToken, Gap float64
 	// Hold is the longest acceptable prefill queue in seconds; zero means any.
 	Hold float64
+	// Room is the part of the sequences permitted by the token gap target that
+	// may be used; zero means all.
+	Room float64
 	// Avoid is an engine that just failed the request, or None.
 	Avoid int32
 	// Only restricts the choice to one engine, or None.
@@ -300,6 +303,10 @@
 	if e.Decoding > 0 && e.tightestGap > 0 && (target <= 0 || e.tightestGap < target) {
 		target = e.tightestGap
 	}
+	if q.Room > 0 && q.Room < 1 {
+		// One running sequence costs Slope, so room is scaled above Base.
+		target = e.Speed.Base + q.Room*math.Max(target-e.Speed.Base, 0)
+	}
 	return target <= 0 || gap <= target
 }
 
--- a/core/sched/event.go
+++ b/core/sched/event.go
@@ -63,6 +63,22 @@
 		Group fleet.GroupName
 		Cost  float64
 	}
+	// PeerTurn is the turn of a peer's fair queue of a group, sent with every
+	// exchange. An instance that is ahead of the fleet leaves room at the
+	// engines to instances that are behind; otherwise a member that queues at
+	// many instances would win the race for free engines.
+	PeerTurn struct {
+		Instance fleet.InstanceID
+		Group    fleet.GroupName
+		// Start is the start tag of the member whose turn it is, in cost units
+		// per unit of share; Backlogged is false for an empty queue.
+		Start      float64
+		Backlogged bool
+		// PrefillCost and TokenCost are the engine-seconds per token that the
+		// peer has learned. Every instance charges the mean over the instances,
+		// so that cost means the same everywhere.
+		PrefillCost, TokenCost float64
+	}
 	// PeerDispatch is work that another instance sent to an upstream.
 	PeerDispatch struct {
 		Upstream     fleet.UpstreamID
@@ -119,6 +135,7 @@
 func (Failed) isEvent()        {}
 func (Report) isEvent()        {}
 func (PeerService) isEvent()   {}
+func (PeerTurn) isEvent()      {}
 func (PeerDispatch) isEvent()  {}
 func (UpstreamState) isEvent() {}
 func (CacheUpdate) isEvent()   {}
--- a/core/sched/loop_test.go
+++ b/core/sched/loop_test.go
@@ -54,7 +54,7 @@
 	l := &loop{requests: map[fleet.RequestID]*loopRequest{}, served: map[int]float64{}, seed: 7}
 	d := declaration(engines, shares...)
 	for i := range instances {
-		s := sched.New(sched.Config{Seed: uint64(i), Ablate: ablate})
+		s := sched.New(sched.Config{Instance: fleet.InstanceID(fmt.Sprint(i)), Seed: uint64(i), Ablate: ablate})
 		s.Step(0, sched.Configure{Version: 1, Declaration: d})
 		l.instances = append(l.instances, s)
 	}
@@ -195,6 +195,9 @@
 			for _, ev := range shared.Service {
 				l.step(j, ev)
 			}
+			for _, ev := range shared.Turns {
+				l.step(j, ev)
+			}
 			for _, ev := range shared.Dispatches {
 				l.step(j, ev)
 			}
@@ -259,3 +262,52 @@
 		}
 	}
 }
+
+// TestSpreadingGainsNothing guards against a member that gets more than its
+// share by queueing at every instance, while the other one queues at a single
+// instance, and against engines that run dry because instances hold back. The
+// order in which instances act rotates, so that none always acts first.
+func TestSpreadingGainsNothing(t *testing.T) {
+	finished := func(instances int) (of [2]float64) {
+		l := newLoop(instances, 12, sched.Ablate{}, 1, 1)
+		last := instances - 1
+		fill := func(i, m int) {
+			for l.instances[i].Status().Members[m].Queued < 40 {
+				l.submit(i, m, "bulk", 1000, 100)
+			}
+		}
+		load := func() {
+			for k := range instances {
+				i := (k + int(l.now/loopTick)) % instances
+				if i == last {
+					fill(i, 1)
+				}
+				fill(i, 0)
+			}
+		}
+		count := func(sign float64) {
+			for _, r := range l.requests {
+				if r.finished {
+					of[r.member] += sign
+				}
+			}
+		}
+		l.run(2*time.Minute, load)
+		count(-1)
+		l.run(time.Minute, load)
+		count(1)
+		return of
+	}
+	single := finished(1)
+	for _, instances := range []int{2, 8} {
+		got := finished(instances)
+		total, alone := got[0]+got[1], single[0]+single[1]
+		t.Logf("%d instances: share %.3f, %.0f answers, with one instance %.0f", instances, got[1]/total, total, alone)
+		if err := math.Abs(got[1]/total-0.5) / 0.5; err > 0.05 {
+			t.Errorf("%d instances: the member at one instance got %.3f", instances, got[1]/total)
+		}
+		if total < 0.9*alone {
+			t.Errorf("%d instances: %.0f answers, with one instance %.0f", instances, total, alone)
+		}
+	}
+}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -283,7 +283,8 @@
 			q.FirstToken = -1e-9
 		}
 	}
-	q.Hold = s.config.HoldPrefill.Seconds()
+	q.Room = s.groupStates[t.group].room(s.now)
+	q.Hold = s.config.HoldPrefill.Seconds() * q.Room
 	q.Avoid, q.Only = t.avoid, t.only
 	q.NoSplit, q.NoSlack = s.config.Ablate.NoSplit, s.config.Ablate.NoSlack
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -155,6 +155,8 @@
 		s.report(ev.Load)
 	case PeerService:
 		s.peerService(ev)
+	case PeerTurn:
+		s.peerTurn(ev)
 	case PeerDispatch:
 		s.peerDispatch(ev)
 	case UpstreamState:
--- a/core/sched/shared.go
+++ b/core/sched/shared.go
@@ -13,6 +13,8 @@
 	Service []PeerService
 	// Dispatches is the work sent to engines since the last call.
 	Dispatches []PeerDispatch
+	// Turns are the turns of the instance's fair queues, one per engine group.
+	Turns []PeerTurn
 	// Demand is the work of the requests that arrived since the last call,
 	// refused ones included, for the role planner.
 	Demand []GroupDemand
@@ -117,6 +119,11 @@
 			out.Demand = append(out.Demand, GroupDemand{Group: s.groups.names[i], PromptTokens: g.promptDemand, OutputTokens: g.outputDemand})
 		}
 		g.promptDemand, g.outputDemand = 0, 0
+		if !g.service {
+			start, ok := g.queue.Turn()
+			out.Turns = append(out.Turns, PeerTurn{Instance: s.config.Instance, Group: s.groups.names[i], Start: start, Backlogged: ok,
+				PrefillCost: g.ownPrefillCost, TokenCost: g.ownTokenCost})
+		}
 	}
 	out.Dispatches = append(out.Dispatches, s.shared.dispatches...)
 	s.shared.service = s.shared.service[:0]
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fair"
@@ -55,10 +56,16 @@
 	// prefillCost and tokenCost are the group's cost units: mean engine-seconds
 	// per uncached prompt token and per output token.
 	prefillCost, tokenCost float64
+	// ownPrefillCost and ownTokenCost are the instance's own estimates.
+	ownPrefillCost, ownTokenCost float64
 	// released is the cost released since the last refresh, rate the cost per
 	// second that this instance can release, learned while work is queued.
 	released, rate float64
 	backlogged     bool
+	// turns are the peers' turns, turnSlack the lead over the least of them
+	// from which this instance leaves room to the others.
+	turns     []peerTurn
+	turnSlack float64
 	// usableAt is when the group last had a usable upstream.
 	usableAt fleet.Instant
 	// cachedShare is the learned part of prompts found in prefix caches.
@@ -137,6 +144,11 @@
 	s.groupStates[i].service = g.Type == declare.GroupService
 }
 
+// untargetedGap bounds, in seconds, the token gap of kinds that declare none.
+// Without a bound a backlog of them fills a few engines with batches so large
+// that prefill there almost stops.
+const untargetedGap = 0.15
+
 func (s *Scheduler) configureKind(k *declare.Kind) {
 	group, ok := s.groups.find(k.Group)
 	if !ok {
@@ -150,6 +162,9 @@
 		declared: true, kind: *k, group: group,
 		firstToken: k.TargetFirstToken.Seconds(), gap: k.TargetTokenGap.Seconds(), limit: k.Deadline.Seconds(),
 	}
+	if k.TargetTokenGap == 0 {
+		s.kindStates[i].gap = untargetedGap
+	}
 	s.tokens.Grow(len(s.kindStates))
 }
 
@@ -216,7 +231,9 @@
 		for m := range s.memberStates {
 			q.SetWeight(int32(m), s.memberStates[m].share)
 		}
-		q.SetMaxLead(maxLeadSeconds * float64(len(s.router.Groups[g])) / math.Max(total, 1e-9))
+		perSecond := float64(len(s.router.Groups[g])) / math.Max(total, 1e-9)
+		q.SetMaxLead(maxLeadSeconds * perSecond)
+		s.groupStates[g].turnSlack = turnSlackSeconds * perSecond
 	}
 }
 
@@ -265,11 +282,29 @@
 				token.add(e.Speed.TokenCost())
 			}
 		}
-		s.groupStates[g].prefillCost = prefill.or(s.config.Prior.Prefill)
-		s.groupStates[g].tokenCost = token.or(s.config.Prior.TokenCost())
+		x := &s.groupStates[g]
+		x.ownPrefillCost = prefill.or(s.config.Prior.Prefill)
+		x.ownTokenCost = token.or(s.config.Prior.TokenCost())
+		x.agreeUnits(s.now)
 	}
 }
 
+// agreeUnits takes the mean of the own and the peers' estimates. Instances see
+// different engines and batches, and a member would be charged differently at
+// each of them.
+func (g *groupState) agreeUnits(now fleet.Instant) {
+	var prefill, token mean
+	prefill.add(g.ownPrefillCost)
+	token.add(g.ownTokenCost)
+	for _, t := range g.turns {
+		if now-t.at < turnLife && t.prefillCost > 0 && t.tokenCost > 0 {
+			prefill.add(t.prefillCost)
+			token.add(t.tokenCost)
+		}
+	}
+	g.prefillCost, g.tokenCost = prefill.or(0), token.or(0)
+}
+
 type mean struct{ sum, n float64 }
 
 func (m *mean) add(x float64) {
@@ -350,6 +385,75 @@
 	}
 }
 
+type peerTurn struct {
+	instance   fleet.InstanceID
+	start      float64
+	backlogged bool
+	at         fleet.Instant
+	// prefillCost and tokenCost are the peer's estimates.
+	prefillCost, tokenCost float64
+}
+
+const (
+	// turnLife is how long a peer's turn counts without an update, three
+	// exchanges.
+	turnLife = 3 * time.Second
+	// turnSlackSeconds is the lead in seconds of the fleet's service. It covers
+	// a few exchanges, because smaller leads are noise and restricting them
+	// costs goodput, and stays small against the minute of the share error.
+	turnSlackSeconds = 4
+	// aheadRoom is the part of an engine's room that an instance ahead of the
+	// fleet uses. It is above zero so that engines never run dry when the
+	// instances behind have too little work.
+	aheadRoom = 0.4
+)
+
+func (s *Scheduler) peerTurn(ev PeerTurn) {
+	i, ok := s.groups.find(ev.Group)
+	if !ok || s.config.Ablate.NoFair || ev.Instance == s.config.Instance {
+		return
+	}
+	g := &s.groupStates[i]
+	turn := peerTurn{ev.Instance, ev.Start, ev.Backlogged, s.now, ev.PrefillCost, ev.TokenCost}
+	found := false
+	kept := g.turns[:0]
+	for _, t := range g.turns {
+		if t.instance == ev.Instance {
+			t, found = turn, true
+		}
+		if s.now-t.at < turnLife {
+			kept = append(kept, t)
+		}
+	}
+	if !found {
+		kept = append(kept, turn)
+	}
+	g.turns = kept
+	if least, ok := g.leastTurn(s.now); ok {
+		g.queue.Advance(least)
+	}
+}
+
+// leastTurn returns the least start tag of the backlogged peers.
+func (g *groupState) leastTurn(now fleet.Instant) (least float64, ok bool) {
+	for _, t := range g.turns {
+		if t.backlogged && now-t.at < turnLife && (!ok || t.start < least) {
+			least, ok = t.start, true
+		}
+	}
+	return least, ok
+}
+
+// room is the part of an engine's room that this instance may use now.
+func (g *groupState) room(now fleet.Instant) float64 {
+	own, ok := g.queue.Turn()
+	least, other := g.leastTurn(now)
+	if ok && other && own > least+g.turnSlack {
+		return aheadRoom
+	}
+	return 1
+}
+
 func (s *Scheduler) peerDispatch(ev PeerDispatch) {
 	i, ok := s.upstreams.find(ev.Upstream)
 	if !ok || s.config.Ablate.NoPeerDispatch {
