Evaluate role changes without sorting again for each

One evaluation of an overloaded group of 284 engines took 59 ms, 3% of a core at one every two seconds; it sorted the engines for every move. The steady hour is tested below, near and above the capacity: no change in 60 hours. The home data centre wins near ties in 70% of choices and loses to an engine that is a third faster.

--- a/core/role/plan.go
+++ b/core/role/plan.go
@@ -1,8 +1,10 @@
 package role
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -323,8 +325,12 @@
 func (p *Planner) propose(now fleet.Instant, g *group) {
 	short, middle := g.demandAtHorizon(now, shortHorizon), g.demandAtHorizon(now, middleHorizon)
 	work, share := g.work(middle)
-	before := p.carried(g, middle, nil, 0)
-	beforeShort := p.carried(g, short, nil, 0)
+	division := p.division(g)
+	scratch := make([]option, 0, len(division)+1)
+	before, beforeShort := carried(division, middle), carried(division, short)
+	if math.Min(before, beforeShort) > 1-minGain {
+		return
+	}
 	var moves []move
 	best := 0.0
 	for _, e := range g.engines {
@@ -335,7 +341,8 @@
 			if r == e.Role {
 				continue
 			}
-			rise := math.Min(p.carried(g, middle, e, r)-before, p.carried(g, short, e, r)-beforeShort)
+			scratch = p.with(scratch, division, e, r)
+			rise := math.Min(carried(scratch, middle)-before, carried(scratch, short)-beforeShort)
 			if rise < minGain {
 				continue
 			}
@@ -401,24 +408,55 @@
 }
 
 // option is an engine's capacity if it only prefilled or only decoded.
-type option struct{ prefill, decode float64 }
+type option struct {
+	engine          *engine
+	prefill, decode float64
+	// advantage is the comparative advantage in prefill.
+	advantage float64
+}
 
-// carried returns the part of a demand that a division carries on time, 0 to
-// 1; changed takes role to instead of its own.
-func (p *Planner) carried(g *group, d demand, changed *engine, to fleet.Role) float64 {
+func (p *Planner) option(e *engine, role fleet.Role) option {
+	prefill, decode := p.efficiency(role)
+	prefill *= e.prefillRate
+	decode *= e.decodeRate
+	return option{e, prefill, decode, prefill / math.Max(decode, engineSecondFloor)}
+}
+
+// division returns the available engines in order of comparative advantage.
+func (p *Planner) division(g *group) []option {
 	options := make([]option, 0, len(g.engines))
 	for _, e := range g.engines {
-		if !e.Available {
+		if e.Available {
+			options = append(options, p.option(e, e.Role))
+		}
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.advantage, a.advantage) })
+	return options
+}
+
+// with returns a division with one engine in another role. It fills scratch:
+// sorting again for each of two moves of 284 engines took 59 ms per evaluation.
+func (p *Planner) with(scratch, division []option, e *engine, to fleet.Role) []option {
+	scratch = scratch[:0]
+	changed, placed := p.option(e, to), false
+	for _, o := range division {
+		if o.engine == e {
 			continue
 		}
-		role := e.Role
-		if e == changed {
-			role = to
+		if !placed && changed.advantage > o.advantage {
+			scratch, placed = append(scratch, changed), true
 		}
-		prefill, decode := p.efficiency(role)
-		options = append(options, option{e.prefillRate * prefill, e.decodeRate * decode})
+		scratch = append(scratch, o)
+	}
+	if !placed {
+		scratch = append(scratch, changed)
 	}
-	return math.Min(1, plannedUse*multiple(options, d))
+	return scratch
+}
+
+// carried returns the part of a demand that a division carries on time, 0 to 1.
+func carried(division []option, d demand) float64 {
+	return math.Min(1, plannedUse*multiple(division, d))
 }
 
 func (p *Planner) efficiency(role fleet.Role) (prefill, decode float64) {
@@ -431,13 +469,10 @@
 	return p.config.MixedEfficiency, p.config.MixedEfficiency
 }
 
-// multiple returns the largest multiple of the demand that the engines can
-// carry when each divides its time freely. It walks the frontier of possible
+// multiple returns the largest multiple of the demand that the engines, in order
+// of comparative advantage, can carry when each divides its time freely. It walks the frontier of possible
 // (prefill, decode) totals in order of comparative advantage.
 func multiple(options []option, d demand) float64 {
-	sort.SliceStable(options, func(i, j int) bool {
-		return options[i].prefill*options[j].decode > options[j].prefill*options[i].decode
-	})
 	prefill, decode := 0.0, 0.0
 	for _, o := range options {
 		decode += o.decode
--- a/core/role/plan_test.go
+++ b/core/role/plan_test.go
@@ -84,16 +84,19 @@
 	promptHeavyRate, answerHeavyRate     = 9, 22
 )
 
-// TestSteadyLoad guards against role changes that follow noise.
+// TestSteadyLoad guards against role changes that follow noise, at a load that
+// every division carries and at one above what the group can carry.
 func TestSteadyLoad(t *testing.T) {
 	for seed := uint64(1); seed <= 10; seed++ {
 		for _, weight := range []float64{1, 3} {
-			l := newLoop(12, weight, seed)
-			l.run(2*time.Minute, 15, 2500, 180)
-			l.changes = nil
-			l.run(time.Hour, 15, 2500, 180)
-			if len(l.changes) > 0 {
-				t.Errorf("seed %d weight %v: %d changes in a steady hour, first %+v", seed, weight, len(l.changes), l.changes[0])
+			for _, rate := range []float64{5, 15, 22} {
+				l := newLoop(12, weight, seed)
+				l.run(5*time.Minute, rate, 2500, 180)
+				l.changes = nil
+				l.run(time.Hour, rate, 2500, 180)
+				if len(l.changes) > 0 {
+					t.Errorf("seed %d weight %v rate %v: %d changes in a steady hour, first %+v", seed, weight, rate, len(l.changes), l.changes[0])
+				}
 			}
 		}
 	}
@@ -142,3 +145,21 @@
 		}
 	}
 }
+
+// BenchmarkPlan measures one evaluation of an overloaded group with the
+// engines of the largest region at the two-year size. A planner evaluates every
+// two seconds at most.
+func BenchmarkPlan(b *testing.B) {
+	l := newLoop(284, 1e9, 1)
+	l.run(2*time.Minute, 600, answerHeavyPrompt, answerHeavyOutput)
+	for b.Loop() {
+		l.now += 2 * time.Second
+		for i := range l.engines {
+			l.engines[i].At = l.now
+		}
+		l.p.Step(l.now, role.Demand{Group: "g", PromptTokens: 1e6, OutputTokens: 1e6})
+		for _, e := range l.engines {
+			l.p.Step(l.now, e)
+		}
+	}
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -45,7 +45,7 @@
 	ageSpread  = 0.10
 	// remotePenalty is added to the score of engines in other data centres,
 	// so that home is preferred in near ties only.
-	remotePenalty = 0.02
+	remotePenalty = 0.05
 	// remoteSeconds is the added round trip to another data centre.
 	remoteSeconds = 0.003
 	// avoidPenalty puts an engine that just failed the request last.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -127,3 +127,28 @@
 		}
 	}
 }
+
+// TestHomeInNearTies guards against a home data centre that is ignored between
+// equal engines, or preferred over a clearly better engine elsewhere.
+func TestHomeInNearTies(t *testing.T) {
+	home := func(slower float64) (n int) {
+		for seed := range uint64(500) {
+			r := route.New(seed)
+			r.Groups = [][]int32{{0, 1}}
+			for i := range 2 {
+				e := route.Engine{Usable: true, Home: i == 0, Speed: cost.DefaultSpeed}
+				e.Report(route.Load{At: 900 * time.Millisecond})
+				r.Engines = append(r.Engines, e)
+			}
+			r.Engines[0].Speed.Prefill *= slower
+			r.Engines[0].Speed.Base *= slower
+			if c, _ := r.Pick(time.Second, query()); c.Target == 0 {
+				n++
+			}
+		}
+		return n
+	}
+	if equal, slow := home(1), home(1.5); equal < 350 || slow > 25 {
+		t.Fatalf("home chosen %d of 500 times when equal, %d when half as slow again", equal, slow)
+	}
+}
