--- a/core/sched/bench_test.go
+++ b/core/sched/bench_test.go
@@ -52,3 +52,32 @@
 		q.Push(&t.item)
 	}
 }
+
+// BenchmarkRequest measures a whole request at 71 upstreams with its commands
+// and records: submit, dispatch, first token, 100 chunks and the end.
+func BenchmarkRequest(b *testing.B) {
+	s := New(Config{Seed: 1})
+	d := &declare.Declaration{
+		Members: []declare.Member{{ID: "m", Share: 1}},
+		Groups:  []declare.Group{{Name: "g", Type: declare.GroupEngine}},
+		Kinds:   []declare.Kind{{Name: "k", Group: "g", TargetFirstToken: time.Second, Deadline: time.Hour, MaxOutputTokens: 400}},
+	}
+	for i := range 71 {
+		d.Upstreams = append(d.Upstreams, declare.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("e%d", i)), Group: "g"})
+	}
+	s.Step(0, Configure{Declaration: d})
+	now := fleet.Instant(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Second
+		s.Step(now, Tick{})
+		s.Step(now, Submit{Request: Request{ID: "r", Member: "m", Kind: "k", PromptTokens: 3000, MaxOutputTokens: 100}})
+		s.Step(now+300*time.Millisecond, FirstToken{ID: "r"})
+		for i := range 100 {
+			s.Step(now+time.Duration(300+i)*time.Millisecond, Tokens{ID: "r", N: 1})
+		}
+		s.Step(now+500*time.Millisecond, Finished{ID: "r", Usage: fleet.Usage{PromptTokens: 3000, OutputTokens: 100}})
+		s.Ready()
+		s.TakeShared()
+	}
+}
