Try role planning from throughput speeds and demand context

Cause: the planner saw prefill twice as dear as it is, since learned first-token speeds include waiting, and decode cost did not depend on context. Change: speeds keep a throughput estimate besides the first-token one; demand carries the context that output tokens read; a drain for an order is separate from a departure.

--- a/core/cost/speeds.go
+++ b/core/cost/speeds.go
@@ -8,8 +8,12 @@
 
 // Speed describes one engine in one role.
 type Speed struct {
-	// Prefill is seconds per uncached prompt token.
+	// Prefill is seconds per uncached prompt token until the first token, with
+	// what usually shares the engine.
 	Prefill float64
+	// PrefillWork is the engine's seconds per uncached prompt token: what it
+	// could do without other work.
+	PrefillWork float64
 	// Base is the seconds of a decode step before its sequences.
 	Base float64
 	// Slope is the additional seconds of a decode step per running sequence.
@@ -37,11 +41,11 @@
 }
 
 func (s Speed) scaled(f float64) Speed {
-	return Speed{Prefill: s.Prefill * f, Base: s.Base * f, Slope: s.Slope * f, Context: s.Context * f}
+	return Speed{Prefill: s.Prefill * f, PrefillWork: s.PrefillWork * f, Base: s.Base * f, Slope: s.Slope * f, Context: s.Context * f}
 }
 
 // DefaultSpeed is the prior before any engine of a group has been observed.
-var DefaultSpeed = Speed{Prefill: 1e-4, Base: 15e-3, Slope: 4e-4, Context: 1e-7}
+var DefaultSpeed = Speed{Prefill: 1e-4, PrefillWork: 5e-5, Base: 15e-3, Slope: 4e-4, Context: 1e-7}
 
 const (
 	roles = 3
@@ -61,6 +65,8 @@
 	// prefillQuantile of the observed seconds per token is the speed: queueing
 	// that the estimate missed only ever adds to a sample.
 	prefillQuantile = 0.7
+	// workQuantile is the quantile of the least disturbed prefills.
+	workQuantile = 0.1
 	// prefillStep is the change of the logarithm of a prefill speed per sample.
 	prefillStep = 0.05
 	// firstSamples replace the prior by their least.
@@ -79,9 +85,10 @@
 // engineSpeed is the learned state of one engine in one role. Speeds of a role
 // are kept apart because off-role work is less efficient.
 type engineSpeed struct {
-	speed        Speed
-	prefillLog   float64
-	prefillCount float64
+	speed Speed
+	// prefillLog and workLog are logarithms of the prefill speeds.
+	prefillLog, workLog float64
+	prefillCount        float64
 	// level is the engine's decode time relative to the group's shape.
 	level      float64
 	levelCount float64
@@ -137,9 +144,10 @@
 		switch fleet.Role(r) {
 		case fleet.RoleDecode:
 			speed.Prefill *= offRolePenalty
+			speed.PrefillWork *= offRolePenalty
 		case fleet.RolePrefill:
 			speed = p.scaled(offRolePenalty)
-			speed.Prefill = p.Prefill
+			speed.Prefill, speed.PrefillWork = p.Prefill, p.PrefillWork
 		}
 		out[r] = shape{speed: speed, prior: speed}
 	}
@@ -205,6 +213,15 @@
 // Of returns the current estimate for an engine in a role.
 func (s *Speeds) Of(engine int32, role fleet.Role) Speed { return s.engines[engine][role].speed }
 
+// InRole returns the speeds of an engine for work in its role: prefill as a
+// prefill engine and decode as a decode engine.
+func (s *Speeds) InRole(engine int32) Speed {
+	out := s.Of(engine, fleet.RoleDecode)
+	prefill := s.Of(engine, fleet.RolePrefill)
+	out.Prefill, out.PrefillWork = prefill.Prefill, prefill.PrefillWork
+	return out
+}
+
 // Mean returns the mean of a group's engines in a role.
 func (s *Speeds) Mean(group int32, role fleet.Role) Speed { return s.shapes[group][role].speed }
 
@@ -216,15 +233,23 @@
 	e := &s.engines[engine][role]
 	sample := math.Log(seconds / tokens)
 	e.prefillCount++
+	first := e.prefillCount <= firstSamples
+	e.prefillLog = towards(e.prefillLog, sample, prefillQuantile, first, e.prefillCount == 1)
+	e.workLog = towards(e.workLog, sample, workQuantile, first, e.prefillCount == 1)
+	s.solve(engine, role)
+}
+
+// towards moves a running quantile by one sample. The first samples replace the
+// prior by their least.
+func towards(value, sample, quantile float64, first, only bool) float64 {
 	switch {
-	case e.prefillCount == 1, e.prefillCount <= firstSamples && sample < e.prefillLog:
-		e.prefillLog = sample
-	case sample < e.prefillLog:
-		e.prefillLog -= math.Min(prefillStep*(1-prefillQuantile), e.prefillLog-sample)
+	case only, first && sample < value:
+		return sample
+	case sample < value:
+		return value - math.Min(prefillStep*(1-quantile), value-sample)
 	default:
-		e.prefillLog += math.Min(prefillStep*prefillQuantile, sample-e.prefillLog)
+		return value + math.Min(prefillStep*quantile, sample-value)
 	}
-	s.solve(engine, role)
 }
 
 // ObserveStep learns that a decode step with batch running sequences and
@@ -253,7 +278,7 @@
 	level := s.levelOf(engine, role)
 	e.speed = mean.scaled(level)
 	if e.prefillCount > 0 {
-		e.speed.Prefill = math.Exp(e.prefillLog)
+		e.speed.Prefill, e.speed.PrefillWork = math.Exp(e.prefillLog), math.Exp(e.workLog)
 	}
 }
 
@@ -296,7 +321,7 @@
 func (s *Speeds) refreshShape(group int32, role fleet.Role) {
 	h := &s.shapes[group][role]
 	h.solve()
-	var level, prefill, nLevel, nPrefill float64
+	var level, prefill, work, nLevel, nPrefill float64
 	for e := range s.engines {
 		if s.groups[e] != group {
 			continue
@@ -308,11 +333,12 @@
 		}
 		if x.prefillCount >= learnedSamples {
 			prefill += x.prefillLog
+			work += x.workLog
 			nPrefill++
 		}
 	}
 	if nPrefill > 0 {
-		h.speed.Prefill = math.Exp(prefill / nPrefill)
+		h.speed.Prefill, h.speed.PrefillWork = math.Exp(prefill/nPrefill), math.Exp(work/nPrefill)
 	}
 	if nLevel > 0 {
 		s.rescale(group, role, math.Exp(level/nLevel))
--- a/core/route/engine.go
+++ b/core/route/engine.go
@@ -43,7 +43,6 @@
 	// that decodes at this engine.
 	InFlight, Decoding int
 
-	reportedBatch float64
 	// prefillFree is when the known prefill work is expected to be done.
 	prefillFree fleet.Instant
 	// prefillSent is all prefill seconds known to have been sent here.
@@ -119,6 +118,18 @@
 	e.gapError += gapErrorGain * (math.Min(math.Max(ratio, minGapError), maxGapError) - e.gapError)
 }
 
+// Corrected returns a speed whose decode step includes the recent gap error of
+// an engine that decodes.
+func (e *Engine) Corrected(s cost.Speed) cost.Speed {
+	if e.gapError == 0 || e.Role == fleet.RolePrefill {
+		return s
+	}
+	s.Base *= e.gapError
+	s.Slope *= e.gapError
+	s.Context *= e.gapError
+	return s
+}
+
 // GapWith returns the expected token gap with more sequences and context.
 func (e *Engine) GapWith(now fleet.Instant, sequences, context float64) float64 {
 	unseen := e.unseen(now)
@@ -171,8 +182,11 @@
 		}
 	}
 	e.recent = kept
-	e.reportedBatch = float64(l.Running + l.Waiting)
-	e.batch = e.reportedBatch
+	e.batch = float64(l.Running)
+	if e.Role != fleet.RolePrefill {
+		// What waits at other engines mostly decodes there after its prefill.
+		e.batch += float64(l.Waiting)
+	}
 	e.kvUsed, e.kvCapacity = l.KVUsed, l.KVCapacity
 	e.asOf = l.At
 	e.prefillFree = l.At + seconds(l.WaitingPrompt*e.Speed.Prefill)
--- a/core/sched/event.go
+++ b/core/sched/event.go
@@ -63,6 +63,22 @@
 		Group fleet.GroupName
 		Cost  float64
 	}
+	// PeerTurn is the turn of a peer's fair queue of a group, sent with every
+	// exchange. An instance that is ahead of the fleet leaves room at the
+	// engines to instances that are behind; otherwise a member that queues at
+	// many instances would win the race for free engines.
+	PeerTurn struct {
+		Instance fleet.InstanceID
+		Group    fleet.GroupName
+		// Start is the start tag of the member whose turn it is, in cost units
+		// per unit of share; Backlogged is false for an empty queue.
+		Start      float64
+		Backlogged bool
+		// PrefillCost and TokenCost are the engine-seconds per token that the
+		// peer has learned. Every instance charges the mean over the instances,
+		// so that cost means the same everywhere.
+		PrefillCost, TokenCost float64
+	}
 	// PeerDispatch is work that another instance sent to an upstream.
 	PeerDispatch struct {
 		Upstream     fleet.UpstreamID
@@ -75,8 +91,12 @@
 		Upstream    fleet.UpstreamID
 		Incarnation fleet.Incarnation
 		Available   bool
-		Leaving     bool
-		Role        fleet.Role
+		// Leaving marks a departure, which only a new incarnation clears.
+		Leaving bool
+		// Draining holds new work back while an order is carried out; unlike
+		// Leaving it is cleared by the next event without it.
+		Draining bool
+		Role     fleet.Role
 	}
 	// CacheUpdate is a batch of an engine's prefix cache events.
 	CacheUpdate struct {
@@ -119,6 +139,7 @@
 func (Failed) isEvent()        {}
 func (Report) isEvent()        {}
 func (PeerService) isEvent()   {}
+func (PeerTurn) isEvent()      {}
 func (PeerDispatch) isEvent()  {}
 func (UpstreamState) isEvent() {}
 func (CacheUpdate) isEvent()   {}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -77,6 +77,7 @@
 func (g *groupState) demand(t *tracked) {
 	g.promptDemand += t.prompt * (1 - g.cachedShare)
 	g.outputDemand += t.output
+	g.contextDemand += t.output * (t.prompt + t.output/2)
 }
 
 func limit(requested, declared int) int {
@@ -289,7 +290,8 @@
 			q.FirstToken = -1e-9
 		}
 	}
-	q.Hold = s.config.HoldPrefill.Seconds()
+	q.Room = s.groupStates[t.group].room(s.now)
+	q.Hold = s.config.HoldPrefill.Seconds() * q.Room
 	q.Avoid, q.Only = t.avoid, t.only
 	q.NoSplit, q.NoSlack = s.config.Ablate.NoSplit, s.config.Ablate.NoSlack
 }
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -35,7 +35,7 @@
 	// cacheBlocksPerSpeed is two million tokens: host memory holds what has left
 	// the accelerators.
 	cacheBlocksPerSpeed = 1000
-	maxSequences        = 256
+	maxSequences        = 1024
 )
 
 // chunkTokens is the prefill work that an iteration takes on at most. Small
--- a/mixshift/baseline.go
+++ b/mixshift/baseline.go
@@ -161,7 +161,7 @@
 func (b *baseline) setState(ev sched.UpstreamState) {
 	for _, e := range b.engines {
 		if e.ID == ev.Upstream {
-			e.available = ev.Available && !ev.Leaving
+			e.available = ev.Available && !ev.Leaving && !ev.Draining
 			e.Role = ev.Role
 		}
 	}
@@ -188,7 +188,7 @@
 	var count, load [3]int
 	for i, e := range s.engines {
 		r := s.reports[i]
-		if e.draining || !e.Available(now) {
+		if e.leaving || !e.Available(now) {
 			continue
 		}
 		count[r.Role]++
@@ -213,7 +213,7 @@
 func (p *thresholdPlanner) change(now fleet.Instant, s *Sim, from, to fleet.Role) (int, fleet.Role, bool) {
 	best := -1
 	for i, e := range s.engines {
-		if e.draining || !e.Available(now) || s.reports[i].Role != from {
+		if e.leaving || !e.Available(now) || s.reports[i].Role != from {
 			continue
 		}
 		if best < 0 || s.reports[i].Running < s.reports[best].Running {
--- a/mixshift/control.go
+++ b/mixshift/control.go
@@ -55,6 +55,9 @@
 // exchange passes each instance's recent work to the others.
 func (s *Sim) exchange(from int) {
 	shared := s.schedulers[from].TakeShared()
+	if s.connected(instanceDataCentre(from), s.plannerDC()) {
+		s.demand = append(s.demand, shared.Demand...)
+	}
 	for to := range s.schedulers {
 		a, b := instanceDataCentre(from), instanceDataCentre(to)
 		if to == from || !s.connected(a, b) {
@@ -64,6 +67,9 @@
 			for _, ev := range shared.Service {
 				s.step(to, ev)
 			}
+			for _, ev := range shared.Turns {
+				s.step(to, ev)
+			}
 			for _, ev := range shared.Dispatches {
 				s.step(to, ev)
 			}
@@ -73,9 +79,16 @@
 
 // announce tells every instance that reaches an engine its state.
 func (s *Sim) announce(e *engineState, available, leaving bool) {
-	s.broadcast(e, 0, sched.UpstreamState{
-		Upstream: e.ID, Incarnation: e.incarnationName(), Available: available, Leaving: leaving, Role: e.Role(),
-	})
+	s.broadcast(e, 0, s.stateOf(e, available, leaving))
+}
+
+// stateOf is what instances are told about an engine; an engine that drains for
+// a change of role is not leaving.
+func (s *Sim) stateOf(e *engineState, available, leaving bool) sched.UpstreamState {
+	return sched.UpstreamState{
+		Upstream: e.ID, Incarnation: e.incarnationName(), Available: available, Role: e.Role(),
+		Leaving: leaving, Draining: s.change != nil && s.change.engine == e,
+	}
 }
 
 // scheduleFaults plans the withdrawal and the partition of a run.
@@ -83,7 +96,7 @@
 	f := s.faults
 	if f.withdrawn >= 0 {
 		e := s.engines[f.withdrawn]
-		s.after(f.withdrawAt, func() { s.announce(e, true, true); e.draining = true })
+		s.after(f.withdrawAt, func() { e.leaving = true; s.announce(e, true, true) })
 		s.after(f.withdrawAt+withdrawalGrace, func() { s.crash(e) })
 		s.after(f.returnAt, func() { s.bringBack(e) })
 	}
@@ -113,7 +126,7 @@
 
 func (s *Sim) bringBack(e *engineState) {
 	e.Return()
-	e.draining = false
+	e.leaving = false
 	e.incarnation++
 	e.sequence = 0
 	s.announce(e, true, false)
@@ -154,10 +167,7 @@
 			if !across {
 				continue
 			}
-			ev := sched.UpstreamState{
-				Upstream: e.ID, Incarnation: e.incarnationName(), Role: e.Role(),
-				Available: reachable && e.Available(s.now), Leaving: e.draining,
-			}
+			ev := s.stateOf(e, reachable && e.Available(s.now), e.leaving)
 			s.after(detectionDelay, func() { s.step(i, ev) })
 		}
 	}
@@ -194,13 +204,12 @@
 		return
 	}
 	e := s.engines[i]
-	if e.draining || !e.Available(s.now) || e.Role() == to || !s.connected(e.dc, s.plannerDC()) {
+	if e.leaving || !e.Available(s.now) || e.Role() == to || !s.connected(e.dc, s.plannerDC()) {
 		return
 	}
 	s.change = &roleChange{engine: e, to: to, since: s.now}
 	s.roleChanges++
-	e.draining = true
-	s.announce(e, true, true)
+	s.announce(e, true, false)
 	s.after(drainPoll, s.awaitDrain)
 }
 
@@ -241,9 +250,9 @@
 }
 
 func (s *Sim) abandonChange() {
-	s.change.engine.draining = false
-	s.announce(s.change.engine, true, false)
+	e := s.change.engine
 	s.change = nil
+	s.announce(e, true, false)
 }
 
 func (s *Sim) endChange() {
@@ -252,6 +261,5 @@
 	}
 	e := s.change.engine
 	s.change = nil
-	e.draining = false
 	s.announce(e, true, false)
 }
--- a/mixshift/mixshift_test.go
+++ b/mixshift/mixshift_test.go
@@ -80,6 +80,9 @@
 		for name, k := range r.ByKind {
 			b.Logf("%s: %+v", name, *k)
 		}
+		for _, reason := range r.sim.planReasons {
+			b.Log(reason)
+		}
 		b.Logf("goodput by phase %.3f, refusals %v, choices %v", r.ByPhase, r.Refusals, r.Choices)
 	}
 }
