Validate and compare declarations as a whole

Cause: a declaration was accepted with dangling references, repeated keys, addresses or digests, and a fault named the section's line only. Groups gain fixed or automatic roles and the cache block size; data centres gain regions. A kind must state whether it is repeatable.

--- a/core/declare/declare.go
+++ b/core/declare/declare.go
@@ -10,11 +10,25 @@
 
 // Declaration is one whole configuration of the fleet.
 type Declaration struct {
-	Members   []Member
-	Kinds     []Kind
-	Groups    []Group
-	Upstreams []Upstream
-	Routes    []Route
+	// DataCentres assigns data centres to regions. Without any, all data
+	// centres form one region.
+	DataCentres []DataCentre
+	Members     []Member
+	Kinds       []Kind
+	Groups      []Group
+	Upstreams   []Upstream
+	Routes      []Route
+}
+
+// Region names a set of data centres that are about 1 ms apart and share the
+// engines of a group.
+type Region string
+
+// DataCentre places one data centre in a region.
+type DataCentre struct {
+	Name   fleet.DataCentre
+	Region Region
+	Pos    Position
 }
 
 // Member is a customer with a share of the fleet.
@@ -71,9 +85,22 @@
 	// RoleChangeWeight multiplies the price of a role change; a larger value
 	// makes role changes rarer.
 	RoleChangeWeight float64
+	// FixedRoles keeps every engine in its declared role; otherwise the role
+	// planner may change roles.
+	FixedRoles bool
+	// CacheBlockTokens is the size of the engines' prefix cache blocks.
+	CacheBlockTokens int
 	Pos              Position
 }
 
+// Defaults of a group.
+const (
+	DefaultRoleChangeWeight = 1
+	// DefaultCacheBlockTokens is the block size of the engines of both
+	// deployments.
+	DefaultCacheBlockTokens = 2000
+)
+
 // Upstream is one engine or plain service.
 type Upstream struct {
 	ID         fleet.UpstreamID
--- a/core/declare/index.go
+++ b/core/declare/index.go
@@ -18,10 +18,12 @@
 	kinds       map[fleet.KindName]*Kind
 	groups      map[fleet.GroupName]*Group
 	upstreams   map[fleet.UpstreamID]*Upstream
+	regions     map[fleet.DataCentre]Region
 }
 
-// NewIndex builds the index of a valid declaration.
-func NewIndex(version int64, d *Declaration) *Index {
+// NewIndex builds the index of a valid declaration. A digest in barred is not
+// accepted as a member's key; operators' keys are barred in this way.
+func NewIndex(version int64, d *Declaration, barred ...string) *Index {
 	x := &Index{
 		Version:     version,
 		Declaration: d,
@@ -30,6 +32,10 @@
 		kinds:       map[fleet.KindName]*Kind{},
 		groups:      map[fleet.GroupName]*Group{},
 		upstreams:   map[fleet.UpstreamID]*Upstream{},
+		regions:     map[fleet.DataCentre]Region{},
+	}
+	for _, dc := range d.DataCentres {
+		x.regions[dc.Name] = dc.Region
 	}
 	for i := range d.Members {
 		m := &d.Members[i]
@@ -38,6 +44,9 @@
 			x.byHash[h] = m
 		}
 	}
+	for _, h := range barred {
+		delete(x.byHash, h)
+	}
 	for i := range d.Kinds {
 		x.kinds[d.Kinds[i].Name] = &d.Kinds[i]
 	}
@@ -84,6 +93,10 @@
 // Upstream returns an upstream by id, or nil.
 func (x *Index) Upstream(id fleet.UpstreamID) *Upstream { return x.upstreams[id] }
 
+// Region returns the region of a data centre, or "" when the declaration
+// assigns none.
+func (x *Index) Region(dc fleet.DataCentre) Region { return x.regions[dc] }
+
 // Route returns the route with the longest prefix of path, or nil.
 func (x *Index) Route(path string) *Route {
 	var best *Route
--- /dev/null
+++ b/core/declare/version_test.go
@@ -0,0 +1,41 @@
+package declare_test
+
+import (
+	"testing"
+
+	"github.com/bramleywick/bramleywick/core/declare"
+)
+
+// TestVersionsOnlyRise guards against a version in force that goes back or is
+// replaced by another of the same number, and against a next version that
+// instances elsewhere would take for an old one.
+func TestVersionsOnlyRise(t *testing.T) {
+	cases := []struct {
+		name   string
+		offers []declare.Stamp
+		want   declare.Verdict
+		inside declare.Stamp
+	}{
+		{"first", []declare.Stamp{{Version: 3, ChangeID: "a"}}, declare.VerdictPutInForce, declare.Stamp{Version: 3, ChangeID: "a"}},
+		{"newer", []declare.Stamp{{Version: 3, ChangeID: "a"}, {Version: 5, ChangeID: "b"}}, declare.VerdictPutInForce, declare.Stamp{Version: 5, ChangeID: "b"}},
+		{"older", []declare.Stamp{{Version: 3, ChangeID: "a"}, {Version: 2, ChangeID: "b"}}, declare.VerdictOlder, declare.Stamp{Version: 3, ChangeID: "a"}},
+		{"same", []declare.Stamp{{Version: 3, ChangeID: "a"}, {Version: 3, ChangeID: "a"}}, declare.VerdictSame, declare.Stamp{Version: 3, ChangeID: "a"}},
+		{"forked", []declare.Stamp{{Version: 3, ChangeID: "a"}, {Version: 3, ChangeID: "b"}}, declare.VerdictForked, declare.Stamp{Version: 3, ChangeID: "a"}},
+	}
+	for _, c := range cases {
+		var v declare.Versions
+		var verdict declare.Verdict
+		for _, s := range c.offers {
+			verdict = v.Offer(s)
+		}
+		if verdict != c.want || v.Current() != c.inside {
+			t.Errorf("%s: verdict %s with %v in force, want %s with %v", c.name, verdict, v.Current(), c.want, c.inside)
+		}
+	}
+	var v declare.Versions
+	v.Offer(declare.Stamp{Version: 4, ChangeID: "a"})
+	v.Heard(9)
+	if next := v.Next(2); next != 10 {
+		t.Errorf("next version after a restored store is %d, want 10", next)
+	}
+}
--- a/declfile/declfile.go
+++ b/declfile/declfile.go
@@ -1,13 +1,16 @@
-// Package declfile decodes declarations from INI text.
+// Package declfile turns declarations into INI text and back.
 package declfile
 
 import (
+	"strings"
+
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/inifile"
 )
 
-// Parse decodes a declaration and returns every fault found, with file and line.
+// Parse decodes and validates a declaration and returns every fault found,
+// with file and line, as inifile.Faults.
 func Parse(name string, text []byte) (*declare.Declaration, error) {
 	file, err := inifile.Parse(name, text)
 	if err != nil {
@@ -18,29 +21,84 @@
 	for _, s := range file.Sections {
 		decode(d, name, s, &faults)
 	}
+	// A value that could not be decoded stays at its default, so validation
+	// would report it a second time.
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	faults = locate(file, declare.Validate(d))
 	return d, faults.Err()
 }
 
+// Advise returns remarks on a valid declaration, with file and line.
+func Advise(name string, text []byte, d *declare.Declaration) inifile.Faults {
+	file, err := inifile.Parse(name, text)
+	if err != nil {
+		return nil
+	}
+	return locate(file, declare.Advise(d))
+}
+
+// locate gives each problem the line of its key.
+func locate(file *inifile.File, problems []declare.Problem) inifile.Faults {
+	byLine := map[int]inifile.Section{}
+	for _, s := range file.Sections {
+		byLine[s.Line] = s
+	}
+	var faults inifile.Faults
+	for _, p := range problems {
+		line := p.Pos.Line
+		if s, ok := byLine[line]; ok && p.Key != "" {
+			line = s.KeyLine(p.Key)
+		}
+		faults = append(faults, inifile.Fault{
+			File: file.Name, Line: line, Expected: p.Expected,
+			Message: strings.TrimSpace(string(p.Section)+" "+p.Name) + ": " + p.Message,
+		})
+	}
+	return faults
+}
+
+// Format returns the canonical text of a declaration: sections and names in a
+// fixed order, defaults and comments left out.
+func Format(d *declare.Declaration) []byte {
+	var text strings.Builder
+	for i, item := range d.Items() {
+		if i > 0 {
+			text.WriteByte('\n')
+		}
+		text.WriteString("[" + string(item.Section) + " " + item.Name + "]\n")
+		for _, f := range item.Fields {
+			text.WriteString(f.Key + " = " + f.Value + "\n")
+		}
+	}
+	return []byte(text.String())
+}
+
 func decode(d *declare.Declaration, name string, s inifile.Section, faults *inifile.Faults) {
 	dec := inifile.NewDecoder(name, s, faults)
 	pos := declare.Position{File: name, Line: s.Line}
-	switch s.Kind {
-	case "member":
+	switch declare.Section(s.Kind) {
+	case declare.SectionDataCentre:
+		d.DataCentres = append(d.DataCentres, declare.DataCentre{
+			Name: fleet.DataCentre(s.Name), Region: declare.Region(dec.Required("region", "a region's name")), Pos: pos,
+		})
+	case declare.SectionMember:
 		d.Members = append(d.Members, decodeMember(dec, s.Name, pos))
-	case "kind":
+	case declare.SectionKind:
 		d.Kinds = append(d.Kinds, decodeKind(dec, s.Name, pos))
-	case "group":
+	case declare.SectionGroup:
 		d.Groups = append(d.Groups, decodeGroup(dec, s.Name, pos))
-	case "upstream":
+	case declare.SectionUpstream:
 		d.Upstreams = append(d.Upstreams, decodeUpstream(dec, s.Name, pos))
-	case "route":
+	case declare.SectionRoute:
 		d.Routes = append(d.Routes, declare.Route{
 			Path: s.Name, Kind: fleet.KindName(dec.Required("kind", "a kind's name")), Pos: pos,
 		})
 	default:
 		*faults = append(*faults, inifile.Fault{
-			File: name, Line: s.Line, Message: "unknown section [" + s.Kind + " " + s.Name + "]",
-			Expected: "[member NAME], [kind NAME], [group NAME], [upstream NAME] or [route PATH]",
+			File: name, Line: s.Line, Message: "unknown section [" + strings.TrimSpace(s.Kind+" "+s.Name) + "]",
+			Expected: "[data_centre NAME], [member NAME], [kind NAME], [group NAME], [upstream NAME] or [route PATH]",
 		})
 		return
 	}
@@ -58,7 +116,7 @@
 }
 
 func decodeKind(dec *inifile.Decoder, name string, pos declare.Position) declare.Kind {
-	return declare.Kind{
+	k := declare.Kind{
 		Name:             fleet.KindName(name),
 		Group:            fleet.GroupName(dec.Required("group", "a group's name")),
 		TargetFirstToken: dec.Duration("first_token", 0),
@@ -70,19 +128,34 @@
 		Repeatable:       dec.Bool("repeatable", false),
 		Pos:              pos,
 	}
+	// A default in either direction would be a guess about a call that may
+	// move money.
+	if !dec.Set("repeatable") {
+		dec.Fault("repeatable", "repeatable = true or false: whether running a call twice does no harm")
+	}
+	return k
 }
 
 func decodeGroup(dec *inifile.Decoder, name string, pos declare.Position) declare.Group {
-	return declare.Group{
+	g := declare.Group{
 		Name:             fleet.GroupName(name),
 		Type:             declare.GroupType(dec.Required("type", "engine or service")),
 		ChecksFencing:    dec.Bool("checks_fencing", false),
 		Model:            fleet.ModelName(dec.String("model", "")),
 		Adapter:          dec.String("adapter", ""),
 		ModelVersion:     dec.String("model_version", ""),
-		RoleChangeWeight: dec.Float("role_change_weight", 1),
+		RoleChangeWeight: dec.Float("role_change_weight", declare.DefaultRoleChangeWeight),
+		CacheBlockTokens: dec.Int("cache_block_tokens", declare.DefaultCacheBlockTokens),
 		Pos:              pos,
 	}
+	switch dec.String("roles", "automatic") {
+	case "fixed":
+		g.FixedRoles = true
+	case "automatic":
+	default:
+		dec.Fault("roles", "fixed or automatic")
+	}
+	return g
 }
 
 func decodeUpstream(dec *inifile.Decoder, name string, pos declare.Position) declare.Upstream {
--- a/inifile/decode.go
+++ b/inifile/decode.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +21,9 @@
 // Error implements error.
 func (f Fault) Error() string {
 	text := fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Message)
+	if f.Line == 0 {
+		text = fmt.Sprintf("%s: %s", f.File, f.Message)
+	}
 	if f.Expected != "" {
 		text += "; expected " + f.Expected
 	}
@@ -64,6 +69,20 @@
 	})
 }
 
+// keyFault reports a fault of one key where its value was set.
+func (d *Decoder) keyFault(key Key, expected, format string, args ...any) {
+	d.fault(key.Line, expected, format, args...)
+	if key.Source != "" {
+		last := &(*d.faults)[len(*d.faults)-1]
+		last.File, last.Line = key.Source, 0
+	}
+}
+
+// title is the section's header in messages.
+func (d *Decoder) title() string {
+	return strings.TrimSpace(d.section.Kind + " " + d.section.Name)
+}
+
 func (d *Decoder) find(name string) (Key, bool) {
 	d.used[name] = true
 	for _, k := range d.section.Keys {
@@ -82,7 +101,7 @@
 	}
 	v, err := parse(key.Value)
 	if err != nil {
-		d.fault(key.Line, expected, "%s = %q is not valid", name, key.Value)
+		d.keyFault(key, expected, "%s = %q is not valid", name, key.Value)
 		return def
 	}
 	return v
@@ -97,7 +116,7 @@
 func (d *Decoder) Required(name, expected string) string {
 	key, ok := d.find(name)
 	if !ok || key.Value == "" {
-		d.fault(d.section.Line, expected, "[%s %s] lacks %s", d.section.Kind, d.section.Name, name)
+		d.fault(d.section.KeyLine(name), expected, "[%s] lacks %s", d.title(), name)
 	}
 	return key.Value
 }
@@ -114,12 +133,27 @@
 
 // Float returns a number or def.
 func (d *Decoder) Float(name string, def float64) float64 {
-	return value(d, name, def, "a number", func(s string) (float64, error) { return strconv.ParseFloat(s, 64) })
+	return value(d, name, def, "a number", parseFloat)
+}
+
+// parseFloat accepts finite numbers only: "NaN" and "Inf" compare in ways that
+// range checks do not catch.
+func parseFloat(s string) (float64, error) {
+	v, err := strconv.ParseFloat(s, 64)
+	if err == nil && (math.IsNaN(v) || math.IsInf(v, 0)) {
+		return 0, strconv.ErrRange
+	}
+	return v, err
 }
 
 // Bool returns true or false or def.
 func (d *Decoder) Bool(name string, def bool) bool {
-	return value(d, name, def, "true or false", strconv.ParseBool)
+	return value(d, name, def, "true or false", func(s string) (bool, error) {
+		if s != "true" && s != "false" {
+			return false, strconv.ErrSyntax
+		}
+		return s == "true", nil
+	})
 }
 
 // Address returns an IP address with a port or def.
@@ -147,13 +181,33 @@
 func (d *Decoder) Done() {
 	for _, k := range d.section.Keys {
 		if !d.used[k.Name] {
-			d.fault(k.Line, "", "unknown key %q in [%s %s]", k.Name, d.section.Kind, d.section.Name)
+			d.keyFault(k, "one of "+strings.Join(d.known(), ", "), "unknown key %q in [%s]", k.Name, d.title())
 		}
 	}
 }
 
+// known lists the keys that the decoder was asked for.
+func (d *Decoder) known() []string {
+	names := make([]string, 0, len(d.used))
+	for name := range d.used {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Fault records that a key's value is not valid.
 func (d *Decoder) Fault(name, expected string) {
-	key, _ := d.find(name)
-	d.fault(key.Line, expected, "%s = %q is not valid", name, key.Value)
+	key, ok := d.find(name)
+	if !ok {
+		d.fault(d.section.Line, expected, "[%s] has no valid %s", d.title(), name)
+		return
+	}
+	d.keyFault(key, expected, "%s = %q is not valid", name, key.Value)
+}
+
+// Set tells whether the section sets a key.
+func (d *Decoder) Set(name string) bool {
+	_, ok := d.find(name)
+	return ok
 }
