--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -25,6 +25,9 @@
 	instances []real.InstanceInfo
 	changed   chan struct{} // closed and replaced at every write
 	faults    Faults
+	switches  Switches
+	past      map[string]real.Entry
+	meter     meter
 }
 
 type stored struct {
@@ -90,6 +93,10 @@
 		s.mu.Lock()
 		f := s.faults
 		s.mu.Unlock()
+		if !s.meter.count(r, s.limits()) {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
 		time.Sleep(f.Delay)
 		if f.Down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -112,7 +119,7 @@
 		s.expire(time.Now())
 		out, status := apply(in)
 		lose := s.faults.LoseWriteAnswers
-		if status == http.StatusOK {
+		if status == http.StatusOK && !s.switches.DropWatchEvents {
 			close(s.changed)
 			s.changed = make(chan struct{})
 		}
@@ -141,6 +148,7 @@
 		return real.Wire{}, http.StatusGone
 	}
 	s.revision++
+	s.remember(in.Key)
 	entry := real.Entry{Key: in.Key, Value: in.Value, Revision: s.revision}
 	s.entries[in.Key] = stored{Entry: entry, leaseID: in.LeaseID}
 	return real.Wire{Revision: s.revision}, http.StatusOK
@@ -203,8 +211,12 @@
 func (s *Server) handleGet(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.expire(time.Now())
-	e, ok := s.entries[r.URL.Query().Get("key")]
+	e, ok := s.readable(r.URL.Query().Get("key"))
 	s.mu.Unlock()
+	if unchanged(r, e.Revision) && ok {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	if !ok {
 		reply(w, real.Wire{}, http.StatusNotFound)
 		return
