Settle, order and follow configuration changes in full

Cause: a lost answer to an apply was reported as a failure, the base version was ignored, there was no history, and two offers at once could put an older version into the scheduler last. Versions never go back: older, forked and undecodable records are counted and logged.

--- a/config/keeper.go
+++ b/config/keeper.go
@@ -3,50 +3,93 @@
 package config
 
 import (
-	"context"
-	"encoding/json"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/declfile"
 	"github.com/bramleywick/bramleywick/platform"
 )
 
-// CurrentKey holds the declaration in force.
-const CurrentKey = "config/current"
+// Source is where a record came from.
+type Source string
 
+// Sources of a record.
 const (
-	watchWait  = 20 * time.Second
-	retryPause = 500 * time.Millisecond
+	SourcePlatform Source = "platform"
+	SourcePeer     Source = "peer"
+	SourceApply    Source = "apply"
 )
 
-// Record is the value of CurrentKey.
-type Record struct {
-	Version  int64  `json:"version"`
-	ChangeID string `json:"change_id"`
-	Author   string `json:"author"`
-	Text     string `json:"text"`
+// Observer counts what happens to offered records.
+type Observer interface {
+	// ConfigInForce is called with each version put in force.
+	ConfigInForce(version int64)
+	// ConfigRefused is called for each record that was not put in force; the
+	// reason is "older", "forked" or "invalid".
+	ConfigRefused(source Source, reason string)
+	// ConfigRead is called after each read of the platform's value.
+	ConfigRead(ok bool)
+}
+
+// reasonInvalid counts a record that this program cannot decode.
+const reasonInvalid = "invalid"
+
+// Options are the parts that a keeper works with.
+type Options struct {
+	Store platform.Store
+	// OnForce is called for each version put in force, in order of versions
+	// and never concurrently.
+	OnForce func(*declare.Index)
+	// Observer and Log may be nil.
+	Observer Observer
+	Log      *zap.Logger
+	// BarredHashes are the digests of operators' keys, which never work as
+	// members' keys.
+	BarredHashes []string
 }
 
 // Keeper is safe for concurrent use.
 type Keeper struct {
-	store   platform.Store
-	onForce func(*declare.Index)
+	Options
+
+	// forcing serialises offers, so that OnForce sees rising versions.
+	forcing sync.Mutex
 
 	mu       sync.Mutex
+	versions declare.Versions
 	record   Record
-	revision int64
 	index    *declare.Index
+	// revision is the platform's revision of the last read value. It falls
+	// when the store was restored, so that the next write ends the watch.
+	revision int64
+	// refused is the last record that was reported as not put in force, so
+	// that the same one is logged once.
+	refused declare.Stamp
 }
 
-// NewKeeper returns a keeper; onForce is called for each version put in force.
-func NewKeeper(store platform.Store, onForce func(*declare.Index)) *Keeper {
-	return &Keeper{store: store, onForce: onForce}
+// NewKeeper returns a keeper with nothing in force.
+func NewKeeper(o Options) *Keeper {
+	if o.Observer == nil {
+		o.Observer = noObserver{}
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.OnForce == nil {
+		o.OnForce = func(*declare.Index) {}
+	}
+	return &Keeper{Options: o}
 }
 
+type noObserver struct{}
+
+func (noObserver) ConfigInForce(int64)          {}
+func (noObserver) ConfigRefused(Source, string) {}
+func (noObserver) ConfigRead(bool)              {}
+
 // Index returns the declaration in force, or nil.
 func (k *Keeper) Index() *declare.Index {
 	k.mu.Lock()
@@ -54,84 +97,72 @@
 	return k.index
 }
 
-// Record returns the record in force.
+// Record returns the record in force, for operators and for peers that lag.
 func (k *Keeper) Record() Record {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.record
 }
 
-// Run follows the platform's value until ctx ends.
-func (k *Keeper) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		k.mu.Lock()
-		after := k.revision
-		k.mu.Unlock()
-		entry, err := k.store.Watch(ctx, CurrentKey, after, watchWait)
-		if err == nil {
-			err = k.offer(entry)
-		}
-		if err != nil {
-			sleep(ctx, retryPause)
-		}
-	}
-}
+// Version returns the version in force; 0 means none.
+func (k *Keeper) Version() int64 { return k.Record().Version }
 
-// Apply writes a new version based on the current one and puts it in force.
-func (k *Keeper) Apply(ctx context.Context, changeID, author, text string) (Record, error) {
-	if _, err := declfile.Parse("declaration", []byte(text)); err != nil {
-		return Record{}, err
-	}
-	entry, err := k.store.Get(ctx, CurrentKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return Record{}, errors.Wrap(err, "read current configuration")
-	}
-	var current Record
-	if entry.Revision != 0 {
-		if err := json.Unmarshal(entry.Value, &current); err != nil {
-			return Record{}, errors.Wrap(err, "decode current configuration")
-		}
-	}
-	next := Record{Version: current.Version + 1, ChangeID: changeID, Author: author, Text: text}
-	raw, err := json.Marshal(next)
-	if err != nil {
-		return Record{}, errors.Wrap(err, "encode configuration")
-	}
-	written, err := k.store.CompareAndSwap(ctx, CurrentKey, entry.Revision, raw, "")
-	if err != nil {
-		return Record{}, errors.Wrapf(err, "write configuration version %d", next.Version)
-	}
-	return next, k.offer(written)
+// Heard records that a version is in force at another instance, so that the
+// next change here is given a higher one.
+func (k *Keeper) Heard(version int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.versions.Heard(version)
 }
 
-// offer puts an entry in force if its version is newer.
-func (k *Keeper) offer(entry platform.Entry) error {
-	var record Record
-	if err := json.Unmarshal(entry.Value, &record); err != nil {
-		return errors.Wrap(err, "decode configuration")
+// Offer puts a record from a peer in force if it is newer. A record that is
+// already in force gives nil, an older or forked one *NotInForce.
+func (k *Keeper) Offer(record Record) error { return k.offer(record, SourcePeer) }
+
+func (k *Keeper) offer(record Record, source Source) error {
+	k.forcing.Lock()
+	defer k.forcing.Unlock()
+	k.mu.Lock()
+	verdict := k.versions.Judge(record.versionStamp())
+	current := k.versions.Current()
+	k.mu.Unlock()
+	switch verdict {
+	case declare.VerdictSame:
+		return nil
+	case declare.VerdictOlder, declare.VerdictForked:
+		k.refuse(record, source, string(verdict))
+		return &NotInForce{Verdict: verdict, Offered: record.Stamp, Current: current, Source: source}
 	}
 	declaration, err := declfile.Parse("declaration", []byte(record.Text))
 	if err != nil {
-		return errors.Wrapf(err, "configuration version %d", record.Version)
+		k.refuse(record, source, reasonInvalid)
+		return errors.Wrapf(err, "configuration version %d from %s", record.Version, source)
 	}
+	index := declare.NewIndex(record.Version, declaration, k.BarredHashes...)
 	k.mu.Lock()
-	k.revision = max(k.revision, entry.Revision)
-	newer := record.Version > k.record.Version
-	if newer {
-		k.record = record
-		k.index = declare.NewIndex(record.Version, declaration)
-	}
-	index := k.index
+	k.versions.Offer(record.versionStamp())
+	k.record = record
+	k.index = index
 	k.mu.Unlock()
-	if newer {
-		k.onForce(index)
-	}
+	k.OnForce(index)
+	k.Observer.ConfigInForce(record.Version)
+	k.Log.Info("configuration in force", zap.Int64("version", record.Version),
+		zap.String("change_id", record.ChangeID), zap.String("source", string(source)))
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+// refuse counts a record that is not put in force and logs it once.
+func (k *Keeper) refuse(record Record, source Source, reason string) {
+	k.Observer.ConfigRefused(source, reason)
+	k.mu.Lock()
+	known := k.refused == record.versionStamp()
+	k.refused = record.versionStamp()
+	current := k.versions.Current()
+	k.mu.Unlock()
+	if known {
+		return
 	}
+	k.Log.Warn("configuration not put in force", zap.String("reason", reason),
+		zap.Int64("version", record.Version), zap.String("change_id", record.ChangeID),
+		zap.String("source", string(source)), zap.Int64("version_in_force", current.Version))
 }
--- /dev/null
+++ b/config/wait.go
@@ -0,0 +1,48 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// InstanceVersion is the version in force at one live instance.
+type InstanceVersion struct {
+	Instance   fleet.InstanceID
+	DataCentre fleet.DataCentre
+	// Version is 0 when the instance has nothing in force.
+	Version int64
+}
+
+// InForce lists the version in force at every live instance, this one
+// included. The membership of the deployment implements it.
+type InForce interface {
+	VersionsInForce() []InstanceVersion
+}
+
+// waitPause is the time between two looks at the versions in force.
+const waitPause = 100 * time.Millisecond
+
+// WaitInForce returns when every live instance has the version or a newer one
+// in force, or when ctx ends. It returns the instances that do not.
+func WaitInForce(ctx context.Context, instances InForce, version int64) []InstanceVersion {
+	for {
+		behind := Behind(instances, version)
+		if len(behind) == 0 || ctx.Err() != nil {
+			return behind
+		}
+		sleep(ctx, waitPause)
+	}
+}
+
+// Behind returns the live instances that have an older version in force.
+func Behind(instances InForce, version int64) []InstanceVersion {
+	var behind []InstanceVersion
+	for _, i := range instances.VersionsInForce() {
+		if i.Version < version {
+			behind = append(behind, i)
+		}
+	}
+	return behind
+}
--- /dev/null
+++ b/daemon/configuration.go
@@ -0,0 +1,26 @@
+package daemon
+
+import (
+	"github.com/bramleywick/bramleywick/config"
+	"github.com/bramleywick/bramleywick/platform"
+)
+
+// newKeeper provisions the keeper of the configuration.
+func (d *Daemon) newKeeper(store platform.Store) *config.Keeper {
+	return config.NewKeeper(config.Options{
+		Store: store, OnForce: d.putInForce, Observer: d.metrics.NewConfiguration(), Log: d.log,
+		BarredHashes: d.settings.OperatorKeyHashes,
+	})
+}
+
+// watchesConfiguration tells whether this instance holds a watch on the
+// platform's configuration. Without a membership every instance does.
+func (d *Daemon) watchesConfiguration() bool { return true }
+
+// VersionsInForce implements config.InForce for an instance without a
+// membership: it knows of itself only.
+func (d *Daemon) VersionsInForce() []config.InstanceVersion {
+	return []config.InstanceVersion{{
+		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre, Version: d.keeper.Version(),
+	}}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,7 +58,7 @@
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
 	}, d.cancelAt)
 	store := platform.NewClient(s.Platform, &http.Client{Timeout: platformTimeout})
-	d.keeper = config.NewKeeper(store, d.putInForce)
+	d.keeper = d.newKeeper(store)
 	return d
 }
 
@@ -73,7 +73,6 @@
 
 func (d *Daemon) putInForce(index *declare.Index) {
 	d.dispatcher.Step(sched.Configure{Version: index.Version, Declaration: index.Declaration})
-	d.log.Info("configuration in force", zap.Int64("version", index.Version))
 }
 
 func (d *Daemon) cancelAt(id fleet.RequestID, target fleet.UpstreamID) {
@@ -114,7 +113,7 @@
 	if d.Addresses.Admin, err = d.listen("admin", d.settings.AdminListen, d.adminHandler()); err != nil {
 		return err
 	}
-	go d.keeper.Run(ctx)
+	go d.keeper.Run(ctx, d.watchesConfiguration)
 	go d.dispatcher.Run(context.WithoutCancel(ctx))
 	return nil
 }
--- /dev/null
+++ b/metrics/read.go
@@ -0,0 +1,38 @@
+package metrics
+
+import "sort"
+
+// Count is the value of a counter under one label value.
+type Count struct {
+	Name  string
+	Value uint64
+}
+
+// Refusals returns the refused requests by reason, for the operators' status.
+func (m *Metrics) Refusals() []Count { return m.counts("bramleywick_refused_total") }
+
+// Retries returns the repeated attempts by reason.
+func (m *Metrics) Retries() []Count { return m.counts("bramleywick_retried_total") }
+
+// counts reads a counter vector with one label, sorted by label value.
+func (m *Metrics) counts(name string) []Count {
+	families, err := m.registry.Gather()
+	if err != nil {
+		return nil
+	}
+	var out []Count
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			label := ""
+			if labels := metric.GetLabel(); len(labels) > 0 {
+				label = labels[0].GetValue()
+			}
+			out = append(out, Count{Name: label, Value: uint64(metric.GetCounter().GetValue())})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -50,7 +50,7 @@
 
 // Apply implements the call of the same name.
 func (s *Server) Apply(ctx context.Context, req *connect.Request[operatorv1.ApplyRequest]) (*connect.Response[operatorv1.ApplyResponse], error) {
-	record, err := s.keeper.Apply(ctx, req.Msg.ChangeId, req.Msg.Author, req.Msg.Text)
+	record, err := s.keeper.Apply(ctx, config.Change{ID: req.Msg.ChangeId, Author: req.Msg.Author, File: req.Msg.File, Text: req.Msg.Text})
 	if err != nil {
 		return nil, connect.NewError(codeOf(err), err)
 	}
