Check an instance's settings at once, with flags and environment on top

Cause: addresses in conflict, bad digests, URLs with a host name and negative limits were accepted and failed at run time; nothing could be overridden. Change: every key is checked with its bounds; flags and BRAMLEYWICK_* variables replace keys before the check, and their faults name them. The platform's rates and call timeout are settings. Operators' digests may come from a file.

--- a/cmd/bramleywickd/main.go
+++ b/cmd/bramleywickd/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -34,11 +35,12 @@
 func runCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("run", flag.ContinueOnError)
 	path := flags.String("config", "", "settings file (INI)")
+	overrides := settings.RegisterFlags(flags)
 	return &ffcli.Command{
-		Name: "run", ShortUsage: "bramleywickd run -config F", ShortHelp: "run an entry instance",
-		FlagSet: flags,
+		Name: "run", ShortUsage: "bramleywickd run -config F [flags]", ShortHelp: "run an entry instance",
+		FlagSet: flags, Options: []ff.Option{ff.WithEnvVarPrefix(settings.EnvPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
-			s, err := settings.Load(*path)
+			s, err := settings.Load(*path, overrides)
 			if err != nil {
 				return err
 			}
@@ -54,12 +56,17 @@
 func checkCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("check", flag.ContinueOnError)
 	path := flags.String("config", "", "settings file (INI)")
+	overrides := settings.RegisterFlags(flags)
 	return &ffcli.Command{
-		Name: "check", ShortUsage: "bramleywickd check -config F", ShortHelp: "check a settings file",
-		FlagSet: flags,
+		Name: "check", ShortUsage: "bramleywickd check -config F [flags]", ShortHelp: "check settings and report every fault",
+		FlagSet: flags, Options: []ff.Option{ff.WithEnvVarPrefix(settings.EnvPrefix)},
 		Exec: func(context.Context, []string) error {
-			_, err := settings.Load(*path)
-			return err
+			s, err := settings.Load(*path, overrides)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%s: instance %s in data centre %s is valid\n", *path, s.Instance, s.DataCentre)
+			return nil
 		},
 	}
 }
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -1,10 +1,30 @@
 package daemon
 
 import (
+	"net/http"
+	"time"
+
 	"github.com/bramleywick/bramleywick/config"
 	"github.com/bramleywick/bramleywick/platform"
 )
 
+// newStore provisions the client of the platform's service. The client bounds
+// each call itself, because a watch outlasts any fixed timeout of the transport.
+func (d *Daemon) newStore() platform.Store {
+	limits := d.settings.PlatformLimits
+	if limits == (platform.Limits{}) {
+		limits = platform.DefaultLimits()
+	}
+	return platform.NewLimitedClient(d.settings.Platform, &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: platformIdleConnections, IdleConnTimeout: platformIdleTimeout},
+	}, limits)
+}
+
+const (
+	platformIdleConnections = 16
+	platformIdleTimeout     = time.Minute
+)
+
 // newKeeper provisions the keeper of the configuration.
 func (d *Daemon) newKeeper(store platform.Store) *config.Keeper {
 	return config.NewKeeper(config.Options{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,15 +20,13 @@
 	"github.com/bramleywick/bramleywick/dispatch"
 	"github.com/bramleywick/bramleywick/metrics"
 	"github.com/bramleywick/bramleywick/operator"
-	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/settings"
 	"github.com/bramleywick/bramleywick/upstream"
 )
 
 const (
-	headerTimeout   = 10 * time.Second
-	platformTimeout = 30 * time.Second
-	cancelTimeout   = 2 * time.Second
+	headerTimeout = 10 * time.Second
+	cancelTimeout = 2 * time.Second
 )
 
 // Daemon is one entry instance.
@@ -57,7 +55,7 @@
 	d.dispatcher = dispatch.New(sched.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
 	}, d.cancelAt)
-	store := platform.NewClient(s.Platform, &http.Client{Timeout: platformTimeout})
+	store := d.newStore()
 	d.keeper = d.newKeeper(store)
 	return d
 }
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,115 @@
+package settings
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/bramleywick/bramleywick/inifile"
+)
+
+const (
+	// maxBalancerDelay and maxDrainLimit keep a planned stop finite.
+	maxBalancerDelay = 5 * time.Minute
+	maxDrainLimit    = 2 * time.Hour
+	// minCallTimeout is above the platform's usual answer within milliseconds.
+	minCallTimeout = 50 * time.Millisecond
+	maxCallTimeout = time.Minute
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+// name returns a required name that may appear in platform keys and labels.
+func name(dec *inifile.Decoder, key, expected string) string {
+	value := dec.Required(key, expected)
+	if value != "" && !namePattern.MatchString(value) {
+		dec.Fault(key, expected+" of letters, digits, '.', '_' and '-', at most 128 bytes")
+	}
+	return value
+}
+
+// within returns a duration between two bounds.
+func within(dec *inifile.Decoder, key string, def, least, most time.Duration) time.Duration {
+	d := dec.Duration(key, def)
+	if d < least || d > most {
+		dec.Fault(key, "a duration from "+least.String()+" to "+most.String())
+	}
+	return d
+}
+
+// rate returns a positive number of calls a second.
+func rate(dec *inifile.Decoder, key string, def float64) float64 {
+	r := dec.Float(key, def)
+	if r <= 0 {
+		dec.Fault(key, "a number of calls a second above 0")
+	}
+	return r
+}
+
+// baseURL returns a required URL with a scheme, an IP address and no path.
+func baseURL(dec *inifile.Decoder, key string) string {
+	const expected = "a URL with an IP address and a port, such as http://127.0.0.1:7000"
+	value := dec.Required(key, expected)
+	if value == "" {
+		return ""
+	}
+	u, err := url.Parse(value)
+	if err == nil {
+		_, err = netip.ParseAddrPort(u.Host)
+	}
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || strings.Trim(u.Path, "/") != "" || u.RawQuery != "" || u.User != nil {
+		dec.Fault(key, expected)
+	}
+	return strings.TrimSuffix(value, "/")
+}
+
+// operatorKeys returns the digests from the settings and from the file that
+// they name, one digest a line.
+func operatorKeys(dec *inifile.Decoder) []string {
+	const digest = "64 lower-case hex digits, as printed by sha256sum"
+	hashes := dec.Strings("key_sha256")
+	if !allDigests(hashes) {
+		dec.Fault("key_sha256", digest)
+	}
+	path := dec.String("key_sha256_file", "")
+	if path == "" {
+		return hashes
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		dec.Fault("key_sha256_file", "a readable file: "+err.Error())
+		return hashes
+	}
+	listed := strings.Fields(string(text))
+	if !allDigests(listed) {
+		dec.Fault("key_sha256_file", "a file with one digest a line, each of "+digest)
+	}
+	return append(hashes, listed...)
+}
+
+func allDigests(hashes []string) bool {
+	for _, h := range hashes {
+		if raw, err := hex.DecodeString(h); err != nil || len(raw) != 32 || strings.ToLower(h) != h {
+			return false
+		}
+	}
+	return true
+}
+
+// listeners reports two listeners on one address. Port 0 asks the system for
+// a free port and cannot collide.
+func (s *Settings) listeners(dec *inifile.Decoder) {
+	seen := map[string]string{}
+	for _, l := range []struct{ key, address string }{
+		{"callers", s.CallerListen}, {"operators", s.OperatorListen}, {"peers", s.PeerListen}, {"admin", s.AdminListen},
+	} {
+		if first, ok := seen[l.address]; ok && !strings.HasSuffix(l.address, ":0") {
+			dec.Fault(l.key, "an address of its own; "+first+" listens on "+l.address)
+		}
+		seen[l.address] = l.key
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/inifile"
+	"github.com/bramleywick/bramleywick/platform"
 )
 
 // Settings are what one instance learns from its settings file.
@@ -23,6 +24,8 @@
 	AdminListen    string
 	// Platform is the base URL of the platform's service.
 	Platform string
+	// PlatformLimits bound the calls on the platform's service.
+	PlatformLimits platform.Limits
 	// OperatorKeyHashes are hex SHA-256 digests of operators' keys.
 	OperatorKeyHashes []string
 	// BalancerDelay is how long the balancer takes to notice that the
@@ -32,23 +35,30 @@
 	DrainLimit time.Duration
 }
 
-// Load reads and checks a settings file.
-func Load(path string) (*Settings, error) {
+// Load reads and checks a settings file with overrides on top, which may be
+// nil. An empty path means that the overrides are all there is.
+func Load(path string, overrides Overrides) (*Settings, error) {
+	if path == "" {
+		return parse("settings", nil, overrides)
+	}
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "read settings")
 	}
-	return Parse(path, text)
+	return parse(path, text, overrides)
 }
 
 // Parse checks settings and returns every fault found, with file and line.
-func Parse(name string, text []byte) (*Settings, error) {
+func Parse(name string, text []byte) (*Settings, error) { return parse(name, text, nil) }
+
+func parse(name string, text []byte, overrides Overrides) (*Settings, error) {
 	file, err := inifile.Parse(name, text)
 	if err != nil {
 		return nil, err
 	}
+	overrides.apply(file)
 	var faults inifile.Faults
-	s := &Settings{}
+	s := &Settings{PlatformLimits: platform.DefaultLimits()}
 	seen := map[string]bool{}
 	for _, section := range file.Sections {
 		seen[section.Kind] = true
@@ -56,32 +66,43 @@
 	}
 	for _, required := range []string{"instance", "listen", "platform"} {
 		if !seen[required] {
-			faults = append(faults, inifile.Fault{File: name, Line: 1, Message: "section [" + required + "] is missing"})
+			faults = append(faults, inifile.Fault{File: name, Line: 1, Message: "section [" + required + "] is missing", Expected: "[" + required + "] with its keys"})
 		}
 	}
 	return s, faults.Err()
 }
 
-func (s *Settings) decode(name string, section inifile.Section, faults *inifile.Faults) {
-	dec := inifile.NewDecoder(name, section, faults)
-	switch section.Kind {
+// decode reads one section. A section has no name besides its kind.
+func (s *Settings) decode(file string, section inifile.Section, faults *inifile.Faults) {
+	dec := inifile.NewDecoder(file, section, faults)
+	kind := section.Kind
+	if section.Name != "" {
+		kind += " " + section.Name
+	}
+	switch kind {
 	case "instance":
-		s.Instance = fleet.InstanceID(dec.Required("id", "the instance's name"))
-		s.DataCentre = fleet.DataCentre(dec.Required("data_centre", "a data centre's name"))
-		s.BalancerDelay = dec.Duration("balancer_delay", 5*time.Second)
-		s.DrainLimit = dec.Duration("drain_limit", 10*time.Minute)
+		s.Instance = fleet.InstanceID(name(dec, "id", "the instance's name"))
+		s.DataCentre = fleet.DataCentre(name(dec, "data_centre", "a data centre's name"))
+		s.BalancerDelay = within(dec, "balancer_delay", 5*time.Second, 0, maxBalancerDelay)
+		s.DrainLimit = within(dec, "drain_limit", 10*time.Minute, time.Second, maxDrainLimit)
 	case "listen":
 		s.CallerListen = dec.Address("callers", "127.0.0.1:8080")
 		s.OperatorListen = dec.Address("operators", "127.0.0.1:8081")
 		s.PeerListen = dec.Address("peers", "127.0.0.1:8082")
 		s.AdminListen = dec.Address("admin", "127.0.0.1:8083")
+		s.listeners(dec)
 	case "platform":
-		s.Platform = dec.Required("url", "a URL such as http://127.0.0.1:7000")
+		s.Platform = baseURL(dec, "url")
+		s.PlatformLimits = platform.Limits{
+			ReadsPerSecond:  rate(dec, "reads_per_second", s.PlatformLimits.ReadsPerSecond),
+			WritesPerSecond: rate(dec, "writes_per_second", s.PlatformLimits.WritesPerSecond),
+			CallTimeout:     within(dec, "call_timeout", s.PlatformLimits.CallTimeout, minCallTimeout, maxCallTimeout),
+		}
 	case "operators":
-		s.OperatorKeyHashes = dec.Strings("key_sha256")
+		s.OperatorKeyHashes = operatorKeys(dec)
 	default:
 		*faults = append(*faults, inifile.Fault{
-			File: name, Line: section.Line, Message: "unknown section [" + section.Kind + "]",
+			File: file, Line: section.Line, Message: "unknown section [" + kind + "]",
 			Expected: "[instance], [listen], [platform] or [operators]",
 		})
 		return
