Serve every operators' call with codes and details

Cause: only apply and show were answered, and a script could not tell from an error whether the configuration had changed. Change: plan, diff, history, revert, status, drain and orders are served; each error has a documented code and a typed detail. Drain and orders go through interfaces that membership and the order keeper implement. An empty key is never let in.

--- a/cmd/bramleywickctl/main.go
+++ b/cmd/bramleywickctl/main.go
@@ -82,7 +82,7 @@
 			if err != nil {
 				return errors.Wrapf(err, "show at %s", c.url)
 			}
-			fmt.Printf("; version %d by %s\n%s", out.Msg.Version, out.Msg.Author, out.Msg.Text)
+			fmt.Printf("; version %d by %s\n%s", out.Msg.Version.GetVersion(), out.Msg.Version.GetAuthor(), out.Msg.Text)
 			return nil
 		},
 	}
--- a/config/apply.go
+++ b/config/apply.go
@@ -67,7 +67,7 @@
 // changed; *Undecided means that the answer was lost and not settled.
 func (k *Keeper) Apply(ctx context.Context, c Change) (Stamp, error) {
 	if c.ID == "" {
-		return Stamp{}, errors.New("a change needs an id")
+		return Stamp{}, ErrNoChangeID
 	}
 	if _, err := k.Check(c.File, c.Text); err != nil {
 		return Stamp{}, err
--- a/config/errors.go
+++ b/config/errors.go
@@ -3,9 +3,15 @@
 import (
 	"fmt"
 
+	"github.com/pkg/errors"
+
 	"github.com/bramleywick/bramleywick/core/declare"
 )
 
+// ErrNoChangeID refuses a change without an id, whose lost answer could not be
+// settled.
+var ErrNoChangeID = errors.New("a change needs an id")
+
 // Moved refuses a change because the configuration changed after the version
 // on which it was based. Nothing was changed.
 type Moved struct {
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bramleywick/bramleywick/config"
+	"github.com/bramleywick/bramleywick/operator"
 	"github.com/bramleywick/bramleywick/platform"
 )
 
@@ -44,3 +45,12 @@
 		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre, Version: d.keeper.Version(),
 	}}
 }
+
+// operatorOptions provisions the operators' calls.
+func (d *Daemon) operatorOptions() operator.Options {
+	return operator.Options{
+		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre,
+		KeyHashes: d.settings.OperatorKeyHashes, Keeper: d.keeper, Scheduler: d.dispatcher,
+		Counters: d.metrics, InForce: d, Log: d.log,
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -104,7 +104,7 @@
 	if d.Addresses.Callers, err = d.listen("callers", d.settings.CallerListen, calls.Handler()); err != nil {
 		return err
 	}
-	operators := operator.NewHandler(d.keeper, d.settings.OperatorKeyHashes)
+	operators := operator.NewHandler(d.operatorOptions())
 	if d.Addresses.Operators, err = d.listen("operators", d.settings.OperatorListen, operators); err != nil {
 		return err
 	}
--- a/operator/api/v1/operatorv1connect/operator.connect.go
+++ b/operator/api/v1/operatorv1connect/operator.connect.go
@@ -2,7 +2,19 @@
 //
 // Source: v1/operator.proto
 
-// Operators' calls to any entry instance.
+// Operators' calls to any entry instance. Every call needs the header
+// "Authorization: Bearer KEY" with an operator's key.
+//
+// Errors carry a code and a detail message where one is named:
+//
+//	invalid_argument     the declaration has faults (Faults) or a field is wrong
+//	unauthenticated      the key is not known
+//	not_found            no such version or upstream
+//	aborted              the configuration changed in the meantime (Moved)
+//	unavailable          the platform cannot be reached; nothing was changed
+//	resource_exhausted   a rate or size limit was met; nothing was changed
+//	unknown              the outcome of a write is open (Undecided)
+//	unimplemented        the instance has no such part
 package operatorv1connect
 
 import (
@@ -40,6 +52,8 @@
 	OperatorServiceApplyProcedure = "/bramleywick.operator.v1.OperatorService/Apply"
 	// OperatorServiceShowProcedure is the fully-qualified name of the OperatorService's Show RPC.
 	OperatorServiceShowProcedure = "/bramleywick.operator.v1.OperatorService/Show"
+	// OperatorServiceDiffProcedure is the fully-qualified name of the OperatorService's Diff RPC.
+	OperatorServiceDiffProcedure = "/bramleywick.operator.v1.OperatorService/Diff"
 	// OperatorServiceHistoryProcedure is the fully-qualified name of the OperatorService's History RPC.
 	OperatorServiceHistoryProcedure = "/bramleywick.operator.v1.OperatorService/History"
 	// OperatorServiceRevertProcedure is the fully-qualified name of the OperatorService's Revert RPC.
@@ -48,6 +62,8 @@
 	OperatorServiceStatusProcedure = "/bramleywick.operator.v1.OperatorService/Status"
 	// OperatorServiceDrainProcedure is the fully-qualified name of the OperatorService's Drain RPC.
 	OperatorServiceDrainProcedure = "/bramleywick.operator.v1.OperatorService/Drain"
+	// OperatorServiceOrdersProcedure is the fully-qualified name of the OperatorService's Orders RPC.
+	OperatorServiceOrdersProcedure = "/bramleywick.operator.v1.OperatorService/Orders"
 )
 
 // OperatorServiceClient is a client for the bramleywick.operator.v1.OperatorService service.
@@ -58,14 +74,19 @@
 	Apply(context.Context, *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error)
 	// Show returns a version; version 0 is the one in force.
 	Show(context.Context, *connect.Request[v1.ShowRequest]) (*connect.Response[v1.ShowResponse], error)
-	// History lists past versions, newest first.
+	// Diff returns the difference between two versions; 0 is the one in force.
+	Diff(context.Context, *connect.Request[v1.DiffRequest]) (*connect.Response[v1.DiffResponse], error)
+	// History lists accepted versions, newest first, without their texts.
 	History(context.Context, *connect.Request[v1.HistoryRequest]) (*connect.Response[v1.HistoryResponse], error)
 	// Revert makes the content of an old version the next version.
-	Revert(context.Context, *connect.Request[v1.RevertRequest]) (*connect.Response[v1.ApplyResponse], error)
+	Revert(context.Context, *connect.Request[v1.RevertRequest]) (*connect.Response[v1.RevertResponse], error)
 	// Status returns members, queues, upstreams and refusals of the instance.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
-	// Drain marks an upstream as leaving.
+	// Drain marks an upstream as leaving: it receives no new work and finishes
+	// what it runs. Only a new incarnation of the upstream clears the mark.
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
+	// Orders lists the orders to engines that are recorded in the platform.
+	Orders(context.Context, *connect.Request[v1.OrdersRequest]) (*connect.Response[v1.OrdersResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the bramleywick.operator.v1.OperatorService
@@ -83,6 +104,7 @@
 			httpClient,
 			baseURL+OperatorServicePlanProcedure,
 			connect.WithSchema(operatorServiceMethods.ByName("Plan")),
+			connect.WithIdempotency(connect.IdempotencyNoSideEffects),
 			connect.WithClientOptions(opts...),
 		),
 		apply: connect.NewClient[v1.ApplyRequest, v1.ApplyResponse](
@@ -95,15 +117,24 @@
 			httpClient,
 			baseURL+OperatorServiceShowProcedure,
 			connect.WithSchema(operatorServiceMethods.ByName("Show")),
+			connect.WithIdempotency(connect.IdempotencyNoSideEffects),
+			connect.WithClientOptions(opts...),
+		),
+		diff: connect.NewClient[v1.DiffRequest, v1.DiffResponse](
+			httpClient,
+			baseURL+OperatorServiceDiffProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Diff")),
+			connect.WithIdempotency(connect.IdempotencyNoSideEffects),
 			connect.WithClientOptions(opts...),
 		),
 		history: connect.NewClient[v1.HistoryRequest, v1.HistoryResponse](
 			httpClient,
 			baseURL+OperatorServiceHistoryProcedure,
 			connect.WithSchema(operatorServiceMethods.ByName("History")),
+			connect.WithIdempotency(connect.IdempotencyNoSideEffects),
 			connect.WithClientOptions(opts...),
 		),
-		revert: connect.NewClient[v1.RevertRequest, v1.ApplyResponse](
+		revert: connect.NewClient[v1.RevertRequest, v1.RevertResponse](
 			httpClient,
 			baseURL+OperatorServiceRevertProcedure,
 			connect.WithSchema(operatorServiceMethods.ByName("Revert")),
@@ -113,6 +144,7 @@
 			httpClient,
 			baseURL+OperatorServiceStatusProcedure,
 			connect.WithSchema(operatorServiceMethods.ByName("Status")),
+			connect.WithIdempotency(connect.IdempotencyNoSideEffects),
 			connect.WithClientOptions(opts...),
 		),
 		drain: connect.NewClient[v1.DrainRequest, v1.DrainResponse](
@@ -121,6 +153,13 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 			connect.WithClientOptions(opts...),
 		),
+		orders: connect.NewClient[v1.OrdersRequest, v1.OrdersResponse](
+			httpClient,
+			baseURL+OperatorServiceOrdersProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Orders")),
+			connect.WithIdempotency(connect.IdempotencyNoSideEffects),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -129,10 +168,12 @@
 	plan    *connect.Client[v1.PlanRequest, v1.PlanResponse]
 	apply   *connect.Client[v1.ApplyRequest, v1.ApplyResponse]
 	show    *connect.Client[v1.ShowRequest, v1.ShowResponse]
+	diff    *connect.Client[v1.DiffRequest, v1.DiffResponse]
 	history *connect.Client[v1.HistoryRequest, v1.HistoryResponse]
-	revert  *connect.Client[v1.RevertRequest, v1.ApplyResponse]
+	revert  *connect.Client[v1.RevertRequest, v1.RevertResponse]
 	status  *connect.Client[v1.StatusRequest, v1.StatusResponse]
 	drain   *connect.Client[v1.DrainRequest, v1.DrainResponse]
+	orders  *connect.Client[v1.OrdersRequest, v1.OrdersResponse]
 }
 
 // Plan calls bramleywick.operator.v1.OperatorService.Plan.
@@ -150,13 +191,18 @@
 	return c.show.CallUnary(ctx, req)
 }
 
+// Diff calls bramleywick.operator.v1.OperatorService.Diff.
+func (c *operatorServiceClient) Diff(ctx context.Context, req *connect.Request[v1.DiffRequest]) (*connect.Response[v1.DiffResponse], error) {
+	return c.diff.CallUnary(ctx, req)
+}
+
 // History calls bramleywick.operator.v1.OperatorService.History.
 func (c *operatorServiceClient) History(ctx context.Context, req *connect.Request[v1.HistoryRequest]) (*connect.Response[v1.HistoryResponse], error) {
 	return c.history.CallUnary(ctx, req)
 }
 
 // Revert calls bramleywick.operator.v1.OperatorService.Revert.
-func (c *operatorServiceClient) Revert(ctx context.Context, req *connect.Request[v1.RevertRequest]) (*connect.Response[v1.ApplyResponse], error) {
+func (c *operatorServiceClient) Revert(ctx context.Context, req *connect.Request[v1.RevertRequest]) (*connect.Response[v1.RevertResponse], error) {
 	return c.revert.CallUnary(ctx, req)
 }
 
@@ -170,6 +216,11 @@
 	return c.drain.CallUnary(ctx, req)
 }
 
+// Orders calls bramleywick.operator.v1.OperatorService.Orders.
+func (c *operatorServiceClient) Orders(ctx context.Context, req *connect.Request[v1.OrdersRequest]) (*connect.Response[v1.OrdersResponse], error) {
+	return c.orders.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the bramleywick.operator.v1.OperatorService
 // service.
 type OperatorServiceHandler interface {
@@ -179,14 +230,19 @@
 	Apply(context.Context, *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error)
 	// Show returns a version; version 0 is the one in force.
 	Show(context.Context, *connect.Request[v1.ShowRequest]) (*connect.Response[v1.ShowResponse], error)
-	// History lists past versions, newest first.
+	// Diff returns the difference between two versions; 0 is the one in force.
+	Diff(context.Context, *connect.Request[v1.DiffRequest]) (*connect.Response[v1.DiffResponse], error)
+	// History lists accepted versions, newest first, without their texts.
 	History(context.Context, *connect.Request[v1.HistoryRequest]) (*connect.Response[v1.HistoryResponse], error)
 	// Revert makes the content of an old version the next version.
-	Revert(context.Context, *connect.Request[v1.RevertRequest]) (*connect.Response[v1.ApplyResponse], error)
+	Revert(context.Context, *connect.Request[v1.RevertRequest]) (*connect.Response[v1.RevertResponse], error)
 	// Status returns members, queues, upstreams and refusals of the instance.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
-	// Drain marks an upstream as leaving.
+	// Drain marks an upstream as leaving: it receives no new work and finishes
+	// what it runs. Only a new incarnation of the upstream clears the mark.
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
+	// Orders lists the orders to engines that are recorded in the platform.
+	Orders(context.Context, *connect.Request[v1.OrdersRequest]) (*connect.Response[v1.OrdersResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -200,6 +256,7 @@
 		OperatorServicePlanProcedure,
 		svc.Plan,
 		connect.WithSchema(operatorServiceMethods.ByName("Plan")),
+		connect.WithIdempotency(connect.IdempotencyNoSideEffects),
 		connect.WithHandlerOptions(opts...),
 	)
 	operatorServiceApplyHandler := connect.NewUnaryHandler(
@@ -212,12 +269,21 @@
 		OperatorServiceShowProcedure,
 		svc.Show,
 		connect.WithSchema(operatorServiceMethods.ByName("Show")),
+		connect.WithIdempotency(connect.IdempotencyNoSideEffects),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceDiffHandler := connect.NewUnaryHandler(
+		OperatorServiceDiffProcedure,
+		svc.Diff,
+		connect.WithSchema(operatorServiceMethods.ByName("Diff")),
+		connect.WithIdempotency(connect.IdempotencyNoSideEffects),
 		connect.WithHandlerOptions(opts...),
 	)
 	operatorServiceHistoryHandler := connect.NewUnaryHandler(
 		OperatorServiceHistoryProcedure,
 		svc.History,
 		connect.WithSchema(operatorServiceMethods.ByName("History")),
+		connect.WithIdempotency(connect.IdempotencyNoSideEffects),
 		connect.WithHandlerOptions(opts...),
 	)
 	operatorServiceRevertHandler := connect.NewUnaryHandler(
@@ -230,6 +296,7 @@
 		OperatorServiceStatusProcedure,
 		svc.Status,
 		connect.WithSchema(operatorServiceMethods.ByName("Status")),
+		connect.WithIdempotency(connect.IdempotencyNoSideEffects),
 		connect.WithHandlerOptions(opts...),
 	)
 	operatorServiceDrainHandler := connect.NewUnaryHandler(
@@ -238,6 +305,13 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceOrdersHandler := connect.NewUnaryHandler(
+		OperatorServiceOrdersProcedure,
+		svc.Orders,
+		connect.WithSchema(operatorServiceMethods.ByName("Orders")),
+		connect.WithIdempotency(connect.IdempotencyNoSideEffects),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/bramleywick.operator.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServicePlanProcedure:
@@ -246,6 +320,8 @@
 			operatorServiceApplyHandler.ServeHTTP(w, r)
 		case OperatorServiceShowProcedure:
 			operatorServiceShowHandler.ServeHTTP(w, r)
+		case OperatorServiceDiffProcedure:
+			operatorServiceDiffHandler.ServeHTTP(w, r)
 		case OperatorServiceHistoryProcedure:
 			operatorServiceHistoryHandler.ServeHTTP(w, r)
 		case OperatorServiceRevertProcedure:
@@ -254,6 +330,8 @@
 			operatorServiceStatusHandler.ServeHTTP(w, r)
 		case OperatorServiceDrainProcedure:
 			operatorServiceDrainHandler.ServeHTTP(w, r)
+		case OperatorServiceOrdersProcedure:
+			operatorServiceOrdersHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -275,11 +353,15 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bramleywick.operator.v1.OperatorService.Show is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) Diff(context.Context, *connect.Request[v1.DiffRequest]) (*connect.Response[v1.DiffResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bramleywick.operator.v1.OperatorService.Diff is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) History(context.Context, *connect.Request[v1.HistoryRequest]) (*connect.Response[v1.HistoryResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bramleywick.operator.v1.OperatorService.History is not implemented"))
 }
 
-func (UnimplementedOperatorServiceHandler) Revert(context.Context, *connect.Request[v1.RevertRequest]) (*connect.Response[v1.ApplyResponse], error) {
+func (UnimplementedOperatorServiceHandler) Revert(context.Context, *connect.Request[v1.RevertRequest]) (*connect.Response[v1.RevertResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bramleywick.operator.v1.OperatorService.Revert is not implemented"))
 }
 
@@ -290,3 +372,7 @@
 func (UnimplementedOperatorServiceHandler) Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bramleywick.operator.v1.OperatorService.Drain is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) Orders(context.Context, *connect.Request[v1.OrdersRequest]) (*connect.Response[v1.OrdersResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bramleywick.operator.v1.OperatorService.Orders is not implemented"))
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -6,75 +6,115 @@
 	"crypto/subtle"
 	"net/http"
 	"strings"
+	"time"
 
 	"connectrpc.com/connect"
-	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
-	operatorv1 "github.com/bramleywick/bramleywick/operator/api/v1"
 	"github.com/bramleywick/bramleywick/operator/api/v1/operatorv1connect"
 
 	"github.com/bramleywick/bramleywick/config"
 	"github.com/bramleywick/bramleywick/core/declare"
-	"github.com/bramleywick/bramleywick/inifile"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/sched"
+	"github.com/bramleywick/bramleywick/metrics"
 	"github.com/bramleywick/bramleywick/platform"
 )
 
-// Server implements the operators' service. Calls that it does not define
-// answer "unimplemented".
-type Server struct {
-	operatorv1connect.UnimplementedOperatorServiceHandler
-	keeper *config.Keeper
+// Drainer marks an upstream as leaving at every instance. The membership of
+// the deployment implements it.
+type Drainer interface {
+	// Drain returns the incarnation to which the mark is tied, or an empty
+	// one when it is not known yet.
+	Drain(ctx context.Context, id fleet.UpstreamID) (fleet.Incarnation, error)
 }
 
-// NewHandler returns the HTTP handler of the operators' listener. keyHashes
-// are the hex SHA-256 digests of the keys that are let in.
-func NewHandler(keeper *config.Keeper, keyHashes []string) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(operatorv1connect.NewOperatorServiceHandler(&Server{keeper: keeper}))
-	return authenticate(keyHashes, mux)
+// Order is one order to an engine, as recorded in the platform.
+type Order struct {
+	Upstream    fleet.UpstreamID
+	Incarnation fleet.Incarnation
+	ID          string
+	// Action is what the order asks for, such as "role decode".
+	Action        string
+	Sender        fleet.InstanceID
+	FencingNumber int64
+	// State is "sent", "settled" or "failed".
+	State string
+	Age   time.Duration
 }
 
-func authenticate(keyHashes []string, next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		hash := declare.HashKey(key)
-		for _, known := range keyHashes {
-			if subtle.ConstantTimeCompare([]byte(known), []byte(hash)) == 1 {
-				next.ServeHTTP(w, r)
-				return
-			}
-		}
-		http.Error(w, "operator key not known", http.StatusUnauthorized)
-	})
+// Orders lists the orders recorded in the platform.
+type Orders interface {
+	Orders(ctx context.Context) ([]Order, error)
 }
 
-// Apply implements the call of the same name.
-func (s *Server) Apply(ctx context.Context, req *connect.Request[operatorv1.ApplyRequest]) (*connect.Response[operatorv1.ApplyResponse], error) {
-	record, err := s.keeper.Apply(ctx, config.Change{ID: req.Msg.ChangeId, Author: req.Msg.Author, File: req.Msg.File, Text: req.Msg.Text})
-	if err != nil {
-		return nil, connect.NewError(codeOf(err), err)
-	}
-	return connect.NewResponse(&operatorv1.ApplyResponse{Version: record.Version}), nil
+// Scheduler is the part of the dispatcher that the status needs.
+type Scheduler interface {
+	Status() sched.Status
+	Now() fleet.Instant
+}
+
+// Counters are the metrics' counters that the status shows.
+type Counters interface {
+	Refusals() []metrics.Count
+	Retries() []metrics.Count
+}
+
+// Options are the parts that a server works with.
+type Options struct {
+	Instance   fleet.InstanceID
+	DataCentre fleet.DataCentre
+	// KeyHashes are the hex SHA-256 digests of the keys that are let in.
+	KeyHashes []string
+	Keeper    *config.Keeper
+	Scheduler Scheduler
+	Counters  Counters
+	// InForce lists the versions in force at the live instances.
+	InForce config.InForce
+	// Drainer and Orders may be nil; their calls then answer "unimplemented".
+	Drainer Drainer
+	Orders  Orders
+	Log     *zap.Logger
 }
 
-// Show implements the call of the same name.
-func (s *Server) Show(_ context.Context, _ *connect.Request[operatorv1.ShowRequest]) (*connect.Response[operatorv1.ShowResponse], error) {
-	r := s.keeper.Record()
-	return connect.NewResponse(&operatorv1.ShowResponse{
-		Version: r.Version, ChangeId: r.ChangeID, Author: r.Author, Text: r.Text,
-	}), nil
+// Server implements the operators' service.
+type Server struct {
+	Options
+	start time.Time
 }
 
-func codeOf(err error) connect.Code {
-	var faults inifile.Faults
-	switch {
-	case errors.As(err, &faults):
-		return connect.CodeInvalidArgument
-	case errors.Is(err, platform.ErrConflict):
-		return connect.CodeAborted
-	case errors.Is(err, platform.ErrUnavailable):
-		return connect.CodeUnavailable
-	default:
-		return connect.CodeUnknown
+var _ operatorv1connect.OperatorServiceHandler = (*Server)(nil)
+
+// maxMessageBytes bounds a call: a declaration of the platform's largest value
+// with room for its encoding.
+const maxMessageBytes = 2 * platform.MaxValueBytes
+
+// NewHandler returns the HTTP handler of the operators' listener.
+func NewHandler(o Options) http.Handler {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
 	}
+	mux := http.NewServeMux()
+	mux.Handle(operatorv1connect.NewOperatorServiceHandler(
+		&Server{Options: o, start: time.Now()}, connect.WithReadMaxBytes(maxMessageBytes),
+	))
+	return authenticate(o.KeyHashes, mux)
+}
+
+// authenticate lets in the operators' keys only. Every digest is compared, so
+// that the time does not tell which one matched.
+func authenticate(keyHashes []string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		hash := declare.HashKey(key)
+		known := 0
+		for _, h := range keyHashes {
+			known |= subtle.ConstantTimeCompare([]byte(h), []byte(hash))
+		}
+		if !ok || key == "" || known == 0 {
+			http.Error(w, "operator key not known", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
--- /dev/null
+++ b/operator/server_test.go
@@ -0,0 +1,270 @@
+package operator_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	operatorv1 "github.com/bramleywick/bramleywick/operator/api/v1"
+	"github.com/bramleywick/bramleywick/operator/api/v1/operatorv1connect"
+
+	"github.com/bramleywick/bramleywick/config"
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/sched"
+	"github.com/bramleywick/bramleywick/metrics"
+	"github.com/bramleywick/bramleywick/operator"
+	"github.com/bramleywick/bramleywick/platform"
+	standin "github.com/bramleywick/bramleywick/standin/platform"
+)
+
+const (
+	operatorKey = "operator-key"
+	memberKey   = "member-key"
+)
+
+var text = `[member shea]
+share = 1
+key_sha256 = ` + declare.HashKey(memberKey) + `
+kinds = lookup
+
+[kind lookup]
+group = accounts
+deadline = 5s
+repeatable = true
+
+[group accounts]
+type = service
+
+[upstream s1]
+group = accounts
+address = 127.0.0.1:9000
+data_centre = a
+`
+
+// fakes stand for the scheduler, the counters and the membership.
+type fakes struct {
+	keeper  *config.Keeper
+	drained []fleet.UpstreamID
+	err     error
+}
+
+func (f *fakes) Now() fleet.Instant { return 10 * time.Second }
+func (f *fakes) Status() sched.Status {
+	return sched.Status{
+		Members: []sched.MemberStatus{{ID: "shea", Queued: 2}},
+		Upstreams: []sched.UpstreamStatus{
+			{ID: "s1", Available: true, InFlight: 3, ReportedAt: 9 * time.Second},
+			{ID: "s2", Available: true, Leaving: true}, {ID: "s3"},
+		},
+	}
+}
+func (f *fakes) Refusals() []metrics.Count { return []metrics.Count{{Name: "queue_full", Value: 4}} }
+func (f *fakes) Retries() []metrics.Count  { return nil }
+func (f *fakes) VersionsInForce() []config.InstanceVersion {
+	return []config.InstanceVersion{{Instance: "i1", Version: f.keeper.Version()}, {Instance: "i2"}}
+}
+func (f *fakes) Drain(_ context.Context, id fleet.UpstreamID) (fleet.Incarnation, error) {
+	f.drained = append(f.drained, id)
+	return "inc-1", f.err
+}
+func (f *fakes) Orders(context.Context) ([]operator.Order, error) {
+	return []operator.Order{{Upstream: "e1", Action: "role decode"}}, f.err
+}
+
+type bench struct {
+	service *standin.Server
+	client  operatorv1connect.OperatorServiceClient
+	fakes   *fakes
+	url     string
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{service: standin.New(), fakes: &fakes{}}
+	store := httptest.NewServer(b.service.Handler())
+	t.Cleanup(store.Close)
+	b.fakes.keeper = config.NewKeeper(config.Options{Store: platform.NewClient(store.URL, store.Client())})
+	server := httptest.NewServer(operator.NewHandler(operator.Options{
+		Instance: "i1", KeyHashes: []string{declare.HashKey(operatorKey)}, Keeper: b.fakes.keeper,
+		Scheduler: b.fakes, Counters: b.fakes, InForce: b.fakes, Drainer: b.fakes, Orders: b.fakes,
+	}))
+	t.Cleanup(server.Close)
+	b.url = server.URL
+	b.client = operatorv1connect.NewOperatorServiceClient(server.Client(), server.URL)
+	return b
+}
+
+func request[T any](m *T) *connect.Request[T] {
+	r := connect.NewRequest(m)
+	r.Header().Set("Authorization", "Bearer "+operatorKey)
+	return r
+}
+
+func (b *bench) apply(id, text string, base int64) (*operatorv1.ApplyResponse, error) {
+	out, err := b.client.Apply(context.Background(), request(&operatorv1.ApplyRequest{
+		Text: text, File: "f.ini", Author: "op", ChangeId: id, BaseVersion: base,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return out.Msg, nil
+}
+
+// detail returns the first detail message of an error.
+func detail[T any](err error) (out T) {
+	var answer *connect.Error
+	So(errors.As(err, &answer), ShouldBeTrue)
+	So(answer.Details(), ShouldNotBeEmpty)
+	value, err := answer.Details()[0].Value()
+	So(err, ShouldBeNil)
+	return value.(T)
+}
+
+// TestKeys guards against any key but an operator's opening the listener.
+func TestKeys(t *testing.T) {
+	b := newBench(t)
+	for header, want := range map[string]int{
+		"":                       http.StatusUnauthorized,
+		"Bearer ":                http.StatusUnauthorized,
+		"Bearer " + memberKey:    http.StatusUnauthorized,
+		operatorKey:              http.StatusUnauthorized,
+		"Bearer " + operatorKey:  http.StatusOK,
+		"Bearer " + "x" + "\t\t": http.StatusUnauthorized,
+	} {
+		req, _ := http.NewRequest(http.MethodPost, b.url+operatorv1connect.OperatorServiceHistoryProcedure, http.NoBody)
+		req.Header.Set("Content-Type", "application/proto")
+		req.Header.Set("Authorization", header)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil || resp.StatusCode != want {
+			t.Errorf("Authorization %q: %v %v, want %d", header, resp, err, want)
+		}
+	}
+}
+
+// TestFailures guards against an error whose code or detail misleads a script
+// about whether the configuration changed.
+func TestFailures(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(b *bench) error
+		code connect.Code
+	}{
+		{"faults", func(b *bench) error {
+			_, err := b.apply("c", "[member x]\nshare = -1\n", 0)
+			So(detail[*operatorv1.Faults](err).Faults[0].Line, ShouldEqual, 2)
+			return err
+		}, connect.CodeInvalidArgument},
+		{"no change id", func(b *bench) error { _, err := b.apply("", text, 0); return err }, connect.CodeInvalidArgument},
+		{"moved", func(b *bench) error {
+			_, err := b.apply("c1", text, 0)
+			So(err, ShouldBeNil)
+			_, err = b.apply("c2", text, 7)
+			So(detail[*operatorv1.Moved](err).CurrentVersion, ShouldEqual, 1)
+			return err
+		}, connect.CodeAborted},
+		{"outage", func(b *bench) error {
+			b.service.SetFaults(standin.Faults{Down: true})
+			_, err := b.apply("c1", text, 0)
+			return err
+		}, connect.CodeUnavailable},
+		{"rate limit", func(b *bench) error {
+			b.service.SetSwitches(standin.Switches{WritesPerSecond: 1})
+			_, err := b.apply("c1", text, 0)
+			So(err, ShouldBeNil)
+			_, err = b.apply("c2", text, 0)
+			return err
+		}, connect.CodeResourceExhausted},
+		{"unknown version", func(b *bench) error {
+			_, err := b.client.Revert(context.Background(), request(&operatorv1.RevertRequest{Version: 3, ChangeId: "r"}))
+			return err
+		}, connect.CodeNotFound},
+		{"unknown upstream", func(b *bench) error {
+			_, err := b.client.Drain(context.Background(), request(&operatorv1.DrainRequest{Upstream: "s9"}))
+			return err
+		}, connect.CodeNotFound},
+		{"failed drain", func(b *bench) error {
+			_, err := b.apply("c1", text, 0)
+			So(err, ShouldBeNil)
+			b.fakes.err = platform.ErrUnavailable
+			_, err = b.client.Drain(context.Background(), request(&operatorv1.DrainRequest{Upstream: "s1"}))
+			return err
+		}, connect.CodeUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			Convey(c.name, t, func() {
+				So(connect.CodeOf(c.run(b)), ShouldEqual, c.code)
+			})
+		})
+	}
+}
+
+// TestCalls guards against an answer that hides what an operator needs.
+func TestCalls(t *testing.T) {
+	Convey("With a version in force", t, func() {
+		b := newBench(t)
+		ctx := context.Background()
+		_, err := b.apply("c1", text, 0)
+		So(err, ShouldBeNil)
+
+		Convey("a plan shows changes and remarks and changes nothing", func() {
+			out, err := b.client.Plan(ctx, request(&operatorv1.PlanRequest{Text: text + "\n[group spare]\ntype = service\n"}))
+			So(err, ShouldBeNil)
+			So(out.Msg.BaseVersion, ShouldEqual, 1)
+			So(len(out.Msg.Changes), ShouldEqual, 1)
+			So(out.Msg.Changes[0].Operation, ShouldEqual, operatorv1.Operation_OPERATION_ADDED)
+			So(len(out.Msg.Remarks), ShouldEqual, 2)
+			So(b.fakes.keeper.Version(), ShouldEqual, 1)
+		})
+		Convey("a wait names the instances that lag", func() {
+			out, err := b.client.Revert(ctx, request(&operatorv1.RevertRequest{Version: 1, ChangeId: "r", Wait: true, WaitLimitMs: 50}))
+			So(err, ShouldBeNil)
+			So(out.Msg.Applied.Version, ShouldEqual, 2)
+			So(len(out.Msg.Applied.NotInForce), ShouldEqual, 1)
+			So(out.Msg.Applied.NotInForce[0].Id, ShouldEqual, "i2")
+		})
+		Convey("the status has scheduler, counters and instances", func() {
+			out, err := b.client.Status(ctx, request(&operatorv1.StatusRequest{}))
+			So(err, ShouldBeNil)
+			So(out.Msg.Members[0].Queued, ShouldEqual, 2)
+			var states []string
+			for _, u := range out.Msg.Upstreams {
+				states = append(states, u.State)
+			}
+			So(states, ShouldResemble, []string{"available", "leaving", "unavailable"})
+			So(out.Msg.Upstreams[0].ReportAgeMs, ShouldEqual, 1000)
+			So(out.Msg.Upstreams[1].ReportAgeMs, ShouldEqual, -1)
+			So(out.Msg.Refusals[0].Value, ShouldEqual, 4)
+			So(out.Msg.Instances[1].State, ShouldEqual, "behind")
+		})
+		Convey("a drain reaches the membership and orders are listed", func() {
+			out, err := b.client.Drain(ctx, request(&operatorv1.DrainRequest{Upstream: "s1"}))
+			So(err, ShouldBeNil)
+			So(out.Msg.Incarnation, ShouldEqual, "inc-1")
+			So(b.fakes.drained, ShouldResemble, []fleet.UpstreamID{"s1"})
+			orders, err := b.client.Orders(ctx, request(&operatorv1.OrdersRequest{}))
+			So(err, ShouldBeNil)
+			So(orders.Msg.Orders[0].Action, ShouldEqual, "role decode")
+		})
+		Convey("history, diff and show agree", func() {
+			_, err := b.apply("c2", text+"\n[group spare]\ntype = service\n", 1)
+			So(err, ShouldBeNil)
+			history, err := b.client.History(ctx, request(&operatorv1.HistoryRequest{Limit: 1}))
+			So(err, ShouldBeNil)
+			So(history.Msg.Versions[0].ChangeId, ShouldEqual, "c2")
+			diff, err := b.client.Diff(ctx, request(&operatorv1.DiffRequest{From: 1}))
+			So(err, ShouldBeNil)
+			So(diff.Msg.Changes[0].Name, ShouldEqual, "spare")
+			show, err := b.client.Show(ctx, request(&operatorv1.ShowRequest{Version: 1}))
+			So(err, ShouldBeNil)
+			So(show.Msg.Text, ShouldEqual, text)
+		})
+	})
+}
