Give operators a full command line

Cause: bramleywickctl had apply and show, printed one text form and exited with 1 on every failure. Change: package ctl has plan, apply, diff, show, history, revert, status, top, drain and orders, tables and typed JSON, and an exit code for each case that a script must tell apart. A call whose answer was lost names the change id that settles it. Base -1 expects that there is no configuration yet.

--- a/config/apply.go
+++ b/config/apply.go
@@ -21,12 +21,16 @@
 	Author string
 	File   string
 	Text   string
-	// Base is the version on which the change is based; 0 accepts any.
+	// Base is the version on which the change is based; 0 accepts any, and
+	// BaseNone expects that there is none yet.
 	Base int64
 	// revertOf is the version whose text was taken.
 	revertOf int64
 }
 
+// BaseNone is the base of a deployment's first configuration.
+const BaseNone = -1
+
 // Bounds of reading back after a lost answer. A write that is still under way
 // in the network may take effect within this time.
 const (
@@ -79,7 +83,7 @@
 	if done, ok := current.find(c.ID); ok {
 		return done, k.force(current)
 	}
-	if c.Base != 0 && c.Base != current.Version {
+	if c.Base != 0 && max(c.Base, 0) != current.Version {
 		return Stamp{}, k.moved(ctx, c.Base, current)
 	}
 	next, raw, err := k.prepare(ctx, c, current)
--- /dev/null
+++ b/ctl/ctl.go
@@ -0,0 +1,172 @@
+// Package ctl is the operators' command line: each subcommand makes calls on
+// the operators' listener of one entry instance and prints tables or JSON.
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleywick/bramleywick/operator/api/v1/operatorv1connect"
+)
+
+// EnvPrefix starts the environment variables that set flags, such as
+// BRAMLEYWICK_URL and BRAMLEYWICK_KEY.
+const EnvPrefix = "BRAMLEYWICK"
+
+// defaultTimeout bounds one call; the time of a wait is added.
+const defaultTimeout = 15 * time.Second
+
+// app is one run of the command line.
+type app struct {
+	out, errs io.Writer
+	url       string
+	key       string
+	keyFile   string
+	format    string
+	timeout   time.Duration
+}
+
+// Run executes one command line and returns its exit code.
+func Run(ctx context.Context, args []string, out, errs io.Writer) int {
+	a := &app{out: out, errs: errs}
+	flags := a.flags("bramleywickctl")
+	root := &ffcli.Command{
+		Name: "bramleywickctl", ShortUsage: "bramleywickctl [flags] <subcommand> [flags] [arguments]", FlagSet: flags,
+		Options: []ff.Option{ff.WithEnvVarPrefix(EnvPrefix)},
+		Subcommands: []*ffcli.Command{
+			a.planCommand(), a.applyCommand(), a.diffCommand(), a.showCommand(), a.historyCommand(),
+			a.revertCommand(), a.statusCommand(), a.topCommand(), a.drainCommand(), a.ordersCommand(),
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usage("unknown subcommand %q", args[0])
+			}
+			return flag.ErrHelp
+		},
+	}
+	if err := root.Parse(args); err != nil {
+		return a.report(parseError(err))
+	}
+	if a.format != formatTable && a.format != formatJSON {
+		return a.report(usage("-o %q is not valid; expected table or json", a.format))
+	}
+	return a.report(root.Run(ctx))
+}
+
+func parseError(err error) error {
+	if errors.Is(err, flag.ErrHelp) {
+		return err
+	}
+	return &exitError{code: ExitUsage, err: err}
+}
+
+// flags returns a flag set with the flags that every subcommand takes. A flag
+// given before the subcommand keeps its value unless it is given again.
+func (a *app) flags(name string) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(a.errs)
+	orDefault := func(value, def string) string {
+		if value == "" {
+			return def
+		}
+		return value
+	}
+	flags.StringVar(&a.url, "url", orDefault(a.url, "http://127.0.0.1:8081"), "operators' listener of any entry instance")
+	flags.StringVar(&a.key, "key", a.key, "operator's key; better set as "+EnvPrefix+"_KEY, because arguments are visible to other users")
+	flags.StringVar(&a.keyFile, "key-file", a.keyFile, "file that holds the operator's key")
+	flags.StringVar(&a.format, "o", orDefault(a.format, formatTable), "output format: table or json")
+	if a.timeout == 0 {
+		a.timeout = defaultTimeout
+	}
+	flags.DurationVar(&a.timeout, "timeout", a.timeout, "longest time for one call")
+	return flags
+}
+
+// report prints an error and returns the exit code.
+func (a *app) report(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitUsage
+	}
+	code := ExitFailed
+	var exit *exitError
+	if errors.As(err, &exit) {
+		code = exit.code
+	}
+	if a.format == formatJSON {
+		a.printErrorJSON(err, code)
+		return code
+	}
+	if faults := faultsOf(err); len(faults) > 0 {
+		for _, f := range faults {
+			_, _ = fmt.Fprintln(a.errs, faultLine(f))
+		}
+		return code
+	}
+	_, _ = fmt.Fprintln(a.errs, "bramleywickctl:", err)
+	return code
+}
+
+func (a *app) service() operatorv1connect.OperatorServiceClient {
+	return operatorv1connect.NewOperatorServiceClient(&http.Client{}, strings.TrimSuffix(a.url, "/"))
+}
+
+// credentials returns the operator's key.
+func (a *app) credentials() (string, error) {
+	if a.key != "" || a.keyFile == "" {
+		return a.key, nil
+	}
+	raw, err := os.ReadFile(a.keyFile)
+	if err != nil {
+		return "", &exitError{code: ExitUsage, err: errors.Wrap(err, "read -key-file")}
+	}
+	return strings.TrimSpace(string(raw)), nil
+}
+
+// method is one call of the generated client.
+type method[In, Out any] func(context.Context, *connect.Request[In]) (*connect.Response[Out], error)
+
+// call makes one call. change is the id of the change that it makes, or empty.
+func call[In, Out any](ctx context.Context, a *app, m method[In, Out], in *In, change string, wait time.Duration) (*Out, error) {
+	key, err := a.credentials()
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithTimeout(ctx, a.timeout+wait)
+	defer stop()
+	request := connect.NewRequest(in)
+	request.Header().Set("Authorization", "Bearer "+key)
+	out, err := m(ctx, request)
+	if err != nil {
+		return nil, callError(err, change)
+	}
+	return out.Msg, nil
+}
+
+// ask makes a call that changes nothing.
+func ask[In, Out any](ctx context.Context, a *app, m method[In, Out], in *In) (*Out, error) {
+	return call(ctx, a, m, in, "", 0)
+}
+
+// show prints a message as JSON, or lets table print it for people.
+func (a *app) show(m proto.Message, table func(io.Writer)) error {
+	if a.format == formatJSON {
+		return a.printJSON(m)
+	}
+	table(a.out)
+	return nil
+}
--- /dev/null
+++ b/ctl/ctl_test.go
@@ -0,0 +1,190 @@
+package ctl_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/bramleywick/bramleywick/config"
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/sched"
+	"github.com/bramleywick/bramleywick/ctl"
+	"github.com/bramleywick/bramleywick/metrics"
+	"github.com/bramleywick/bramleywick/operator"
+	"github.com/bramleywick/bramleywick/platform"
+	standin "github.com/bramleywick/bramleywick/standin/platform"
+)
+
+const operatorKey = "operator-key"
+
+var (
+	first  = "[member shea]\nshare = 1\nkey_sha256 = " + declare.HashKey("k") + "\n"
+	second = strings.Replace(first, "share = 1", "share = 2", 1)
+)
+
+type fakes struct{ keeper *config.Keeper }
+
+func (f *fakes) Now() fleet.Instant { return 0 }
+func (f *fakes) Status() sched.Status {
+	return sched.Status{Members: []sched.MemberStatus{{ID: "shea"}}}
+}
+func (f *fakes) Refusals() []metrics.Count { return []metrics.Count{{Name: "queue_full", Value: 4}} }
+func (f *fakes) Retries() []metrics.Count  { return nil }
+func (f *fakes) VersionsInForce() []config.InstanceVersion {
+	return []config.InstanceVersion{{Instance: "i1", Version: f.keeper.Version()}, {Instance: "i2"}}
+}
+
+// bench is an instance's operators' listener with a stand-in of the platform.
+type bench struct {
+	t       *testing.T
+	service *standin.Server
+	url     string
+	// cut breaks the connection after the next call was handled.
+	cut bool
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, service: standin.New()}
+	store := httptest.NewServer(b.service.Handler())
+	t.Cleanup(store.Close)
+	f := &fakes{keeper: config.NewKeeper(config.Options{Store: platform.NewClient(store.URL, store.Client())})}
+	handler := operator.NewHandler(operator.Options{
+		Instance: "i1", KeyHashes: []string{declare.HashKey(operatorKey)}, Keeper: f.keeper,
+		Scheduler: f, Counters: f, InForce: f,
+	})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if b.cut && strings.HasSuffix(r.URL.Path, "/Apply") {
+			handler.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	b.url = server.URL
+	return b
+}
+
+func (b *bench) file(text string) string {
+	path := filepath.Join(b.t.TempDir(), "f.ini")
+	So(os.WriteFile(path, []byte(text), 0o600), ShouldBeNil)
+	return path
+}
+
+// run executes a command line and returns its exit code and both outputs.
+func (b *bench) run(args ...string) (int, string) {
+	var out bytes.Buffer
+	code := ctl.Run(context.Background(), append([]string{"-url", b.url, "-key", operatorKey}, args...), &out, &out)
+	return code, out.String()
+}
+
+func closedPort() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	defer func() { _ = l.Close() }()
+	return "http://" + l.Addr().String()
+}
+
+// TestExitCodes guards against a script that is misled about whether a change
+// was accepted.
+func TestExitCodes(t *testing.T) {
+	cases := []struct {
+		name string
+		args func(b *bench) []string
+		code int
+		want string
+	}{
+		{"no subcommand", func(*bench) []string { return nil }, ctl.ExitUsage, "plan"},
+		{"unknown subcommand", func(*bench) []string { return []string{"bury"} }, ctl.ExitUsage, `unknown subcommand "bury"`},
+		{"unknown flag", func(*bench) []string { return []string{"plan", "-x"} }, ctl.ExitUsage, "-x"},
+		{"bad format", func(*bench) []string { return []string{"-o", "xml", "status"} }, ctl.ExitUsage, "expected table or json"},
+		{"missing file", func(*bench) []string { return []string{"plan", "/nonexistent"} }, ctl.ExitUsage, "read declaration"},
+		{"faults", func(b *bench) []string { return []string{"plan", b.file("[member x]\nshare = 0\n")} }, ctl.ExitFaults, "f.ini:2: member x: share 0 is not positive; expected"},
+		{"faults as JSON", func(b *bench) []string { return []string{"-o", "json", "plan", b.file("[x]\n")} }, ctl.ExitFaults, `"line":1`},
+		{"plan", func(b *bench) []string { return []string{"plan", "-exit-code", b.file(second)} }, ctl.ExitDiffers, "share: 1 -> 2"},
+		{"plan without changes", func(b *bench) []string { return []string{"plan", "-exit-code", b.file(first)} }, ctl.ExitOK, "no changes"},
+		{"apply", func(b *bench) []string { return []string{"apply", b.file(second)} }, ctl.ExitOK, "accepted as version 2"},
+		{"apply on an old base", func(b *bench) []string { return []string{"apply", "-base", "7", b.file(second)} }, ctl.ExitMoved, "nothing was changed"},
+		{"apply as the first", func(b *bench) []string { return []string{"apply", "-base", "-1", b.file(second)} }, ctl.ExitMoved, "nothing was changed"},
+		{"apply and wait", func(b *bench) []string {
+			return []string{"apply", "-wait", "-wait-limit", "50ms", b.file(second)}
+		}, ctl.ExitNotInForce, "i2"},
+		{"platform down", func(b *bench) []string {
+			b.service.SetFaults(standin.Faults{Down: true})
+			return []string{"apply", b.file(second)}
+		}, ctl.ExitUnavailable, "nothing was changed"},
+		{"instance down", func(b *bench) []string {
+			b.url = closedPort()
+			return []string{"revert", "1"}
+		}, ctl.ExitUnavailable, "refused"},
+		{"lost answer", func(b *bench) []string {
+			b.cut = true
+			return []string{"apply", "-change-id", "c9", b.file(second)}
+		}, ctl.ExitUndecided, "-change-id c9"},
+		{"wrong key", func(*bench) []string { return []string{"-key", "x", "status"} }, ctl.ExitKey, "unauthenticated"},
+		{"unknown version", func(*bench) []string { return []string{"show", "9"} }, ctl.ExitNotFound, "version 9"},
+		{"no membership", func(*bench) []string { return []string{"drain", "e1"} }, ctl.ExitFailed, "membership"},
+		{"revert", func(*bench) []string { return []string{"revert", "1"} }, ctl.ExitOK, "accepted as version 2"},
+		{"history", func(*bench) []string { return []string{"history"} }, ctl.ExitOK, "REVERT-OF"},
+		{"diff", func(*bench) []string { return []string{"diff", "1"} }, ctl.ExitOK, "no changes"},
+		{"show", func(*bench) []string { return []string{"show"} }, ctl.ExitOK, first},
+		{"status", func(*bench) []string { return []string{"status"} }, ctl.ExitOK, "queue_full  4"},
+		{"top", func(*bench) []string { return []string{"top", "-n", "1"} }, ctl.ExitOK, "shea"},
+		{"orders", func(*bench) []string { return []string{"orders"} }, ctl.ExitFailed, "keeps no orders"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			Convey(c.name, t, func() {
+				code, out := b.run("apply", b.file(first))
+				So(out, ShouldContainSubstring, "accepted as version 1")
+				So(code, ShouldEqual, ctl.ExitOK)
+				code, out = b.run(c.args(b)...)
+				So(out, ShouldContainSubstring, c.want)
+				So(code, ShouldEqual, c.code)
+			})
+		})
+	}
+}
+
+// TestLostAnswerIsSettled guards against a second version from the repeat that
+// the command itself advises.
+func TestLostAnswerIsSettled(t *testing.T) {
+	b := newBench(t)
+	Convey("The same change id finds the first result", t, func() {
+		path := b.file(first)
+		b.cut = true
+		code, _ := b.run("apply", "-change-id", "c1", path)
+		So(code, ShouldEqual, ctl.ExitUndecided)
+		b.cut = false
+		code, out := b.run("apply", "-change-id", "c1", path)
+		So(code, ShouldEqual, ctl.ExitOK)
+		So(out, ShouldContainSubstring, "accepted as version 1 ")
+	})
+}
+
+// TestJSON guards against output that a script cannot decode.
+func TestJSON(t *testing.T) {
+	b := newBench(t)
+	Convey("Each subcommand prints one document", t, func() {
+		for _, args := range [][]string{
+			{"apply", "-o", "json", b.file(first)}, {"-o", "json", "plan", b.file(second)}, {"-o", "json", "status"},
+			{"-o", "json", "history"}, {"-o", "json", "show"}, {"-o", "json", "diff", "1"}, {"-o", "json", "top", "-n", "1"},
+		} {
+			code, out := b.run(args...)
+			So(code, ShouldEqual, ctl.ExitOK)
+			var document map[string]any
+			So(json.Unmarshal([]byte(out), &document), ShouldBeNil)
+			So(document, ShouldNotBeEmpty)
+		}
+	})
+}
--- /dev/null
+++ b/ctl/exit.go
@@ -0,0 +1,104 @@
+package ctl
+
+import (
+	"fmt"
+	"net"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	operatorv1 "github.com/bramleywick/bramleywick/operator/api/v1"
+)
+
+// Exit codes of the command line. Scripts rely on them; docs/operating.md
+// lists them.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // any failure without a code of its own
+	ExitUsage       = 2 // wrong arguments
+	ExitFaults      = 3 // the declaration has faults; nothing was changed
+	ExitMoved       = 4 // the configuration changed in the meantime; nothing was changed
+	ExitUndecided   = 5 // the outcome is open; run again with the same -change-id
+	ExitNotInForce  = 6 // accepted, but not in force at every live instance in time
+	ExitUnavailable = 7 // the instance or the platform cannot be reached; nothing was changed
+	ExitKey         = 8 // the operator's key is not known
+	ExitDiffers     = 9 // plan or diff with -exit-code found differences
+	ExitNotFound    = 10
+)
+
+// exitError carries an exit code and a message for people.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+func usage(format string, args ...any) error {
+	return &exitError{code: ExitUsage, err: errors.Errorf(format, args...)}
+}
+
+var exitCodes = map[connect.Code]int{
+	connect.CodeInvalidArgument:   ExitFaults,
+	connect.CodeAborted:           ExitMoved,
+	connect.CodeUnknown:           ExitUndecided,
+	connect.CodeUnavailable:       ExitUnavailable,
+	connect.CodeResourceExhausted: ExitUnavailable,
+	connect.CodeUnauthenticated:   ExitKey,
+	connect.CodeNotFound:          ExitNotFound,
+}
+
+// callError gives the error of a call its exit code. change is the id of the
+// change that the call makes, or empty for a call that changes nothing.
+func callError(err error, change string) error {
+	if err == nil {
+		return nil
+	}
+	if !connect.IsWireError(err) && connect.CodeOf(err) != connect.CodeUnauthenticated {
+		return transportError(err, change)
+	}
+	code, ok := exitCodes[connect.CodeOf(err)]
+	if !ok {
+		code = ExitFailed
+	}
+	if code == ExitUndecided && change != "" {
+		err = errors.Errorf("%v\nrun the command again with -change-id %s", err, change)
+	}
+	return &exitError{code: code, err: err}
+}
+
+// transportError judges a call that got no answer from the instance. Only a
+// connection that was never made is certain to have changed nothing.
+func transportError(err error, change string) error {
+	var op *net.OpError
+	if change == "" || errors.As(err, &op) && op.Op == "dial" {
+		return &exitError{code: ExitUnavailable, err: err}
+	}
+	return &exitError{code: ExitUndecided, err: errors.Errorf(
+		"%v\nthe answer was lost; run the command again with -change-id %s", err, change)}
+}
+
+// faultsOf returns the faults that an error carries.
+func faultsOf(err error) []*operatorv1.Fault {
+	var answer *connect.Error
+	if !errors.As(err, &answer) {
+		return nil
+	}
+	for _, d := range answer.Details() {
+		if value, problem := d.Value(); problem == nil {
+			if faults, ok := value.(*operatorv1.Faults); ok {
+				return faults.Faults
+			}
+		}
+	}
+	return nil
+}
+
+func faultLine(f *operatorv1.Fault) string {
+	text := fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Message)
+	if f.Expected != "" {
+		text += "; expected " + f.Expected
+	}
+	return text
+}
