Count the calls on the platform by result

Cause: an outage, a lost answer and a rate limit of the platform showed in log lines only. Change: the platform's client reports each attempt; the daemon counts them as bramleywick_platform_calls_total.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -16,9 +16,11 @@
 	if limits == (platform.Limits{}) {
 		limits = platform.DefaultLimits()
 	}
-	return platform.NewLimitedClient(d.settings.Platform, &http.Client{
+	client := platform.NewLimitedClient(d.settings.Platform, &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: platformIdleConnections, IdleConnTimeout: platformIdleTimeout},
 	}, limits)
+	client.Observe(d.metrics.NewPlatform())
+	return client
 }
 
 const (
