Base a change on the version in force after a restored store

Cause: after a restore to an older state, an apply based on the version in force was refused as moved, and the versions lost from the store left the history. Change: the newer of the stored record and the one in force is the base; its stamps and its text go into the history.

--- a/config/apply.go
+++ b/config/apply.go
@@ -83,10 +83,12 @@
 	if done, ok := current.find(c.ID); ok {
 		return done, k.force(current)
 	}
+	stored := current
+	current = k.newest(current)
 	if c.Base != 0 && max(c.Base, 0) != current.Version {
 		return Stamp{}, k.moved(ctx, c.Base, current)
 	}
-	next, raw, err := k.prepare(ctx, c, current)
+	next, raw, err := k.prepare(ctx, c, current, stored)
 	if err != nil {
 		return Stamp{}, err
 	}
@@ -128,9 +130,19 @@
 	return entry, record, err
 }
 
+// newest returns the record in force when the platform's is older, as after a
+// restored store. A stale read gives the same picture, and its write conflicts.
+func (k *Keeper) newest(stored Record) Record {
+	if inForce := k.Record(); inForce.Version > stored.Version {
+		return inForce
+	}
+	return stored
+}
+
 // prepare archives the current version and builds the next one. The archive
 // comes first, so that no accepted version is ever without its predecessor.
-func (k *Keeper) prepare(ctx context.Context, c Change, current Record) (Record, []byte, error) {
+// stored is the platform's record; it differs from current after a restore.
+func (k *Keeper) prepare(ctx context.Context, c Change, current, stored Record) (Record, []byte, error) {
 	k.mu.Lock()
 	version := k.versions.Next(current.Version)
 	k.mu.Unlock()
@@ -141,8 +153,13 @@
 	if _, err := encodeRecord(next); err != nil {
 		return Record{}, nil, err
 	}
-	if err := k.archive(ctx, current); err != nil {
-		return Record{}, nil, errors.Wrapf(err, "archive configuration version %d; nothing was changed", current.Version)
+	for _, r := range []Record{stored, current} {
+		if err := k.archive(ctx, r); err != nil {
+			return Record{}, nil, errors.Wrapf(err, "archive configuration version %d; nothing was changed", r.Version)
+		}
+		if stored.Version == current.Version {
+			break
+		}
 	}
 	next.Recent = k.prune(ctx, next.Recent)
 	raw, err := encodeRecord(next)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -228,9 +228,15 @@
 			_, err = k.Apply(ctx, change("c2", 2, 0))
 			So(err, ShouldBeNil)
 			b.service.Restore(image)
-			stamp, err := k.Apply(ctx, change("c3", 3, 0))
+			stamp, err := k.Apply(ctx, change("c3", 3, 2))
 			So(err, ShouldBeNil)
 			So(stamp.Version, ShouldEqual, 3)
+			So(len(k.History(0)), ShouldEqual, 3)
+			for version := int64(1); version <= 3; version++ {
+				old, err := k.Show(ctx, version)
+				So(err, ShouldBeNil)
+				So(old.Text, ShouldEqual, text(int(version)))
+			}
 		}},
 		{"a revert is a new version with old content", func(ctx context.Context, b *bench, k *config.Keeper) {
 			for i := 1; i <= 3; i++ {
