Test the watch after a restore and offers made at once

Cause: trial mutations showed that neither a watch that waits for the revision of the time before a restore nor unserialised offers failed a test. Change: the restored-store case follows before the restore, loses ten writes more and expects the next change within 2 s; two offers at once must put versions in force in order.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -309,22 +309,24 @@
 		// disturb brings an older record to a keeper with version 2 in force.
 		disturb func(ctx context.Context, b *bench, k *config.Keeper, first standin.Image)
 		counter string
+		// follows tells that the keeper knows the newer revision already.
+		follows bool
 	}{
 		{"stale read", func(_ context.Context, b *bench, _ *config.Keeper, _ standin.Image) {
 			b.service.SetSwitches(standin.Switches{StaleReads: true})
-		}, "platform older"},
+		}, "platform older", false},
 		{"restored store", func(_ context.Context, b *bench, _ *config.Keeper, first standin.Image) {
 			b.service.Restore(first)
-		}, "platform older"},
+		}, "platform older", true},
 		{"older peer", func(_ context.Context, _ *bench, k *config.Keeper, _ standin.Image) {
 			So(k.Offer(record(1, "c1")), ShouldNotBeNil)
-		}, "peer older"},
+		}, "peer older", false},
 		{"forked peer", func(_ context.Context, _ *bench, k *config.Keeper, _ standin.Image) {
 			So(k.Offer(record(2, "other")), ShouldNotBeNil)
-		}, "peer forked"},
+		}, "peer forked", false},
 		{"broken peer", func(_ context.Context, _ *bench, k *config.Keeper, _ standin.Image) {
 			So(k.Offer(config.Record{Stamp: config.Stamp{Version: 9, ChangeID: "x"}, Text: "[what]"}), ShouldNotBeNil)
-		}, "peer invalid"},
+		}, "peer invalid", false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -336,21 +338,74 @@
 				_, err := writer.Apply(ctx, change("c1", 1, 0))
 				So(err, ShouldBeNil)
 				first := b.service.Snapshot()
+				// Other writes take the revision beyond what the next change
+				// reaches after a restore.
+				for i := 0; i < 10; i++ {
+					_, err := b.store().CompareAndSwap(ctx, fmt.Sprint("other/", i), 0, nil, "")
+					So(err, ShouldBeNil)
+				}
 				_, err = writer.Apply(ctx, change("c2", 2, 0))
 				So(err, ShouldBeNil)
 				seen := &counted{}
 				k := b.keeper(seen)
 				So(k.Offer(record(2, "c2")), ShouldBeNil)
+				if c.follows {
+					follow(ctx, k, true)
+					So(eventually(func() bool { return b.service.Counts().ByCall["GET /v1/watch"] > 1 }), ShouldBeTrue)
+				}
 				c.disturb(ctx, b, k, first)
-				follow(ctx, k, true)
+				if !c.follows {
+					follow(ctx, k, true)
+				}
 				So(eventually(func() bool { return seen.count(c.counter) > 0 }), ShouldBeTrue)
 				So(k.Version(), ShouldEqual, 2)
-				So(seen.forced, ShouldResemble, []int64{2})
+
+				// The next change must not wait for a watch to run out.
+				b.service.SetSwitches(standin.Switches{})
+				stamp, err := writer.Apply(ctx, change("c3", 3, 2))
+				So(err, ShouldBeNil)
+				start := time.Now()
+				So(eventually(func() bool { return k.Version() == stamp.Version }), ShouldBeTrue)
+				So(time.Since(start), ShouldBeLessThan, 2*time.Second)
+				seen.mu.Lock()
+				defer seen.mu.Unlock()
+				So(seen.forced, ShouldResemble, []int64{2, 3})
 			})
 		})
 	}
 }
 
+// TestOffersAreSerialised guards against a scheduler that is left with the
+// older of two versions offered at once.
+func TestOffersAreSerialised(t *testing.T) {
+	var forced []int64
+	entered, release := make(chan struct{}), make(chan struct{})
+	k := config.NewKeeper(config.Options{OnForce: func(x *declare.Index) {
+		if x.Version == 2 {
+			close(entered)
+			<-release
+		}
+		forced = append(forced, x.Version)
+	}})
+	offer := func(version int64, done chan<- error) {
+		done <- k.Offer(config.Record{Stamp: config.Stamp{Version: version, ChangeID: fmt.Sprint(version)}, Text: text(1)})
+	}
+	done := make(chan error, 2)
+	go offer(2, done)
+	<-entered
+	go offer(3, done)
+	time.Sleep(20 * time.Millisecond)
+	close(release)
+	for i := 0; i < 2; i++ {
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(forced) != 2 || forced[0] != 2 || forced[1] != 3 {
+		t.Errorf("put in force in the order %v", forced)
+	}
+}
+
 // TestFollow guards against an instance that does not learn of a version, and
 // against one that holds a watch or reads often without being a watcher.
 func TestFollow(t *testing.T) {
