Hear of versions elsewhere and trust named authorities

Cause: after a restore, a change at an instance that lags could be given a version that is old to the others; the command line trusted the system's authorities only; the stand-in platform of dev had no rates.

--- a/cmd/bramleywickd/dev.go
+++ b/cmd/bramleywickd/dev.go
@@ -35,8 +35,14 @@
 }
 
 func devPlatform() *ffcli.Command {
-	return standIn("platform", func(*flag.FlagSet) func() http.Handler {
-		return func() http.Handler { return platform.New().Handler() }
+	return standIn("platform", func(flags *flag.FlagSet) func() http.Handler {
+		reads := flags.Int("reads-per-second", platform.ServiceReadsPerSecond, "rate of reads beyond which calls are refused; 0 means no limit")
+		writes := flags.Int("writes-per-second", platform.ServiceWritesPerSecond, "rate of writes beyond which calls are refused; 0 means no limit")
+		return func() http.Handler {
+			service := platform.New()
+			service.SetSwitches(platform.Switches{ReadsPerSecond: *reads, WritesPerSecond: *writes})
+			return service.Handler()
+		}
 	})
 }
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -482,11 +482,13 @@
 	})
 }
 
-// BenchmarkIdleCalls reports the calls of one idle instance per minute.
+// BenchmarkIdleCalls reports the calls of idle instances on the platform: of
+// one instance per minute, and of all per second. The last row is the two-year
+// size with two watchers in each of 11 data centres.
 func BenchmarkIdleCalls(b *testing.B) {
 	const span = 24 * time.Second
-	for _, watcher := range []bool{true, false} {
-		b.Run(fmt.Sprintf("watcher=%t", watcher), func(b *testing.B) {
+	for _, c := range []struct{ instances, watchers int }{{8, 8}, {8, 0}, {390, 22}} {
+		b.Run(fmt.Sprintf("instances=%d/watchers=%d", c.instances, c.watchers), func(b *testing.B) {
 			service := standin.New()
 			server := httptest.NewServer(service.Handler())
 			defer server.Close()
@@ -496,14 +498,17 @@
 			if _, err := box.keeper(nil).Apply(ctx, change("c", 1, 0)); err != nil {
 				b.Fatal(err)
 			}
-			const instances = 8
-			service.ResetCounts()
-			for i := 0; i < instances; i++ {
-				follow(ctx, box.keeper(nil), watcher)
+			for i := 0; i < c.instances; i++ {
+				follow(ctx, box.keeper(nil), i < c.watchers)
 			}
+			// The reads at the start are not idle ones.
+			time.Sleep(time.Second)
+			service.ResetCounts()
 			time.Sleep(span)
 			counts := service.Counts()
-			b.ReportMetric(float64(counts.Reads+counts.Writes)/instances*time.Minute.Seconds()/span.Seconds(), "calls/instance/min")
+			perSecond := float64(counts.Reads+counts.Writes) / span.Seconds()
+			b.ReportMetric(perSecond, "calls/s")
+			b.ReportMetric(perSecond/float64(c.instances)*time.Minute.Seconds(), "calls/instance/min")
 		})
 	}
 }
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -34,6 +34,7 @@
 	url       string
 	key       string
 	keyFile   string
+	caFile    string
 	format    string
 	timeout   time.Duration
 }
@@ -86,6 +87,7 @@
 	flags.StringVar(&a.url, "url", orDefault(a.url, "http://127.0.0.1:8081"), "operators' listener of any entry instance")
 	flags.StringVar(&a.key, "key", a.key, "operator's key; better set as "+EnvPrefix+"_KEY, because arguments are visible to other users")
 	flags.StringVar(&a.keyFile, "key-file", a.keyFile, "file that holds the operator's key")
+	flags.StringVar(&a.caFile, "ca-file", a.caFile, "PEM file of the authorities that may sign the listener's certificate; default: the system's")
 	flags.StringVar(&a.format, "o", orDefault(a.format, formatTable), "output format: table or json")
 	if a.timeout == 0 {
 		a.timeout = defaultTimeout
@@ -122,7 +124,8 @@
 }
 
 func (a *app) service() operatorv1connect.OperatorServiceClient {
-	return operatorv1connect.NewOperatorServiceClient(&http.Client{}, strings.TrimSuffix(a.url, "/"))
+	client := &http.Client{Transport: &authorities{caFile: a.caFile}}
+	return operatorv1connect.NewOperatorServiceClient(client, strings.TrimSuffix(a.url, "/"))
 }
 
 // credentials returns the operator's key.
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -172,6 +175,25 @@
 	})
 }
 
+// TestAuthorities guards against a listener whose certificate is not checked.
+func TestAuthorities(t *testing.T) {
+	b := newBench(t)
+	secure := httptest.NewUnstartedServer(http.NotFoundHandler())
+	secure.Config.ErrorLog = log.New(io.Discard, "", 0)
+	secure.StartTLS()
+	defer secure.Close()
+	Convey("Only a certificate signed by a named authority is trusted", t, func() {
+		ca := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: secure.Certificate().Raw})
+		code, out := b.run("-url", secure.URL, "apply", "-base", "0", b.file(first))
+		So(code, ShouldEqual, ctl.ExitUnavailable)
+		So(out, ShouldContainSubstring, "certificate")
+		_, out = b.run("-url", secure.URL, "-ca-file", b.file(string(ca)), "status")
+		So(out, ShouldContainSubstring, "404")
+		_, out = b.run("-url", secure.URL, "-ca-file", b.file("x"), "status")
+		So(out, ShouldContainSubstring, "holds no certificate")
+	})
+}
+
 // TestJSON guards against output that a script cannot decode.
 func TestJSON(t *testing.T) {
 	b := newBench(t)
--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net"
 
@@ -72,7 +73,9 @@
 // connection that was never made is certain to have changed nothing.
 func transportError(err error, change string) error {
 	var op *net.OpError
-	if change == "" || errors.As(err, &op) && op.Op == "dial" {
+	var certificate *tls.CertificateVerificationError
+	unsent := errors.As(err, &op) && op.Op == "dial" || errors.As(err, &certificate)
+	if change == "" || unsent {
 		return &exitError{code: ExitUnavailable, err: err}
 	}
 	return &exitError{code: ExitUndecided, err: errors.Errorf(
--- /dev/null
+++ b/ctl/transport.go
@@ -0,0 +1,44 @@
+package ctl
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"os"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// authorities is a transport that trusts the authorities of a PEM file, or the
+// system's when no file is named. The file is read at the first call.
+type authorities struct {
+	caFile string
+	once   sync.Once
+	inner  http.RoundTripper
+	err    error
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *authorities) RoundTrip(r *http.Request) (*http.Response, error) {
+	t.once.Do(func() { t.inner, t.err = t.load() })
+	if t.err != nil {
+		return nil, t.err
+	}
+	return t.inner.RoundTrip(r)
+}
+
+func (t *authorities) load() (http.RoundTripper, error) {
+	if t.caFile == "" {
+		return http.DefaultTransport, nil
+	}
+	pem, err := os.ReadFile(t.caFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read -ca-file")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("-ca-file %s holds no certificate", t.caFile)
+	}
+	return &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, ForceAttemptHTTP2: true}, nil
+}
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -46,6 +46,7 @@
 // Apply implements the call of the same name.
 func (s *Server) Apply(ctx context.Context, req *connect.Request[operatorv1.ApplyRequest]) (*connect.Response[operatorv1.ApplyResponse], error) {
 	m := req.Msg
+	s.hear()
 	stamp, err := s.Keeper.Apply(ctx, config.Change{
 		ID: m.ChangeId, Author: m.Author, File: fileName(m.File), Text: m.Text, Base: m.BaseVersion,
 	})
@@ -59,6 +60,7 @@
 // Revert implements the call of the same name.
 func (s *Server) Revert(ctx context.Context, req *connect.Request[operatorv1.RevertRequest]) (*connect.Response[operatorv1.RevertResponse], error) {
 	m := req.Msg
+	s.hear()
 	stamp, err := s.Keeper.Revert(ctx, m.Version, config.Change{ID: m.ChangeId, Author: m.Author, Base: m.BaseVersion})
 	s.logChange("revert", m.ChangeId, m.Author, stamp, err)
 	if err != nil {
@@ -69,6 +71,15 @@
 	}), nil
 }
 
+// hear tells the keeper which versions are in force elsewhere. After the store
+// was restored, a change at an instance that lags would otherwise be given a
+// version that is old to the others.
+func (s *Server) hear() {
+	for _, i := range s.InForce.VersionsInForce() {
+		s.Keeper.Heard(i.Version)
+	}
+}
+
 func (s *Server) logChange(step, changeID, author string, stamp config.Stamp, err error) {
 	fields := []zap.Field{zap.String("step", step), zap.String("change_id", changeID), zap.String("author", author)}
 	if err != nil {
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -53,6 +53,8 @@
 	keeper  *config.Keeper
 	drained []fleet.UpstreamID
 	err     error
+	// elsewhere is the version in force at the other instance.
+	elsewhere int64
 }
 
 func (f *fakes) Now() fleet.Instant { return 10 * time.Second }
@@ -68,7 +70,7 @@
 func (f *fakes) Refusals() []metrics.Count { return []metrics.Count{{Name: "queue_full", Value: 4}} }
 func (f *fakes) Retries() []metrics.Count  { return nil }
 func (f *fakes) VersionsInForce() []config.InstanceVersion {
-	return []config.InstanceVersion{{Instance: "i1", Version: f.keeper.Version()}, {Instance: "i2"}}
+	return []config.InstanceVersion{{Instance: "i1", Version: f.keeper.Version()}, {Instance: "i2", Version: f.elsewhere}}
 }
 func (f *fakes) Drain(_ context.Context, id fleet.UpstreamID) (fleet.Incarnation, error) {
 	f.drained = append(f.drained, id)
@@ -230,6 +232,12 @@
 			So(len(out.Msg.Applied.NotInForce), ShouldEqual, 1)
 			So(out.Msg.Applied.NotInForce[0].Id, ShouldEqual, "i2")
 		})
+		Convey("a change is newer than what is in force elsewhere", func() {
+			b.fakes.elsewhere = 9
+			out, err := b.apply("c2", text, 1)
+			So(err, ShouldBeNil)
+			So(out.Version, ShouldEqual, 10)
+		})
 		Convey("the status has scheduler, counters and instances", func() {
 			out, err := b.client.Status(ctx, request(&operatorv1.StatusRequest{}))
 			So(err, ShouldBeNil)
