Report faults of decoding and validation together

Cause: a declaration with a bad duration hid every fault of validation until the next try, and a declaration could not be checked without an instance. Change: both kinds of faults are sorted by line and reported once; bramleywickd check -declaration checks a file offline.

--- a/cmd/bramleywickd/main.go
+++ b/cmd/bramleywickd/main.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/daemon"
+	"github.com/bramleywick/bramleywick/declfile"
 	"github.com/bramleywick/bramleywick/settings"
 )
 
@@ -56,17 +57,34 @@
 func checkCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("check", flag.ContinueOnError)
 	path := flags.String("config", "", "settings file (INI)")
+	declaration := flags.String("declaration", "", "check this declaration (INI) instead of settings")
 	overrides := settings.RegisterFlags(flags)
 	return &ffcli.Command{
-		Name: "check", ShortUsage: "bramleywickd check -config F [flags]", ShortHelp: "check settings and report every fault",
-		FlagSet: flags, Options: []ff.Option{ff.WithEnvVarPrefix(settings.EnvPrefix)},
+		Name: "check", ShortUsage: "bramleywickd check -config F [flags] | -declaration F",
+		ShortHelp: "check settings or a declaration and report every fault",
+		FlagSet:   flags, Options: []ff.Option{ff.WithEnvVarPrefix(settings.EnvPrefix)},
 		Exec: func(context.Context, []string) error {
+			if *declaration != "" {
+				return checkDeclaration(*declaration)
+			}
 			s, err := settings.Load(*path, overrides)
 			if err != nil {
 				return err
 			}
-			fmt.Printf("%s: instance %s in data centre %s is valid\n", *path, s.Instance, s.DataCentre)
+			fmt.Printf("instance %s in data centre %s: the settings are valid\n", s.Instance, s.DataCentre)
 			return nil
 		},
 	}
 }
+
+func checkDeclaration(path string) error {
+	_, remarks, err := declfile.Load(path)
+	if err != nil {
+		return err
+	}
+	for _, r := range remarks {
+		fmt.Println("remark:", r)
+	}
+	fmt.Printf("%s: the declaration is valid\n", path)
+	return nil
+}
--- a/declfile/declfile.go
+++ b/declfile/declfile.go
@@ -2,8 +2,12 @@
 package declfile
 
 import (
+	"os"
+	"sort"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/inifile"
@@ -21,15 +25,40 @@
 	for _, s := range file.Sections {
 		decode(d, name, s, &faults)
 	}
-	// A value that could not be decoded stays at its default, so validation
-	// would report it a second time.
-	if err := faults.Err(); err != nil {
-		return nil, err
-	}
-	faults = locate(file, declare.Validate(d))
+	faults = merge(faults, locate(file, declare.Validate(d)))
 	return d, faults.Err()
 }
 
+// merge adds the faults of validation to those of decoding, sorted by line. A
+// value that could not be decoded stays at its default, which validation would
+// report a second time on the same line.
+func merge(decoding, validation inifile.Faults) inifile.Faults {
+	reported := map[int]bool{}
+	for _, f := range decoding {
+		reported[f.Line] = true
+	}
+	for _, f := range validation {
+		if !reported[f.Line] {
+			decoding = append(decoding, f)
+		}
+	}
+	sort.SliceStable(decoding, func(i, j int) bool { return decoding[i].Line < decoding[j].Line })
+	return decoding
+}
+
+// Load reads, decodes and validates a file and returns remarks on it.
+func Load(path string) (*declare.Declaration, inifile.Faults, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "read declaration")
+	}
+	d, err := Parse(path, text)
+	if err != nil {
+		return nil, nil, err
+	}
+	return d, Advise(path, text, d), nil
+}
+
 // Advise returns remarks on a valid declaration, with file and line.
 func Advise(name string, text []byte, d *declare.Declaration) inifile.Faults {
 	file, err := inifile.Parse(name, text)
--- a/declfile/declfile_test.go
+++ b/declfile/declfile_test.go
@@ -111,6 +111,17 @@
 			So(err.Error(), ShouldContainSubstring, c.want)
 		}
 	})
+	Convey("Faults of decoding and of validation are reported together, each once", t, func() {
+		text := strings.Replace(valid, "share = 2.5", "share = x", 1)
+		text = strings.Replace(text, "deadline = 10m", "deadline = 1s", 1)
+		text = strings.Replace(text, "group = accounts\n", "", 1)
+		_, err := declfile.Parse("f", []byte(text))
+		lines := strings.Split(err.Error(), "\n")
+		So(len(lines), ShouldEqual, 3)
+		So(lines[0], ShouldStartWith, "f:5: share")
+		So(lines[1], ShouldStartWith, "f:13: kind ledger: deadline")
+		So(lines[2], ShouldStartWith, "f:18: [kind payout] lacks group")
+	})
 	Convey("Remarks name what is allowed but probably not meant", t, func() {
 		text := strings.Replace(valid, "deadline = 10m", "deadline = 5s", 1)
 		d, err := declfile.Parse("f", []byte(text))
