Show the version that the platform holds

Cause: after a restore the older version is counted once, because an unchanged value is not sent again, so an alarm on the counter would not last.

--- a/config/apply.go
+++ b/config/apply.go
@@ -104,6 +104,7 @@
 	k.mu.Lock()
 	k.revision = max(k.revision, written.Revision)
 	k.mu.Unlock()
+	k.Observer.ConfigStored(next.Version)
 	return next.Stamp, k.force(next)
 }
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -52,6 +52,7 @@
 	mu      sync.Mutex
 	refused map[string]int
 	forced  []int64
+	stored  int64
 }
 
 func (c *counted) ConfigInForce(v int64) {
@@ -71,6 +72,12 @@
 
 func (c *counted) ConfigRead(bool) {}
 
+func (c *counted) ConfigStored(v int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stored = v
+}
+
 func (c *counted) count(key string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -359,6 +366,11 @@
 				}
 				So(eventually(func() bool { return seen.count(c.counter) > 0 }), ShouldBeTrue)
 				So(k.Version(), ShouldEqual, 2)
+				if strings.HasPrefix(c.counter, "platform") {
+					seen.mu.Lock()
+					So(seen.stored, ShouldEqual, 1)
+					seen.mu.Unlock()
+				}
 
 				// The next change must not wait for a watch to run out.
 				b.service.SetSwitches(standin.Switches{})
--- a/config/follow.go
+++ b/config/follow.go
@@ -95,6 +95,7 @@
 		k.refuse(Record{}, SourcePlatform, reasonInvalid)
 		return err
 	}
+	k.Observer.ConfigStored(record.Version)
 	var refused *NotInForce
 	if err := k.offer(record, SourcePlatform); err != nil && !errors.As(err, &refused) {
 		return err
--- a/config/keeper.go
+++ b/config/keeper.go
@@ -32,6 +32,11 @@
 	ConfigRefused(source Source, reason string)
 	// ConfigRead is called after each read of the platform's value.
 	ConfigRead(ok bool)
+	// ConfigStored is called with the version of each value read from the
+	// platform. One below the version in force means a stale read or a
+	// restored store; it is reported once, because an unchanged value is not
+	// sent again.
+	ConfigStored(version int64)
 }
 
 // reasonInvalid counts a record that this program cannot decode.
@@ -89,6 +94,7 @@
 func (noObserver) ConfigInForce(int64)          {}
 func (noObserver) ConfigRefused(Source, string) {}
 func (noObserver) ConfigRead(bool)              {}
+func (noObserver) ConfigStored(int64)           {}
 
 // Index returns the declaration in force, or nil.
 func (k *Keeper) Index() *declare.Index {
--- a/metrics/configuration.go
+++ b/metrics/configuration.go
@@ -9,6 +9,7 @@
 // Configuration counts what happens to configurations at an instance.
 type Configuration struct {
 	version prometheus.Gauge
+	stored  prometheus.Gauge
 	refused *prometheus.CounterVec
 	reads   *prometheus.CounterVec
 }
@@ -21,6 +22,9 @@
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "bramleywick_config_version", Help: "Version of the configuration in force; 0 means none.",
 		}),
+		stored: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "bramleywick_config_platform_version", Help: "Version last read from the platform; 0 means none.",
+		}),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleywick_config_refused_total",
 			Help: "Configurations not put in force, by source and reason.",
@@ -29,7 +33,7 @@
 			Name: "bramleywick_config_reads_total", Help: "Reads of the platform's configuration, by result.",
 		}, []string{"result"}),
 	}
-	m.registry.MustRegister(c.version, c.refused, c.reads)
+	m.registry.MustRegister(c.version, c.stored, c.refused, c.reads)
 	for _, source := range []config.Source{config.SourcePlatform, config.SourcePeer, config.SourceApply} {
 		for _, reason := range []string{"older", "forked", "invalid"} {
 			c.refused.WithLabelValues(string(source), reason)
@@ -44,6 +48,9 @@
 // ConfigInForce implements config.Observer.
 func (c *Configuration) ConfigInForce(version int64) { c.version.Set(float64(version)) }
 
+// ConfigStored implements config.Observer.
+func (c *Configuration) ConfigStored(version int64) { c.stored.Set(float64(version)) }
+
 // ConfigRefused implements config.Observer.
 func (c *Configuration) ConfigRefused(source config.Source, reason string) {
 	c.refused.WithLabelValues(string(source), reason).Inc()
