--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,15 +20,13 @@
 	"github.com/bramleywick/bramleywick/dispatch"
 	"github.com/bramleywick/bramleywick/metrics"
 	"github.com/bramleywick/bramleywick/operator"
-	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/settings"
 	"github.com/bramleywick/bramleywick/upstream"
 )
 
 const (
-	headerTimeout   = 10 * time.Second
-	platformTimeout = 30 * time.Second
-	cancelTimeout   = 2 * time.Second
+	headerTimeout = 10 * time.Second
+	cancelTimeout = 2 * time.Second
 )
 
 // Daemon is one entry instance.
@@ -57,8 +55,8 @@
 	d.dispatcher = dispatch.New(sched.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
 	}, d.cancelAt)
-	store := platform.NewClient(s.Platform, &http.Client{Timeout: platformTimeout})
-	d.keeper = config.NewKeeper(store, d.putInForce)
+	store := d.newStore()
+	d.keeper = d.newKeeper(store)
 	return d
 }
 
@@ -73,7 +71,6 @@
 
 func (d *Daemon) putInForce(index *declare.Index) {
 	d.dispatcher.Step(sched.Configure{Version: index.Version, Declaration: index.Declaration})
-	d.log.Info("configuration in force", zap.Int64("version", index.Version))
 }
 
 func (d *Daemon) cancelAt(id fleet.RequestID, target fleet.UpstreamID) {
@@ -107,14 +104,14 @@
 	if d.Addresses.Callers, err = d.listen("callers", d.settings.CallerListen, calls.Handler()); err != nil {
 		return err
 	}
-	operators := operator.NewHandler(d.keeper, d.settings.OperatorKeyHashes)
+	operators := operator.NewHandler(d.operatorOptions())
 	if d.Addresses.Operators, err = d.listen("operators", d.settings.OperatorListen, operators); err != nil {
 		return err
 	}
 	if d.Addresses.Admin, err = d.listen("admin", d.settings.AdminListen, d.adminHandler()); err != nil {
 		return err
 	}
-	go d.keeper.Run(ctx)
+	go d.keeper.Run(ctx, d.watchesConfiguration)
 	go d.dispatcher.Run(context.WithoutCancel(ctx))
 	return nil
 }
