--- a/config/keeper.go
+++ b/config/keeper.go
@@ -104,18 +104,25 @@
 	return next, k.offer(written)
 }
 
+// Offer puts a record from a peer in force if its version is newer.
+func (k *Keeper) Offer(record Record) error { return k.force(record, 0) }
+
 // offer puts an entry in force if its version is newer.
 func (k *Keeper) offer(entry platform.Entry) error {
 	var record Record
 	if err := json.Unmarshal(entry.Value, &record); err != nil {
 		return errors.Wrap(err, "decode configuration")
 	}
+	return k.force(record, entry.Revision)
+}
+
+func (k *Keeper) force(record Record, revision int64) error {
 	declaration, err := declfile.Parse("declaration", []byte(record.Text))
 	if err != nil {
 		return errors.Wrapf(err, "configuration version %d", record.Version)
 	}
 	k.mu.Lock()
-	k.revision = max(k.revision, entry.Revision)
+	k.revision = max(k.revision, revision)
 	newer := record.Version > k.record.Version
 	if newer {
 		k.record = record
--- /dev/null
+++ b/core/exchange/exchange.go
@@ -0,0 +1,455 @@
+// Package exchange decides what an instance tells which peer and when, and
+// counts what it is told exactly once. Events go in through Step and Receive,
+// commands come out of Ready.
+package exchange
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/membership"
+	"github.com/bramleywick/bramleywick/core/sched"
+)
+
+const (
+	// Period is the time between two pushes to a peer of the own data centre
+	// and to the partners within the region.
+	Period = time.Second
+	// FarPeriod is the time between two pushes to other regions and between
+	// two totals of service for other data centres.
+	FarPeriod = 5 * time.Second
+	// retryPause is the first pause after a push without an answer; it doubles
+	// up to retryLimit. The limit stays below the bound of 3 s within which a
+	// peer must learn of a departure.
+	retryPause = 500 * time.Millisecond
+	retryLimit = 2 * time.Second
+	// helloRetryLimit bounds the pause between attempts to open a session
+	// with a peer that has never answered.
+	helloRetryLimit = 5 * time.Second
+	// meshLimit is the number of instances of a region up to which every
+	// instance tells every other one of its reports and dispatches. Beyond it
+	// one partner per data centre passes the reports on.
+	meshLimit = 16
+	// slots divide the members among the instances of a data centre that
+	// total their service. About as many as instances per data centre, so
+	// that each instance sends about one total to each other data centre.
+	slots = 32
+	// badAfter failures in a row make another partner be chosen; after
+	// retryBad the failed one is a candidate again.
+	badAfter = 2
+	retryBad = 10 * time.Second
+	// fetchPause is the time between two requests for a configuration.
+	fetchPause = time.Second
+	// maxDispatches and maxDispatchAge bound what is kept for a silent peer:
+	// a dispatch is of use until a load report covers it.
+	maxDispatches  = 256
+	maxDispatchAge = 10 * time.Second
+	// maxItems bounds the service items of one frame, and with it the frame's
+	// size to about 60 KB with the longest usual names.
+	maxItems = 1000
+	// maxPending bounds the items that wait for one peer or data centre: ten
+	// times the designed number of members.
+	maxPending = 13000
+	// maxOrigins bounds the senders whose sequences are remembered.
+	maxOrigins = 4096
+	// maxPeersTold bounds the peers in an answer.
+	maxPeersTold = 512
+)
+
+// Config fixes the identity of an instance.
+type Config struct {
+	Self membership.Profile
+	// Incarnation rises with every start of the instance, such as the
+	// milliseconds of its start time.
+	Incarnation uint64
+	// Seed makes the jitter differ between instances.
+	Seed uint64
+}
+
+// Exchange is not safe for concurrent use.
+type Exchange struct {
+	config   Config
+	version  int64
+	names    *Names
+	leaving  bool
+	random   uint64
+	sessions map[fleet.InstanceID]*session
+	// order lists the peers by name, so that outputs do not depend on map
+	// iteration.
+	order   []fleet.InstanceID
+	origins map[fleet.InstanceID]*origin
+	// outbound holds this data centre's totals for each other data centre.
+	outbound map[fleet.DataCentre]map[itemKey]float64
+	reports  map[fleet.UpstreamID]*stampedReport
+	marks    map[membership.Mark]uint64
+	// stamp numbers the changes of reports and marks.
+	stamp     uint64
+	pushes    uint64
+	owners    [slots]fleet.InstanceID
+	planAt    fleet.Instant
+	roundAt   fleet.Instant
+	fetchAt   fleet.Instant
+	mesh      bool
+	introduce bool
+	dropped   uint64
+	ready     []Command
+}
+
+type stampedReport struct {
+	membership.Report
+	stamp uint64
+	// foreign tells that it came from another data centre to be passed on.
+	foreign bool
+}
+
+// origin is what is remembered of a sender.
+type origin struct {
+	incarnation   uint64
+	push, applied uint64
+	spelt         map[fleet.UpstreamID]spelling
+	heardAt       fleet.Instant
+}
+
+type spelling struct {
+	generation  uint64
+	incarnation fleet.Incarnation
+}
+
+// New returns an exchange without peers.
+func New(config Config) *Exchange {
+	return &Exchange{
+		config:    config,
+		names:     NewNames(&declare.Declaration{}),
+		random:    config.Seed | 1,
+		sessions:  map[fleet.InstanceID]*session{},
+		origins:   map[fleet.InstanceID]*origin{},
+		outbound:  map[fleet.DataCentre]map[itemKey]float64{},
+		reports:   map[fleet.UpstreamID]*stampedReport{},
+		marks:     map[membership.Mark]uint64{},
+		introduce: true,
+	}
+}
+
+// Step applies one event at the given time. Times must not decrease.
+func (e *Exchange) Step(now fleet.Instant, ev Event) {
+	switch ev := ev.(type) {
+	case Peers:
+		e.setPeers(now, ev.Peers)
+	case Configured:
+		e.configure(now, ev)
+	case Work:
+		e.work(ev.Shared)
+	case Polled:
+		e.keepReport(ev.Report, false)
+	case Marked:
+		e.spread(now, ev.Mark)
+	case Unmarked:
+		delete(e.marks, ev.Mark)
+	case Replied:
+		e.replied(now, ev)
+	case Failed:
+		if s := e.sessions[ev.Peer]; s != nil {
+			s.fail(now)
+			e.reclaim(s)
+		}
+	case Contact:
+		f := e.frame()
+		f.profile, f.askPeers = &e.config.Self, true
+		e.emit(Introduce{Address: ev.Address, Payload: f.encode(now, e.names)})
+	case Introduced:
+		e.introduced(now, ev.Payload)
+	case Leave:
+		e.leaving = true
+		e.hurry(now)
+	case Tick:
+		e.tick(now)
+	}
+}
+
+// Ready returns the pending commands in order and clears them.
+func (e *Exchange) Ready() []Command {
+	out := e.ready
+	e.ready = nil
+	return out
+}
+
+// Dropped counts the items that bounds of memory made the exchange forget.
+func (e *Exchange) Dropped() uint64 { return e.dropped }
+
+func (e *Exchange) emit(c Command) { e.ready = append(e.ready, c) }
+
+func (e *Exchange) learn(ev membership.Event) { e.emit(Learnt{Event: ev}) }
+
+func (e *Exchange) local(s *session) bool { return s.DataCentre == e.config.Self.DataCentre }
+
+func (e *Exchange) regional(s *session) bool { return s.Region == e.config.Self.Region }
+
+// jitter returns a time within a tenth of d around d. Without it the instances
+// of a data centre that restarts as a whole would push at the same instant.
+func (e *Exchange) jitter(d time.Duration) time.Duration {
+	e.random ^= e.random << 13
+	e.random ^= e.random >> 7
+	e.random ^= e.random << 17
+	return d*9/10 + time.Duration(e.random%uint64(d/5+1))
+}
+
+func (e *Exchange) setPeers(now fleet.Instant, peers []membership.Peer) {
+	keep := map[fleet.InstanceID]bool{}
+	e.order = e.order[:0]
+	for _, p := range peers {
+		keep[p.ID] = true
+		e.order = append(e.order, p.ID)
+		s := e.sessions[p.ID]
+		if s == nil {
+			s = newSession(now + e.jitter(Period/10))
+			e.sessions[p.ID] = s
+		}
+		s.Peer = p
+	}
+	maps.DeleteFunc(e.sessions, func(id fleet.InstanceID, _ *session) bool { return !keep[id] })
+	e.plan(now)
+}
+
+func (e *Exchange) configure(now fleet.Instant, ev Configured) {
+	e.version, e.names = ev.Version, ev.Names
+	maps.DeleteFunc(e.reports, func(id fleet.UpstreamID, _ *stampedReport) bool { return !e.names.knows(id) })
+	maps.DeleteFunc(e.marks, func(m membership.Mark, _ uint64) bool { return !e.names.knows(m.Upstream) })
+	for _, s := range e.sessions {
+		maps.DeleteFunc(s.spelt, func(id fleet.UpstreamID, _ uint64) bool { return !e.names.knows(id) })
+	}
+	e.hurry(now)
+}
+
+// hurry makes the next push to every peer of the data centre due at once.
+func (e *Exchange) hurry(now fleet.Instant) {
+	for _, id := range e.order {
+		if s := e.sessions[id]; s.period > 0 && s.failures == 0 {
+			s.due = now
+		}
+	}
+}
+
+// spread pushes a mark at once to every peer, also to failing ones, and to two
+// instances of each other data centre of the region, since one may be down.
+func (e *Exchange) spread(now fleet.Instant, mark membership.Mark) {
+	if _, known := e.marks[mark]; known {
+		return
+	}
+	e.stamp++
+	e.marks[mark] = e.stamp
+	for _, id := range e.order {
+		if s := e.sessions[id]; s.period > 0 || s.second {
+			s.due = now
+		}
+	}
+}
+
+func (e *Exchange) keepReport(r membership.Report, foreign bool) {
+	if !e.names.knows(r.Load.Upstream) {
+		return
+	}
+	e.stamp++
+	e.reports[r.Load.Upstream] = &stampedReport{Report: r, stamp: e.stamp, foreign: foreign}
+}
+
+// tick sends what is due.
+func (e *Exchange) tick(now fleet.Instant) {
+	if now-e.planAt >= Period {
+		e.plan(now)
+	}
+	if now-e.roundAt >= FarPeriod {
+		e.roundAt = now
+		e.assignTotals(now)
+	}
+	for _, id := range e.order {
+		s := e.sessions[id]
+		if s.due <= now && !s.inFlight && s.wanted() {
+			e.send(now, s)
+		}
+	}
+}
+
+// plan chooses the partners in other data centres and the owners of members.
+func (e *Exchange) plan(now fleet.Instant) {
+	e.planAt = now
+	region := 1
+	others := map[fleet.DataCentre]bool{}
+	for _, s := range e.sessions {
+		if e.regional(s) || e.local(s) {
+			region++
+		}
+		if !e.local(s) {
+			others[s.DataCentre] = true
+		}
+	}
+	e.mesh = region <= meshLimit
+	for _, s := range e.sessions {
+		s.period, s.second = 0, false
+		if e.local(s) || (e.mesh && e.regional(s)) {
+			s.period = Period
+		}
+	}
+	for dc := range others {
+		e.choosePartners(now, dc)
+	}
+	maps.DeleteFunc(e.outbound, func(dc fleet.DataCentre, _ map[itemKey]float64) bool { return !others[dc] })
+	for dc := range others {
+		if e.outbound[dc] == nil {
+			e.outbound[dc] = map[itemKey]float64{}
+		}
+	}
+	e.chooseOwners()
+}
+
+func (e *Exchange) choosePartners(now fleet.Instant, dc fleet.DataCentre) {
+	key := "partner " + string(e.config.Self.ID)
+	for rank, id := range membership.Owners(key, 2, e.candidates(now, dc)) {
+		s := e.sessions[id]
+		switch {
+		case s.period > 0:
+		case rank == 1:
+			s.second = e.regional(s)
+		case e.regional(s):
+			s.period = Period
+		default:
+			s.period = FarPeriod
+		}
+	}
+}
+
+// candidates are the instances of a data centre that answered last time, or
+// all when none did.
+func (e *Exchange) candidates(now fleet.Instant, dc fleet.DataCentre) []fleet.InstanceID {
+	var good, all []fleet.InstanceID
+	for _, id := range e.order {
+		s := e.sessions[id]
+		if s.DataCentre != dc {
+			continue
+		}
+		all = append(all, id)
+		if s.failures < badAfter || now-s.failedAt > retryBad {
+			good = append(good, id)
+		}
+	}
+	if len(good) == 0 {
+		return all
+	}
+	return good
+}
+
+// chooseOwners decides who totals which members for other data centres. The
+// instance that did the work names the owner, so that views that differ
+// neither count twice nor leave out.
+func (e *Exchange) chooseOwners() {
+	var members []fleet.InstanceID
+	if !e.leaving {
+		members = append(members, e.config.Self.ID)
+	}
+	for _, id := range e.order {
+		if s := e.sessions[id]; e.local(s) && s.Live && s.open && s.failures == 0 {
+			members = append(members, id)
+		}
+	}
+	if len(members) == 0 {
+		members = append(members, e.config.Self.ID)
+	}
+	for slot := range e.owners {
+		e.owners[slot] = membership.Owner(slotKey(slot), members)
+	}
+}
+
+func slotKey(slot int) string { return "slot " + strconv.Itoa(slot) }
+
+func slotOf(member fleet.MemberID) int { return int(membership.Hash(string(member)) % slots) }
+
+// work hands own service and dispatches to the sessions.
+func (e *Exchange) work(shared sched.Shared) {
+	for _, service := range shared.Service {
+		owner := e.owners[slotOf(service.Member)]
+		if owner == e.config.Self.ID {
+			e.aggregate(itemKey{service.Member, service.Group, classTotal}, service.Cost)
+		}
+		for _, id := range e.order {
+			s := e.sessions[id]
+			if !s.open || !e.local(s) {
+				continue
+			}
+			key := itemKey{service.Member, service.Group, classPlain}
+			if id == owner {
+				key.class = classAggregate
+			}
+			e.add(s.pending, key, service.Cost)
+		}
+	}
+	for _, id := range e.order {
+		if s := e.sessions[id]; s.open && s.period == Period && (e.local(s) || e.mesh) {
+			s.keepDispatches(shared.Dispatches)
+		}
+	}
+}
+
+// aggregate adds to the totals for every other data centre.
+func (e *Exchange) aggregate(key itemKey, cost float64) {
+	key.class = classTotal
+	for _, totals := range e.outbound {
+		e.add(totals, key, cost)
+	}
+}
+
+// reclaim takes back the totals that a failing peer was not sent yet.
+func (e *Exchange) reclaim(s *session) {
+	totals := e.outbound[s.DataCentre]
+	if totals == nil {
+		return
+	}
+	for key, cost := range s.pending {
+		if key.class == classTotal {
+			e.add(totals, key, cost)
+			delete(s.pending, key)
+		}
+	}
+}
+
+func (e *Exchange) add(to map[itemKey]float64, key itemKey, cost float64) {
+	if _, known := to[key]; !known && len(to) >= maxPending {
+		e.dropped++
+		return
+	}
+	to[key] += cost
+}
+
+// assignTotals moves the totals for other data centres to the sessions with
+// the owners there. What has no open session yet waits for the next round.
+func (e *Exchange) assignTotals(now fleet.Instant) {
+	for _, dc := range slices.Sorted(maps.Keys(e.outbound)) {
+		totals := e.outbound[dc]
+		if len(totals) == 0 {
+			continue
+		}
+		candidates := e.candidates(now, dc)
+		var owners [slots]*session
+		for slot := range owners {
+			owners[slot] = e.sessions[membership.Owner(slotKey(slot), candidates)]
+		}
+		for key, cost := range totals {
+			s := owners[slotOf(key.member)]
+			if s == nil {
+				continue
+			}
+			if !s.open {
+				s.hello = true
+				continue
+			}
+			// A peer that does not answer keeps what it was sent; the rest
+			// goes to the next owner.
+			if s.failures == 0 {
+				e.add(s.pending, key, cost)
+				delete(totals, key)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/exchange/session.go
@@ -0,0 +1,274 @@
+package exchange
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/membership"
+	"github.com/bramleywick/bramleywick/core/sched"
+)
+
+// session is the sending side towards one peer. One push is outstanding at a
+// time. Its batch of service and dispatches is frozen until the peer confirms
+// its sequence, so that a lost push is repeated unchanged.
+type session struct {
+	membership.Peer
+	// period is the time between pushes; 0 means that there is none.
+	period fleet.Instant
+	// second is the stand-by partner, which gets leaving marks only.
+	second bool
+	// hello asks for the session to be opened.
+	hello bool
+	// open tells that the peer's incarnation is known.
+	open        bool
+	incarnation uint64
+	digest      uint64
+	sequence    uint64
+	frozen      bool
+	service     []item
+	dispatches  []sched.PeerDispatch
+	pending     map[itemKey]float64
+	queued      []sched.PeerDispatch
+	inFlight    bool
+	due         fleet.Instant
+	failures    int
+	failedAt    fleet.Instant
+	// stamp is the last change of reports and marks that the peer confirmed,
+	// sent the last one in the outstanding push.
+	stamp, sent uint64
+	// spelt holds the generations whose incarnation the peer has seen,
+	// spelling those in the outstanding push.
+	spelt, spelling map[fleet.UpstreamID]uint64
+}
+
+func newSession(due fleet.Instant) *session {
+	return &session{
+		due: due, sequence: 1,
+		pending: map[itemKey]float64{}, spelt: map[fleet.UpstreamID]uint64{},
+	}
+}
+
+// wanted tells whether there is a reason to push.
+func (s *session) wanted() bool {
+	return s.period > 0 || s.second || s.hello || s.frozen || len(s.pending) > 0
+}
+
+// fail schedules the repetition of a push.
+func (s *session) fail(now fleet.Instant) {
+	s.inFlight, s.failedAt = false, now
+	limit := retryLimit
+	if !s.open {
+		limit = helloRetryLimit
+	}
+	s.due = now + min(retryPause<<min(s.failures, 4), limit)
+	s.failures++
+}
+
+// forget starts anew with a peer that has restarted: what it served before
+// its start is not part of its accounting.
+func (s *session) forget() {
+	s.open, s.frozen, s.service, s.dispatches, s.queued = false, false, nil, nil, nil
+	s.stamp, s.sent = 0, 0
+	clear(s.pending)
+	clear(s.spelt)
+}
+
+func (s *session) keepDispatches(ds []sched.PeerDispatch) {
+	s.queued = append(s.queued, ds...)
+	if over := len(s.queued) - maxDispatches; over > 0 {
+		s.queued = slices.Delete(s.queued, 0, over)
+	}
+}
+
+// freeze fills the batch of the next sequence from what is pending.
+func (s *session) freeze(now fleet.Instant) {
+	s.frozen = true
+	s.service = s.service[:0]
+	for key, cost := range s.pending {
+		s.service = append(s.service, item{key, cost})
+	}
+	slices.SortFunc(s.service, compareItems)
+	if len(s.service) > maxItems {
+		s.service = s.service[:maxItems]
+	}
+	for _, i := range s.service {
+		delete(s.pending, i.itemKey)
+	}
+	s.dispatches = s.dispatches[:0]
+	for _, d := range s.queued {
+		if now-d.At <= maxDispatchAge {
+			s.dispatches = append(s.dispatches, d)
+		}
+	}
+	s.queued = s.queued[:0]
+}
+
+func compareItems(a, b item) int {
+	return cmp.Or(cmp.Compare(a.member, b.member), cmp.Compare(a.group, b.group), cmp.Compare(a.class, b.class))
+}
+
+// frame returns a message without contents.
+func (e *Exchange) frame() *frame {
+	e.pushes++
+	return &frame{
+		from: e.config.Self.ID, incarnation: e.config.Incarnation, push: e.pushes,
+		configVersion: e.version, leaving: e.leaving, digest: e.names.digest,
+	}
+}
+
+func (e *Exchange) send(now fleet.Instant, s *session) {
+	f := e.frame()
+	if !s.open {
+		f.profile = &e.config.Self
+		f.askPeers = e.introduce
+	} else {
+		e.fill(now, s, f)
+	}
+	s.inFlight, s.hello = true, false
+	// The next regular push; an answer with more to come makes it earlier.
+	s.due = now + e.jitter(max(s.period, Period))
+	if s.second && s.period == 0 {
+		s.due = now + e.jitter(FarPeriod)
+	}
+	e.emit(Send{Peer: s.ID, Address: s.Address, Payload: f.encode(now, e.names)})
+}
+
+// fill puts the state that the peer has not confirmed into a frame.
+func (e *Exchange) fill(now fleet.Instant, s *session, f *frame) {
+	if !s.frozen {
+		s.freeze(now)
+	}
+	f.to, f.sequence = s.incarnation, s.sequence
+	f.numbered = s.digest == e.names.digest
+	f.service, f.dispatches = s.service, s.dispatches
+	f.relay = !e.local(s) && !e.mesh
+	s.sent = e.stamp
+	for mark, stamp := range e.marks {
+		if stamp > s.stamp {
+			f.marks = append(f.marks, mark)
+		}
+	}
+	slices.SortFunc(f.marks, func(a, b membership.Mark) int {
+		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	s.spelling = nil
+	if !e.local(s) && !(e.regional(s) && s.period == Period) {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(e.reports)) {
+		r := e.reports[id]
+		if r.stamp <= s.stamp || (r.foreign && !e.local(s)) {
+			continue
+		}
+		named := s.spelt[id] != r.Generation || r.Generation == 0
+		if named {
+			if s.spelling == nil {
+				s.spelling = map[fleet.UpstreamID]uint64{}
+			}
+			s.spelling[id] = r.Generation
+		}
+		f.reports = append(f.reports, wireReport{Report: r.Report, named: named})
+	}
+}
+
+func (e *Exchange) replied(now fleet.Instant, ev Replied) {
+	s := e.sessions[ev.Peer]
+	if s == nil {
+		return
+	}
+	a, err := decodeReply(ev.Payload)
+	if err != nil || a.known < e.config.Incarnation {
+		// An answer to an earlier incarnation of this instance, or noise.
+		s.fail(now)
+		return
+	}
+	s.inFlight, s.failures = false, 0
+	e.hearReply(s.Profile, a)
+	if a.known > e.config.Incarnation {
+		e.renew(now, a.known+1)
+		return
+	}
+	switch {
+	case s.open && s.incarnation != a.incarnation:
+		s.forget()
+		s.due = now
+	case !s.open && a.profile != nil:
+		s.open, s.incarnation, s.digest = true, a.incarnation, a.digest
+		s.sequence = a.applied + 1
+		s.due = now
+	case !s.open:
+		s.due = now
+	case a.refused:
+		s.digest = a.digest
+		s.due = now
+	case a.applied >= s.sequence:
+		e.confirmed(now, s)
+	}
+	e.seeVersion(now, s.ID, s.Address, a.configVersion)
+}
+
+// confirmed completes the outstanding batch.
+func (e *Exchange) confirmed(now fleet.Instant, s *session) {
+	s.frozen = false
+	s.sequence++
+	s.stamp = max(s.stamp, s.sent)
+	maps.Copy(s.spelt, s.spelling)
+	newMark := false
+	for _, stamp := range e.marks {
+		newMark = newMark || stamp > s.stamp
+	}
+	if newMark || len(s.pending) >= maxItems {
+		s.due = now
+	}
+}
+
+// renew takes a higher incarnation than the one a peer remembers: the clock
+// went back between two starts. Everything starts anew under it.
+func (e *Exchange) renew(now fleet.Instant, incarnation uint64) {
+	e.config.Incarnation = incarnation
+	for _, id := range e.order {
+		s := e.sessions[id]
+		// Batches that may have been counted under the old incarnation are
+		// dropped: they must not be counted again.
+		frozen := s.frozen
+		s.open, s.stamp, s.due = false, 0, now
+		clear(s.spelt)
+		if frozen {
+			s.frozen = false
+		}
+	}
+}
+
+func (e *Exchange) hearReply(p membership.Profile, a *reply) {
+	if a.profile != nil {
+		p = *a.profile
+	}
+	e.learn(membership.Heard{
+		Profile: p, Incarnation: a.incarnation, ConfigVersion: a.configVersion, Leaving: a.leaving,
+	})
+	if len(a.peers) > 0 {
+		e.introduce = false
+		e.learn(membership.Introduced{Profiles: a.peers})
+	}
+}
+
+// introduced learns from the answer of an address without a known instance.
+func (e *Exchange) introduced(now fleet.Instant, payload []byte) {
+	a, err := decodeReply(payload)
+	if err != nil || a.profile == nil || a.profile.ID == e.config.Self.ID {
+		return
+	}
+	e.hearReply(*a.profile, a)
+	e.seeVersion(now, a.profile.ID, a.profile.Address, a.configVersion)
+}
+
+// seeVersion asks for a configuration that is newer than the one in force.
+func (e *Exchange) seeVersion(now fleet.Instant, peer fleet.InstanceID, address string, version int64) {
+	if version <= e.version || address == "" || (e.fetchAt != 0 && now-e.fetchAt < fetchPause) {
+		return
+	}
+	e.fetchAt = now
+	e.emit(Fetch{Peer: peer, Address: address, Version: version})
+}
--- /dev/null
+++ b/core/membership/assign.go
@@ -0,0 +1,56 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// FNV-1a parameters and the multipliers of the splitmix64 finaliser, which
+// spreads FNV's weak high bits.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+	mixFirst  = 0xbf58476d1ce4e5b9
+	mixSecond = 0x94d049bb133111eb
+)
+
+// Hash returns a 64-bit hash of the parts, equal on every instance.
+func Hash(parts ...string) uint64 {
+	var h uint64 = fnvOffset
+	for _, part := range parts {
+		for i := 0; i < len(part); i++ {
+			h = (h ^ uint64(part[i])) * fnvPrime
+		}
+		h = (h ^ 0xff) * fnvPrime
+	}
+	h = (h ^ h>>30) * mixFirst
+	h = (h ^ h>>27) * mixSecond
+	return h ^ h>>31
+}
+
+// Owner returns the instance that a key is assigned to by rendezvous hash, or
+// "" without candidates. Removing one candidate moves only its own keys.
+func Owner(key string, candidates []fleet.InstanceID) fleet.InstanceID {
+	var best fleet.InstanceID
+	var bestHash uint64
+	for _, id := range candidates {
+		h := Hash(key, string(id))
+		if best == "" || h > bestHash || (h == bestHash && id < best) {
+			best, bestHash = id, h
+		}
+	}
+	return best
+}
+
+// Owners returns up to n instances that a key is assigned to, best first.
+func Owners(key string, n int, candidates []fleet.InstanceID) []fleet.InstanceID {
+	rest := slices.Clone(candidates)
+	var owners []fleet.InstanceID
+	for len(owners) < n && len(rest) > 0 {
+		owner := Owner(key, rest)
+		owners = append(owners, owner)
+		rest = slices.DeleteFunc(rest, func(id fleet.InstanceID) bool { return id == owner })
+	}
+	return owners
+}
--- /dev/null
+++ b/core/membership/instances.go
@@ -0,0 +1,253 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// InstanceStatus is the state of an entry instance.
+type InstanceStatus uint8
+
+// States of an instance. A suspect instance is listed or was heard once, but
+// not recently.
+const (
+	InstanceSuspect InstanceStatus = iota
+	InstanceLive
+	InstanceLeaving
+	InstanceGone
+)
+
+// String returns the state's name.
+func (s InstanceStatus) String() string {
+	return [...]string{"suspect", "live", "leaving", "gone"}[s]
+}
+
+type instance struct {
+	Profile
+	status        InstanceStatus
+	incarnation   uint64
+	configVersion int64
+	// heard tells that a message of the instance arrived; its own word about
+	// its address then outranks the platform's list.
+	heard   bool
+	heardAt fleet.Instant
+	// since is when the instance was first named.
+	since   fleet.Instant
+	listed  bool
+	leaving bool
+}
+
+// InstanceInfo describes one instance for operators.
+type InstanceInfo struct {
+	Profile
+	Status        InstanceStatus
+	ConfigVersion int64
+	HeardAt       fleet.Instant
+}
+
+// Instances returns the known instances except this one, sorted by name.
+func (m *Machine) Instances() []InstanceInfo {
+	var out []InstanceInfo
+	for _, i := range m.instances {
+		out = append(out, InstanceInfo{Profile: i.Profile, Status: i.status, ConfigVersion: i.configVersion, HeardAt: i.heardAt})
+	}
+	slices.SortFunc(out, func(a, b InstanceInfo) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return out
+}
+
+// list takes over the platform's list. A missing row is no proof that an
+// instance is gone and a present row is no proof that it is live.
+// Rows are kept until a declaration tells which of them are upstreams.
+func (m *Machine) list(now fleet.Instant, rows []Row) {
+	m.rows = rows
+	if !m.declared || rows == nil {
+		return
+	}
+	for _, i := range m.instances {
+		i.listed = false
+	}
+	byAddress := map[string]fleet.UpstreamID{}
+	for _, u := range m.upstreams {
+		byAddress[u.Address] = u.ID
+	}
+	for _, row := range rows {
+		id := fleet.UpstreamID(row.ID)
+		if m.upstreams[id] == nil {
+			id = byAddress[row.Address]
+		}
+		if u := m.upstreams[id]; u != nil {
+			m.listUpstream(now, u, row.Leaving)
+			continue
+		}
+		m.listInstance(now, row)
+	}
+	for _, u := range m.upstreams {
+		if u.listing == listingUnseen {
+			u.listing = listingStaying
+		}
+	}
+}
+
+func (m *Machine) listInstance(now fleet.Instant, row Row) {
+	i := m.introduce(now, Profile{ID: fleet.InstanceID(row.ID), DataCentre: row.DataCentre, Address: row.Address})
+	if i == nil {
+		return
+	}
+	i.listed = true
+	if i.leaving != row.Leaving {
+		i.leaving, m.changed = row.Leaving, true
+	}
+	if !i.heard && (i.Address != row.Address || i.DataCentre != row.DataCentre) {
+		i.Address, i.DataCentre, m.changed = row.Address, row.DataCentre, true
+	}
+}
+
+// introduce adds an instance that has not been heard yet.
+func (m *Machine) introduce(now fleet.Instant, p Profile) *instance {
+	if p.ID == "" || p.ID == m.config.Self.ID {
+		return nil
+	}
+	if known := m.instances[p.ID]; known != nil {
+		return known
+	}
+	if len(m.instances) >= maxInstances {
+		return nil
+	}
+	i := &instance{Profile: p, since: now}
+	m.instances[p.ID] = i
+	m.changed = true
+	return i
+}
+
+func (m *Machine) hear(now fleet.Instant, ev Heard) {
+	i := m.introduce(now, ev.Profile)
+	if i == nil || ev.Incarnation < i.incarnation {
+		return
+	}
+	if ev.Incarnation > i.incarnation {
+		i.leaving = false
+	}
+	if p := ev.Profile; p.Address != "" && p != i.Profile {
+		i.Profile, m.changed = p, true
+	}
+	i.incarnation = ev.Incarnation
+	i.configVersion = max(i.configVersion, ev.ConfigVersion)
+	i.heard, i.heardAt = true, now
+	if ev.Leaving && !i.leaving {
+		i.leaving = true
+	}
+	m.tickInstance(now, i)
+}
+
+func (m *Machine) tickInstances(now fleet.Instant) {
+	for id, i := range m.instances {
+		m.tickInstance(now, i)
+		if i.status == InstanceGone && !i.listed && now-i.lastSign() > forgetAfter {
+			delete(m.instances, id)
+			m.changed = true
+		}
+	}
+}
+
+func (i *instance) lastSign() fleet.Instant { return max(i.heardAt, i.since) }
+
+func (m *Machine) tickInstance(now fleet.Instant, i *instance) {
+	status := m.statusOf(now, i)
+	if status == i.status {
+		return
+	}
+	i.status = status
+	m.changed = true
+	m.emit(InstanceChanged{ID: i.ID, Status: status})
+}
+
+// statusOf judges an instance. Instances of other data centres exchange with
+// only some instances here, so their silence proves nothing while the
+// platform lists them.
+func (m *Machine) statusOf(now fleet.Instant, i *instance) InstanceStatus {
+	silent := now - i.lastSign()
+	remote := i.DataCentre != m.config.Self.DataCentre
+	switch {
+	case i.heard && silent <= SuspectAfter && i.leaving:
+		return InstanceLeaving
+	case i.heard && silent <= SuspectAfter:
+		return InstanceLive
+	case silent > GoneAfter && !(remote && i.listed) && !(remote && silent <= forgetAfter):
+		return InstanceGone
+	default:
+		return InstanceSuspect
+	}
+}
+
+// members returns the instances of this data centre that share its work.
+func (m *Machine) members() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	if !m.leaving {
+		ids = append(ids, m.config.Self.ID)
+	}
+	for _, i := range m.instances {
+		if i.DataCentre == m.config.Self.DataCentre && i.status == InstanceLive {
+			ids = append(ids, i.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// assign computes the work of this instance and the set of peers again.
+func (m *Machine) assign(now fleet.Instant) {
+	members := m.members()
+	m.assignPolling(now, members)
+	watch := slices.Contains(Owners("config", configWatchers, members), m.config.Self.ID)
+	if watch != m.watching {
+		m.watching = watch
+		m.emit(WatchConfig{On: watch})
+	}
+	var peers []Peer
+	for _, info := range m.Instances() {
+		if info.Status != InstanceGone || m.instances[info.ID].listed {
+			peers = append(peers, Peer{Profile: info.Profile, Live: info.Status == InstanceLive})
+		}
+	}
+	m.emit(Peers{Peers: peers})
+}
+
+func (m *Machine) assignPolling(now fleet.Instant, members []fleet.InstanceID) {
+	var polling []fleet.UpstreamID
+	for _, id := range m.order {
+		if m.polls(now, m.upstreams[id], members) {
+			polling = append(polling, id)
+		}
+	}
+	if !slices.Equal(polling, m.polling) {
+		m.polling = polling
+		m.emit(Poll{Upstreams: slices.Clone(polling)})
+	}
+}
+
+// polls tells whether this instance polls an upstream: the owner within the
+// upstream's data centre does. When that data centre has no entry instance in
+// reach, each other data centre of the region polls for itself.
+func (m *Machine) polls(now fleet.Instant, u *upstream, members []fleet.InstanceID) bool {
+	if u.late {
+		return true
+	}
+	if u.DataCentre != m.config.Self.DataCentre {
+		if m.reach[u.DataCentre] || now-m.started < lateAfter || m.otherRegion(u.DataCentre) {
+			return false
+		}
+	}
+	return Owner("poll "+string(u.ID), members) == m.config.Self.ID
+}
+
+// otherRegion tells whether a data centre is known to be in another region.
+func (m *Machine) otherRegion(dc fleet.DataCentre) bool {
+	for _, i := range m.instances {
+		if i.DataCentre == dc && i.heard {
+			return i.Region != m.config.Self.Region
+		}
+	}
+	return false
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -41,13 +41,14 @@
 	engines    *upstream.EngineClient
 	servers    []*http.Server
 	stopping   atomic.Bool
+	cluster    cluster
 	// Addresses are the bound addresses of the listeners, by purpose.
 	Addresses Addresses
 }
 
 // Addresses are the bound listen addresses of a daemon.
 type Addresses struct {
-	Callers, Operators, Admin string
+	Callers, Operators, Admin, Peers string
 }
 
 // New provisions a daemon without starting anything.
@@ -58,6 +59,7 @@
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
 	}, d.cancelAt)
 	store := platform.NewClient(s.Platform, &http.Client{Timeout: platformTimeout})
+	d.cluster.store = store
 	d.keeper = config.NewKeeper(store, d.putInForce)
 	return d
 }
@@ -73,6 +75,7 @@
 
 func (d *Daemon) putInForce(index *declare.Index) {
 	d.dispatcher.Step(sched.Configure{Version: index.Version, Declaration: index.Declaration})
+	d.configureCluster(index)
 	d.log.Info("configuration in force", zap.Int64("version", index.Version))
 }
 
@@ -114,9 +117,8 @@
 	if d.Addresses.Admin, err = d.listen("admin", d.settings.AdminListen, d.adminHandler()); err != nil {
 		return err
 	}
-	go d.keeper.Run(ctx)
 	go d.dispatcher.Run(context.WithoutCancel(ctx))
-	return nil
+	return d.startCluster(context.WithoutCancel(ctx))
 }
 
 func (d *Daemon) listen(purpose, address string, handler http.Handler) (string, error) {
@@ -150,6 +152,8 @@
 // work is accepted and running answers are finished.
 func (d *Daemon) Stop() error {
 	d.stopping.Store(true)
+	d.leaveCluster()
+	defer d.stopCluster()
 	time.Sleep(d.settings.BalancerDelay)
 	d.dispatcher.Step(sched.Drain{})
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainLimit)
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,391 @@
+// Package peer runs the membership and the exchange of an instance over
+// net/rpc: it serialises events, keeps the clock and carries messages.
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/config"
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/exchange"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/membership"
+	"github.com/bramleywick/bramleywick/core/sched"
+)
+
+const (
+	// tickPeriod spreads the pushes of one second over twenty instants.
+	tickPeriod = 50 * time.Millisecond
+	// sharePeriod is how often the scheduler's recent work is collected.
+	sharePeriod = 500 * time.Millisecond
+	// seedPeriod is how often the seeds are contacted while no peer is known,
+	// seedPeriodKnown afterwards, so that separated halves find each other.
+	seedPeriod      = time.Second
+	seedPeriodKnown = 30 * time.Second
+	// idleTimeout closes connections that a peer has abandoned.
+	idleTimeout = 2 * time.Minute
+	// maxConns bounds the connections that peers may hold open: two for each
+	// daemon of the designed size.
+	maxConns = 800
+	// maxSeeds bounds the contacts that run at the same time.
+	maxSeeds = 16
+)
+
+// Hooks connect a node with the rest of the instance. They are called with the
+// node locked and must not call it back.
+type Hooks struct {
+	// Schedule takes reports, states of upstreams and what peers did.
+	Schedule func(sched.Event)
+	// Shared returns and clears the scheduler's recent work.
+	Shared func() sched.Shared
+	// Poll takes the upstreams that this instance polls from now on.
+	Poll func([]fleet.UpstreamID)
+	// Watch switches the watch on the configuration.
+	Watch func(on bool)
+}
+
+// ConfigSource is the configuration in force. Its methods are called without
+// the node's lock.
+type ConfigSource interface {
+	Record() config.Record
+	// Offer puts a record in force if its version is newer.
+	Offer(config.Record) error
+}
+
+// Options provision a node.
+type Options struct {
+	Self        membership.Profile
+	Incarnation uint64
+	Seed        uint64
+	// Now is the scheduler's clock.
+	Now   func() fleet.Instant
+	Hooks Hooks
+	// Config is the configuration in force.
+	Config ConfigSource
+	// Dial opens connections to peers; nil means plain TCP. A dialer and a
+	// listener with mutual TLS are supplied by the caller.
+	Dial Dialer
+	// Seeds are addresses to try without the platform's list.
+	Seeds []string
+	Log   *zap.Logger
+}
+
+// Node is safe for concurrent use.
+type Node struct {
+	options Options
+	clients *clients
+	texts   texts
+
+	mu       sync.Mutex
+	members  *membership.Machine
+	exchange *exchange.Exchange
+	version  int64
+	peers    int
+	refused  uint64
+}
+
+// New returns a node without peers.
+func New(o Options) *Node {
+	return &Node{
+		options: o,
+		clients: newClients(o.Dial),
+		members: membership.New(membership.Config{Self: o.Self}),
+		exchange: exchange.New(exchange.Config{
+			Self: o.Self, Incarnation: o.Incarnation, Seed: o.Seed,
+		}),
+	}
+}
+
+// Run exchanges until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	defer n.clients.keep(nil)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	var shared, seeds time.Time
+	for {
+		select {
+		case now := <-ticker.C:
+			if now.Sub(shared) >= sharePeriod {
+				shared = now
+				n.share()
+			}
+			if now.Sub(seeds) >= n.seedPause() {
+				seeds = now
+				n.contactSeeds()
+			}
+			n.Tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Tick advances the time of both machines.
+func (n *Node) Tick() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.member(membership.Tick{})
+	n.step(exchange.Tick{})
+}
+
+func (n *Node) share() {
+	shared := n.options.Hooks.Shared()
+	if len(shared.Service) == 0 && len(shared.Dispatches) == 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.step(exchange.Work{Shared: shared})
+}
+
+func (n *Node) seedPause() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.peers == 0 {
+		return seedPeriod
+	}
+	return seedPeriodKnown
+}
+
+func (n *Node) contactSeeds() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, seed := range n.options.Seeds {
+		if seed != n.options.Self.Address && i < maxSeeds {
+			n.step(exchange.Contact{Address: seed})
+		}
+	}
+}
+
+// Member applies an event about instances or upstreams.
+func (n *Node) Member(ev membership.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.member(ev)
+}
+
+// Configure takes a declaration that was put in force.
+func (n *Node) Configure(version int64, d *declare.Declaration) {
+	n.texts.keep(n.options.Config.Record())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if version <= n.version {
+		return
+	}
+	n.version = version
+	n.step(exchange.Configured{Version: version, Names: exchange.NewNames(d)})
+	n.member(membership.Declared{Upstreams: d.Upstreams})
+}
+
+// Leave tells the peers that this instance is stopping.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.member(membership.Leave{})
+	n.step(exchange.Leave{})
+	n.step(exchange.Tick{})
+}
+
+// Instances returns the other instances that this one knows.
+func (n *Node) Instances() []membership.InstanceInfo {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Instances()
+}
+
+// Upstreams returns the declared upstreams with their states.
+func (n *Node) Upstreams() []membership.UpstreamInfo {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Upstreams()
+}
+
+// member steps the membership and carries out its commands. Locked.
+func (n *Node) member(ev membership.Event) {
+	n.members.Step(n.options.Now(), ev)
+	for _, c := range n.members.Ready() {
+		n.obey(c)
+	}
+}
+
+func (n *Node) obey(c membership.Command) {
+	hooks, log := n.options.Hooks, n.options.Log
+	switch c := c.(type) {
+	case membership.UpstreamChanged:
+		log.Info("upstream changed", zap.String("upstream", string(c.State.Upstream)),
+			zap.String("incarnation", string(c.Incarnation)),
+			zap.Stringer("state", c.Status), zap.Stringer("cause", c.Cause))
+		hooks.Schedule(c.State)
+	case membership.InstanceChanged:
+		log.Info("instance changed", zap.String("instance", string(c.ID)), zap.Stringer("state", c.Status))
+	case membership.Reached:
+		log.Info("data centre reachability changed", zap.String("data_centre", string(c.DataCentre)),
+			zap.Bool("connected", c.Connected))
+	case membership.Accepted:
+		hooks.Schedule(sched.Report{Load: c.Load})
+	case membership.Share:
+		n.step(exchange.Polled{Report: c.Report})
+	case membership.Spread:
+		n.step(exchange.Marked{Mark: c.Mark})
+		n.step(exchange.Tick{})
+	case membership.Unmark:
+		n.step(exchange.Unmarked{Mark: c.Mark})
+	case membership.Poll:
+		hooks.Poll(c.Upstreams)
+	case membership.WatchConfig:
+		hooks.Watch(c.On)
+	case membership.Peers:
+		n.setPeers(c.Peers)
+	}
+}
+
+func (n *Node) setPeers(peers []membership.Peer) {
+	n.peers = len(peers)
+	addresses := map[string]bool{}
+	for _, p := range peers {
+		addresses[p.Address] = true
+	}
+	for _, seed := range n.options.Seeds {
+		addresses[seed] = true
+	}
+	n.clients.keep(addresses)
+	n.step(exchange.Peers{Peers: peers})
+}
+
+// step steps the exchange and carries out its commands. Locked.
+func (n *Node) step(ev exchange.Event) {
+	n.exchange.Step(n.options.Now(), ev)
+	n.flush()
+}
+
+func (n *Node) flush() {
+	for _, c := range n.exchange.Ready() {
+		switch c := c.(type) {
+		case exchange.Send:
+			go n.push(c)
+		case exchange.Introduce:
+			go n.introduce(c)
+		case exchange.Learnt:
+			n.member(c.Event)
+		case exchange.Schedule:
+			n.options.Hooks.Schedule(c.Event)
+		case exchange.Fetch:
+			go n.fetch(c)
+		}
+	}
+}
+
+func (n *Node) push(c exchange.Send) {
+	var out Delta
+	err := n.clients.call(c.Address, pushMethod, Delta{c.Payload}, &out, pushTimeout)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err != nil {
+		n.options.Log.Debug("push failed", zap.String("peer", string(c.Peer)), zap.Error(err))
+		n.step(exchange.Failed{Peer: c.Peer})
+		return
+	}
+	n.step(exchange.Replied{Peer: c.Peer, Payload: out.Payload})
+	n.step(exchange.Tick{})
+}
+
+func (n *Node) introduce(c exchange.Introduce) {
+	var out Delta
+	if err := n.clients.call(c.Address, pushMethod, Delta{c.Payload}, &out, pushTimeout); err != nil {
+		n.options.Log.Debug("seed did not answer", zap.String("seed", c.Address), zap.Error(err))
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.step(exchange.Introduced{Payload: out.Payload})
+}
+
+// fetch gets a newer configuration from a peer and offers it.
+func (n *Node) fetch(c exchange.Fetch) {
+	log := n.options.Log.With(zap.String("peer", string(c.Peer)), zap.Int64("version", c.Version))
+	have := n.options.Config.Record()
+	in := ConfigArgs{Have: have.Version, Digest: digestOf(have.Text)}
+	var out ConfigReply
+	if err := n.clients.call(c.Address, configMethod, in, &out, configTimeout); err != nil {
+		log.Warn("configuration not fetched", zap.Error(err))
+		return
+	}
+	record, err := out.unpack(have.Text)
+	if err == nil {
+		err = n.options.Config.Offer(record)
+	}
+	if err != nil {
+		log.Warn("configuration of peer not usable", zap.Error(err))
+	}
+}
+
+// Names of the calls between instances.
+const (
+	serviceName  = "Exchange"
+	pushMethod   = serviceName + ".Push"
+	configMethod = serviceName + ".Config"
+)
+
+// Delta is a message of package exchange.
+type Delta struct{ Payload []byte }
+
+// Service is the receiving side of a node. Its methods have the form that
+// net/rpc requires.
+type Service struct{ node *Node }
+
+// Push takes a peer's message and returns the answer.
+func (s *Service) Push(in Delta, out *Delta) error {
+	n := s.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	payload, err := n.exchange.Receive(n.options.Now(), in.Payload)
+	if err != nil {
+		n.refused++
+		return err
+	}
+	out.Payload = payload
+	n.flush()
+	return nil
+}
+
+// Config returns the configuration in force.
+func (s *Service) Config(in ConfigArgs, out *ConfigReply) error {
+	record := s.node.options.Config.Record()
+	if record.Version == 0 {
+		return errors.New("no configuration is in force")
+	}
+	var err error
+	*out, err = s.node.texts.pack(in, record)
+	return err
+}
+
+// Serve answers peers on a listener until it is closed.
+func (n *Node) Serve(listener net.Listener) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, &Service{node: n}); err != nil {
+		return errors.Wrap(err, "register the exchange")
+	}
+	free := make(chan struct{}, maxConns)
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return errors.Wrap(err, "accept peers")
+		}
+		select {
+		case free <- struct{}{}:
+			go func() {
+				server.ServeCodec(serverCodec{newGobConn(conn, idleTimeout)})
+				<-free
+			}()
+		default:
+			_ = conn.Close()
+		}
+	}
+}
--- /dev/null
+++ b/poll/poll.go
@@ -0,0 +1,156 @@
+// Package poll asks upstreams for their load and their cache events.
+package poll
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/sched"
+	"github.com/bramleywick/bramleywick/upstream"
+)
+
+const (
+	// period is the time between two polls of an upstream. A departure that
+	// only the upstream announces is known after one period.
+	period = 500 * time.Millisecond
+	// timeout of one poll: an upstream that answers later counts as silent,
+	// and three silences in a row make it unreachable within 1.5 s.
+	timeout = 400 * time.Millisecond
+	// maxBodyBytes bounds an answer.
+	maxBodyBytes = 256 << 10
+)
+
+// Hooks take what polling finds. They are called from several goroutines.
+type Hooks struct {
+	// Address returns the host:port of an upstream, or "" when it is no
+	// longer declared.
+	Address func(fleet.UpstreamID) string
+	// Now is the scheduler's clock.
+	Now func() fleet.Instant
+	// Load takes a report, Failed a poll without an answer.
+	Load   func(sched.LoadReport)
+	Failed func(fleet.UpstreamID)
+	// Cache takes the prefix cache events of an engine; nil polls none.
+	Cache func(sched.CacheUpdate)
+}
+
+// Poller polls a changing set of upstreams. Safe for concurrent use.
+type Poller struct {
+	hooks Hooks
+	http  *http.Client
+
+	mu      sync.Mutex
+	ctx     context.Context
+	running map[fleet.UpstreamID]context.CancelFunc
+}
+
+// New returns a poller that polls until ctx ends.
+func New(ctx context.Context, hooks Hooks) *Poller {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}
+	return &Poller{
+		hooks: hooks, ctx: ctx, http: &http.Client{Transport: transport},
+		running: map[fleet.UpstreamID]context.CancelFunc{},
+	}
+}
+
+// Set replaces the set of polled upstreams.
+func (p *Poller) Set(ids []fleet.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	keep := map[fleet.UpstreamID]bool{}
+	for _, id := range ids {
+		keep[id] = true
+		if p.running[id] == nil {
+			ctx, stop := context.WithCancel(p.ctx)
+			p.running[id] = stop
+			go p.run(ctx, id)
+		}
+	}
+	for id, stop := range p.running {
+		if !keep[id] {
+			stop()
+			delete(p.running, id)
+		}
+	}
+}
+
+// run polls one upstream. The jitter keeps the polls of many instances from
+// falling together.
+func (p *Poller) run(ctx context.Context, id fleet.UpstreamID) {
+	cache := cacheCursor{}
+	for ctx.Err() == nil {
+		begin := time.Now()
+		p.poll(ctx, id, &cache)
+		pause := period*9/10 + rand.N(period/5) - time.Since(begin)
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (p *Poller) poll(ctx context.Context, id fleet.UpstreamID, cache *cacheCursor) {
+	address := p.hooks.Address(id)
+	if address == "" {
+		return
+	}
+	// The report is at least as new as the request; work sent after that may
+	// be missing from it.
+	sent := p.hooks.Now()
+	var load upstream.Load
+	err := p.get(ctx, "http://"+address+"/v1/load", &load)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		p.hooks.Failed(id)
+		return
+	}
+	p.hooks.Load(reportOf(id, sent, load))
+	if p.hooks.Cache != nil && cache.due(load) {
+		p.pollCache(ctx, id, address, cache)
+	}
+}
+
+func reportOf(id fleet.UpstreamID, sent fleet.Instant, l upstream.Load) sched.LoadReport {
+	role, _ := fleet.ParseRole(l.Role)
+	age := time.Duration(max(l.AgeMS, 0)) * time.Millisecond
+	return sched.LoadReport{
+		Upstream: id, Incarnation: l.Incarnation, At: sent - age, Role: role,
+		Running: max(l.Running, 0), Waiting: max(l.Waiting, 0),
+		WaitingPromptTokens: max(l.WaitingPromptTokens, 0),
+		KVUsedTokens:        max(l.KVUsedTokens, 0), KVCapacityTokens: max(l.KVCapacityTokens, 0),
+		Leaving: l.Leaving,
+	}
+}
+
+// get reads one JSON answer.
+func (p *Poller) get(ctx context.Context, url string, out any) error {
+	ctx, stop := context.WithTimeout(ctx, timeout)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrapf(err, "poll %s", url)
+	}
+	resp, err := p.http.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "poll %s", url)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("poll %s: status %d", url, resp.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(raw, out)
+	}
+	return errors.Wrapf(err, "poll %s: read answer", url)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,6 +15,11 @@
 type Settings struct {
 	Instance   fleet.InstanceID
 	DataCentre fleet.DataCentre
+	// Region names the data centres whose engines are used together.
+	Region string
+	// PeerSeeds are addresses of other instances' listeners for peers, tried
+	// in addition to the platform's list.
+	PeerSeeds []string
 	// CallerListen, OperatorListen, PeerListen and AdminListen are IP
 	// addresses with ports.
 	CallerListen   string
@@ -68,6 +73,7 @@
 	case "instance":
 		s.Instance = fleet.InstanceID(dec.Required("id", "the instance's name"))
 		s.DataCentre = fleet.DataCentre(dec.Required("data_centre", "a data centre's name"))
+		s.Region = dec.String("region", "")
 		s.BalancerDelay = dec.Duration("balancer_delay", 5*time.Second)
 		s.DrainLimit = dec.Duration("drain_limit", 10*time.Minute)
 	case "listen":
@@ -75,6 +81,8 @@
 		s.OperatorListen = dec.Address("operators", "127.0.0.1:8081")
 		s.PeerListen = dec.Address("peers", "127.0.0.1:8082")
 		s.AdminListen = dec.Address("admin", "127.0.0.1:8083")
+	case "peers":
+		s.PeerSeeds = dec.Strings("seeds")
 	case "platform":
 		s.Platform = dec.Required("url", "a URL such as http://127.0.0.1:7000")
 	case "operators":
@@ -82,7 +90,7 @@
 	default:
 		*faults = append(*faults, inifile.Fault{
 			File: name, Line: section.Line, Message: "unknown section [" + section.Kind + "]",
-			Expected: "[instance], [listen], [platform] or [operators]",
+			Expected: "[instance], [listen], [peers], [platform] or [operators]",
 		})
 		return
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -29,10 +29,13 @@
 	config  Config
 	running atomic.Int64
 	reports atomic.Int64
+	life    lifecycle
 }
 
 // New returns an engine with the given behaviour.
-func New(config Config) *Server { return &Server{config: config} }
+func New(config Config) *Server {
+	return &Server{config: config, life: lifecycle{incarnation: config.Incarnation}}
+}
 
 // Handler returns the engine's HTTP interface.
 func (s *Server) Handler() http.Handler {
@@ -40,6 +43,7 @@
 	mux.HandleFunc("POST /v1/completions", s.complete)
 	mux.HandleFunc("DELETE /v1/requests/{id}", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /v1/load", s.load)
+	mux.HandleFunc("GET /v1/cache-events", s.cacheEvents)
 	return mux
 }
 
@@ -98,12 +102,3 @@
 	_, _ = fmt.Fprintf(w, "data: %s\n\n", raw)
 	w.(http.Flusher).Flush()
 }
-
-func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(upstream.Load{
-		Incarnation: s.config.Incarnation,
-		Sequence:    s.reports.Add(1),
-		Role:        s.config.Role.String(),
-		Running:     int(s.running.Load()),
-	})
-}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -25,8 +25,16 @@
 	return s.runs[path+" "+body]
 }
 
-// Handler returns the service's HTTP interface: every path is a call.
+// Handler returns the service's HTTP interface: every path but the load report
+// is a call.
 func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/load", load)
+	mux.Handle("/", s.calls())
+	return mux
+}
+
+func (s *Server) calls() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 		if err != nil {
--- /dev/null
+++ b/upstream/cache.go
@@ -0,0 +1,19 @@
+package upstream
+
+import "github.com/bramleywick/bramleywick/core/fleet"
+
+// CacheEvents is the body of GET /v1/cache-events?after=N at an engine: the
+// events with a sequence above N that the engine still has.
+type CacheEvents struct {
+	Incarnation fleet.Incarnation `json:"incarnation"`
+	Events      []CacheEvent      `json:"events"`
+}
+
+// CacheEvent is one change of an engine's prefix cache. Sequences start at 1
+// in every incarnation and rise by 1; a gap means that events were lost.
+type CacheEvent struct {
+	Sequence int64 `json:"sequence"`
+	// Stored and Evicted are chained hashes of prompt blocks.
+	Stored  []uint64 `json:"stored,omitempty"`
+	Evicted []uint64 `json:"evicted,omitempty"`
+}
