Test membership and the exchange against faults of peers and lists

Cause: departures, restarts and wrong lists were only covered by design.

Change: tables of fault cases for the platform's list, instances, the ends of upstreams and polling assignment in core/membership, and for cut, delayed and answerless links, restarts, versions and hostile peers over net/rpc on loopback.

--- /dev/null
+++ b/core/membership/membership_test.go
@@ -0,0 +1,401 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/sched"
+)
+
+// rig drives one machine and records its last word on each subject.
+type rig struct {
+	*Machine
+	t        *testing.T
+	now      fleet.Instant
+	upstream map[fleet.UpstreamID]UpstreamChanged
+	instance map[fleet.InstanceID]InstanceStatus
+	reach    map[fleet.DataCentre]bool
+	polled   []fleet.UpstreamID
+	watching bool
+	spread   []Mark
+	peers    []Peer
+}
+
+var testUpstreams = []declare.Upstream{
+	{ID: "engine-1", DataCentre: "a", Address: "192.0.2.1:80"},
+	{ID: "engine-2", DataCentre: "a", Address: "192.0.2.2:80"},
+	{ID: "engine-3", DataCentre: "b", Address: "192.0.2.3:80"},
+}
+
+func newRig(t *testing.T, id fleet.InstanceID) *rig {
+	r := &rig{
+		Machine: New(Config{Self: Profile{ID: id, DataCentre: "a", Address: "192.0.2.10:1"}}), t: t, now: time.Second,
+		upstream: map[fleet.UpstreamID]UpstreamChanged{}, instance: map[fleet.InstanceID]InstanceStatus{},
+		reach: map[fleet.DataCentre]bool{},
+	}
+	r.do(Declared{Upstreams: testUpstreams})
+	return r
+}
+
+func (r *rig) do(events ...Event) {
+	for _, ev := range events {
+		r.Step(r.now, ev)
+		for _, c := range r.Ready() {
+			switch c := c.(type) {
+			case UpstreamChanged:
+				r.upstream[c.State.Upstream] = c
+			case InstanceChanged:
+				r.instance[c.ID] = c.Status
+			case Reached:
+				r.reach[c.DataCentre] = c.Connected
+			case Poll:
+				r.polled = c.Upstreams
+			case WatchConfig:
+				r.watching = c.On
+			case Spread:
+				r.spread = append(r.spread, c.Mark)
+			case Peers:
+				r.peers = c.Peers
+			}
+		}
+	}
+}
+
+// pass lets time pass in steps of 200 ms, with events repeated every second.
+func (r *rig) pass(d time.Duration, every ...Event) {
+	for end := r.now + d; r.now < end; {
+		r.now += 200 * time.Millisecond
+		if r.now%time.Second == 0 {
+			r.do(every...)
+		}
+		r.do(Tick{})
+	}
+}
+
+func heard(id fleet.InstanceID, dc fleet.DataCentre, incarnation uint64) Heard {
+	return Heard{Profile: Profile{ID: id, DataCentre: dc, Address: "192.0.2.20:" + string(id)}, Incarnation: incarnation}
+}
+
+func (r *rig) answer(incarnation fleet.Incarnation, leaving bool) Polled {
+	return Polled{Load: sched.LoadReport{Upstream: "engine-1", Incarnation: incarnation, At: r.now, Leaving: leaving}}
+}
+
+func (r *rig) wantUpstream(status UpstreamStatus, cause Cause) {
+	r.t.Helper()
+	if got := r.upstream["engine-1"]; got.Status != status || got.Cause != cause {
+		r.t.Errorf("engine-1 is %v (%v), want %v (%v)", got.Status, got.Cause, status, cause)
+	}
+}
+
+// TestUpstreamEnds guards against a withdrawn, a crashed, a replaced and a
+// restarted upstream being taken for one another.
+func TestUpstreamEnds(t *testing.T) {
+	failed := PollFailed{Upstream: "engine-1"}
+	for _, c := range []struct {
+		name   string
+		drive  func(r *rig)
+		status UpstreamStatus
+		cause  Cause
+	}{
+		{"running", func(*rig) {}, UpstreamLive, CauseReported},
+		{"one lost poll", func(r *rig) { r.do(failed) }, UpstreamLive, CauseReported},
+		{"crashed", func(r *rig) { r.do(failed, failed, failed) }, UpstreamUnreachable, CauseSilent},
+		{"answers again", func(r *rig) { r.do(failed, failed, failed, r.answer("x", false)) }, UpstreamLive, CauseReported},
+		{"no reports", func(r *rig) { r.pass(7 * time.Second) }, UpstreamUnreachable, CauseSilent},
+		{"announces its departure", func(r *rig) { r.do(r.answer("x", true)) }, UpstreamLeaving, CauseMarked},
+		{"takes the announcement back", func(r *rig) {
+			r.do(r.answer("x", true), r.answer("x", false))
+		}, UpstreamLeaving, CauseMarked},
+		{"withdrawn", func(r *rig) {
+			r.do(r.answer("x", true), failed, failed, failed)
+		}, UpstreamGone, CauseWithdrawn},
+		{"restarted unnoticed", func(r *rig) { r.do(r.answer("y", false)) }, UpstreamLive, CauseRestarted},
+		{"restarted after a crash", func(r *rig) {
+			r.do(failed, failed, failed, r.answer("y", false))
+		}, UpstreamLive, CauseRestarted},
+		{"replaced", func(r *rig) {
+			r.do(r.answer("x", true), failed, failed, failed, r.answer("y", false))
+		}, UpstreamLive, CauseReplaced},
+		{"replaced by one that is leaving too", func(r *rig) {
+			r.do(r.answer("x", true), r.answer("y", true))
+		}, UpstreamLeaving, CauseMarked},
+		{"drained", func(r *rig) { r.do(Marked{Mark: Mark{"engine-1", ""}}) }, UpstreamLeaving, CauseMarked},
+		{"a late mark of the predecessor", func(r *rig) {
+			r.do(r.answer("y", false), Marked{Mark: Mark{"engine-1", "x"}})
+		}, UpstreamLive, CauseRestarted},
+		{"a mark ahead of its incarnation", func(r *rig) {
+			r.do(Marked{Mark: Mark{"engine-1", "y"}}, r.answer("y", false))
+		}, UpstreamLeaving, CauseRestarted},
+		{"a late report of the predecessor", func(r *rig) {
+			r.do(r.answer("y", false))
+			r.now += time.Second
+			r.do(Reported{Report{Generation: 1, Load: sched.LoadReport{Upstream: "engine-1", Incarnation: "x", At: r.now}}})
+		}, UpstreamLive, CauseRestarted},
+		{"a late word that it does not answer", func(r *rig) {
+			r.do(Reported{Report{Generation: 1, Unreachable: true, Load: sched.LoadReport{Upstream: "engine-1", At: r.now - time.Second}}})
+		}, UpstreamLive, CauseReported},
+		{"undeclared", func(r *rig) { r.do(Declared{Upstreams: testUpstreams[1:]}) }, UpstreamGone, CauseUndeclared},
+		{"many marks of other incarnations", func(r *rig) {
+			r.do(Marked{Mark: Mark{"engine-1", "x"}})
+			for i := range 20 {
+				r.do(Marked{Mark: Mark{"engine-1", fleet.Incarnation(fmt.Sprint(i))}})
+			}
+		}, UpstreamLeaving, CauseMarked},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, "a1")
+			r.do(r.answer("x", false))
+			c.drive(r)
+			r.wantUpstream(c.status, c.cause)
+			state := r.upstream["engine-1"].State
+			if usable := state.Available && !state.Leaving; usable != (c.status == UpstreamLive) {
+				t.Errorf("usable is %v in state %v", usable, c.status)
+			}
+			if n := len(r.upstreams["engine-1"].marksOrNone()); n > maxMarks {
+				t.Errorf("%d marks are kept", n)
+			}
+		})
+	}
+}
+
+func (u *upstream) marksOrNone() []fleet.Incarnation {
+	if u == nil {
+		return nil
+	}
+	return u.marks
+}
+
+// TestGenerationSettles guards against two pollers that never agree on which
+// of two incarnations is the later one.
+func TestGenerationSettles(t *testing.T) {
+	r := newRig(t, "a1")
+	r.do(r.answer("new", false))
+	r.now += time.Second
+	r.do(Reported{Report{Generation: 9, Load: sched.LoadReport{Upstream: "engine-1", Incarnation: "old", At: r.now}}})
+	r.now += time.Second
+	r.do(r.answer("new", false))
+	if got := r.Upstreams()[0]; got.Incarnation != "new" || got.Generation != 10 {
+		t.Errorf("incarnation %s in generation %d, want new in 10", got.Incarnation, got.Generation)
+	}
+}
+
+// TestPlatformList guards against a list that lags, omits, invents or flaps
+// being believed over what is heard, or marking the wrong incarnation.
+func TestPlatformList(t *testing.T) {
+	row := func(leaving bool) Listed { return Listed{Rows: []Row{{ID: "engine-1", Leaving: leaving}}} }
+	byAddress := Listed{Rows: []Row{{ID: "i-0042", Address: "192.0.2.1:80", Leaving: true}}}
+	for _, c := range []struct {
+		name   string
+		drive  func(r *rig)
+		status UpstreamStatus
+		spread []Mark
+	}{
+		{"staying", func(r *rig) { r.do(row(false)) }, UpstreamLive, nil},
+		{"begins to leave", func(r *rig) { r.do(row(false), row(true)) }, UpstreamLeaving, []Mark{{"engine-1", "x"}}},
+		{"leaves under its address", func(r *rig) { r.do(row(false), byAddress) }, UpstreamLeaving, []Mark{{"engine-1", "x"}}},
+		{"appears only when leaving", func(r *rig) {
+			r.do(Listed{Rows: []Row{{ID: "other"}}}, row(true))
+		}, UpstreamLeaving, []Mark{{"engine-1", "x"}}},
+		{"leaving at first sight is held here", func(r *rig) { r.do(row(true)) }, UpstreamLeaving, nil},
+		{"held until the row changes", func(r *rig) { r.do(row(true), row(false)) }, UpstreamLive, nil},
+		{"held until the incarnation changes", func(r *rig) { r.do(row(true), r.answer("y", false)) }, UpstreamLive, nil},
+		{"row goes missing", func(r *rig) {
+			r.do(row(false), row(true), Listed{Rows: []Row{}})
+		}, UpstreamLeaving, []Mark{{"engine-1", "x"}}},
+		{"mark outlives the row", func(r *rig) {
+			r.do(row(false), row(true), row(false))
+		}, UpstreamLeaving, []Mark{{"engine-1", "x"}}},
+		{"list lags behind the replacement", func(r *rig) {
+			r.do(row(false), row(true), r.answer("y", false), row(true))
+		}, UpstreamLive, []Mark{{"engine-1", "x"}}},
+		{"list flaps after the replacement", func(r *rig) {
+			r.do(row(false), row(true), r.answer("y", false), row(false), row(true), row(false))
+		}, UpstreamLive, []Mark{{"engine-1", "x"}}},
+		{"the replacement leaves too", func(r *rig) {
+			r.do(row(false), row(true), r.answer("y", false), row(false))
+			r.now += listLag
+			r.do(r.answer("y", false), row(true))
+		}, UpstreamLeaving, []Mark{{"engine-1", "x"}, {"engine-1", "y"}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, "a1")
+			r.do(r.answer("x", false))
+			c.drive(r)
+			if got := r.upstream["engine-1"].Status; got != c.status {
+				t.Errorf("engine-1 is %v, want %v", got, c.status)
+			}
+			if !slices.Equal(r.spread, c.spread) {
+				t.Errorf("spread %v, want %v", r.spread, c.spread)
+			}
+		})
+	}
+}
+
+// TestInstances guards against a wrong list making an instance live or gone.
+func TestInstances(t *testing.T) {
+	listed := Listed{Rows: []Row{{ID: "a2", DataCentre: "a", Address: "192.0.2.99:1"}}}
+	empty := Listed{Rows: []Row{}}
+	for _, c := range []struct {
+		name  string
+		drive func(r *rig)
+		want  InstanceStatus
+		peers int
+	}{
+		{"listed, never heard", func(r *rig) { r.do(listed); r.pass(2 * time.Second) }, InstanceSuspect, 1},
+		{"listed, silent for long", func(r *rig) { r.do(listed); r.pass(20 * time.Second) }, InstanceGone, 1},
+		{"heard, not listed", func(r *rig) { r.do(heard("a2", "a", 1)); r.pass(9*time.Second, empty, heard("a2", "a", 1)) }, InstanceLive, 1},
+		{"silent for four seconds", func(r *rig) { r.do(heard("a2", "a", 1)); r.pass(4 * time.Second) }, InstanceSuspect, 1},
+		{"silent for long, not listed", func(r *rig) { r.do(heard("a2", "a", 1)); r.pass(11 * time.Second) }, InstanceGone, 0},
+		{"flapping list", func(r *rig) {
+			r.pass(3*time.Second, listed, heard("a2", "a", 1), empty)
+		}, InstanceLive, 1},
+		{"leaving by its own word", func(r *rig) {
+			ev := heard("a2", "a", 1)
+			ev.Leaving = true
+			r.do(ev)
+		}, InstanceLeaving, 1},
+		{"restarted after leaving", func(r *rig) {
+			ev := heard("a2", "a", 1)
+			ev.Leaving = true
+			r.do(ev, heard("a2", "a", 2))
+		}, InstanceLive, 1},
+		{"late message of an earlier process", func(r *rig) {
+			ev := heard("a2", "a", 1)
+			ev.Leaving = true
+			r.do(heard("a2", "a", 2), ev)
+		}, InstanceLive, 1},
+		{"returns", func(r *rig) {
+			r.do(heard("a2", "a", 1))
+			r.pass(11 * time.Second)
+			r.do(heard("a2", "a", 2))
+		}, InstanceLive, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, "a1")
+			c.drive(r)
+			if got := r.instance["a2"]; got != c.want {
+				t.Errorf("a2 is %v, want %v", got, c.want)
+			}
+			if len(r.peers) != c.peers {
+				t.Errorf("%d peers, want %d", len(r.peers), c.peers)
+			}
+		})
+	}
+	t.Run("an instance's own address outranks the list's", func(t *testing.T) {
+		r := newRig(t, "a1")
+		r.do(listed, heard("a2", "a", 1), listed)
+		if got := r.Instances()[0].Address; got != heard("a2", "a", 1).Profile.Address {
+			t.Errorf("address %s", got)
+		}
+	})
+	t.Run("a list of many invented instances is bounded", func(t *testing.T) {
+		r := newRig(t, "a1")
+		var rows []Row
+		for i := range 5 * maxInstances {
+			rows = append(rows, Row{ID: fmt.Sprint(i), DataCentre: "a"})
+		}
+		r.do(Listed{Rows: rows})
+		if n := len(r.Instances()); n != maxInstances {
+			t.Errorf("%d instances are kept", n)
+		}
+	})
+}
+
+// TestPollingAssignment guards against upstreams that nobody polls, above all
+// after their poller is gone, and against each instance polling all.
+func TestPollingAssignment(t *testing.T) {
+	rigs := map[fleet.InstanceID]*rig{"a1": newRig(t, "a1"), "a2": newRig(t, "a2"), "a3": newRig(t, "a3")}
+	beat := func(alive ...fleet.InstanceID) {
+		for _, at := range alive {
+			var events []Event
+			for _, id := range alive {
+				if id != at {
+					events = append(events, heard(id, "a", 1))
+				}
+			}
+			// The poller's reports arrive, so that nothing is late.
+			events = append(events, heard("b1", "b", 1))
+			rigs[at].pass(time.Second, events...)
+			for _, u := range testUpstreams {
+				rigs[at].do(Reported{Report{Generation: 1, Load: sched.LoadReport{Upstream: u.ID, Incarnation: "x", At: rigs[at].now}}})
+			}
+		}
+	}
+	pollers := func(id fleet.UpstreamID, alive ...fleet.InstanceID) (out []fleet.InstanceID) {
+		for _, at := range alive {
+			if slices.Contains(rigs[at].polled, id) {
+				out = append(out, at)
+			}
+		}
+		return out
+	}
+	for range 3 {
+		beat("a1", "a2", "a3")
+	}
+	for _, u := range testUpstreams[:2] {
+		if got := pollers(u.ID, "a1", "a2", "a3"); len(got) != 1 {
+			t.Errorf("%s is polled by %v, want one instance", u.ID, got)
+		}
+	}
+	if got := pollers("engine-3", "a1", "a2", "a3"); len(got) != 0 {
+		t.Errorf("engine-3 of the connected data centre b is polled by %v", got)
+	}
+	dead := pollers("engine-1", "a1", "a2", "a3")[0]
+	rest := slices.DeleteFunc([]fleet.InstanceID{"a1", "a2", "a3"}, func(id fleet.InstanceID) bool { return id == dead })
+	for range 4 {
+		beat(rest...)
+	}
+	if got := pollers("engine-1", rest...); len(got) != 1 {
+		t.Errorf("engine-1 is polled by %v four seconds after its poller was killed", got)
+	}
+	watchers := 0
+	for _, at := range rest {
+		if rigs[at].watching {
+			watchers++
+		}
+	}
+	if watchers != 2 {
+		t.Errorf("%d watchers, want 2", watchers)
+	}
+	t.Run("a partitioned data centre's engines are tried", func(t *testing.T) {
+		r := rigs[rest[0]]
+		r.pass(reachAfter + 2*time.Second)
+		if r.reach["b"] || !slices.Contains(r.polled, "engine-3") {
+			t.Errorf("reach of b is %v, polled %v", r.reach["b"], r.polled)
+		}
+	})
+	t.Run("reports that do not arrive are fetched", func(t *testing.T) {
+		r := newRig(t, rest[0])
+		r.pass(5*time.Second, heard("a2", "a", 1), heard("a3", "a", 1))
+		if !slices.Contains(r.polled, "engine-1") || !slices.Contains(r.polled, "engine-2") {
+			t.Errorf("polled %v while the poller is heard but its reports are not", r.polled)
+		}
+	})
+}
+
+// TestOwnersMoveLittle guards against an assignment that moves more than the
+// keys of the instance that left, and against an uneven one.
+func TestOwnersMoveLittle(t *testing.T) {
+	var ids []fleet.InstanceID
+	for i := range 35 {
+		ids = append(ids, fleet.InstanceID(fmt.Sprintf("entry-%02d", i)))
+	}
+	count := map[fleet.InstanceID]int{}
+	for i := range 7000 {
+		key := fmt.Sprint("key ", i)
+		before := Owner(key, ids)
+		count[before]++
+		if after := Owner(key, ids[1:]); before != ids[0] && after != before {
+			t.Fatalf("%s moved from %s to %s", key, before, after)
+		}
+	}
+	for _, id := range ids {
+		if n := count[id]; n < 140 || n > 260 {
+			t.Errorf("%s owns %d of 7000 keys, want about 200", id, n)
+		}
+	}
+}
--- /dev/null
+++ b/peer/node_test.go
@@ -0,0 +1,410 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/config"
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/membership"
+	"github.com/bramleywick/bramleywick/core/sched"
+	"github.com/bramleywick/bramleywick/peer"
+)
+
+// departureBound is the time within which every instance must know of a
+// departure.
+const departureBound = 3 * time.Second
+
+// network carries the connections of a test and breaks them.
+type network struct {
+	mu     sync.Mutex
+	faults map[[2]string]fault // from, to
+}
+
+type fault struct {
+	cut        bool
+	delay      time.Duration
+	loseAnswer bool
+}
+
+var errCut = errors.New("cut")
+
+func (w *network) set(from, to string, f fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults[[2]string{from, to}] = f
+}
+
+func (w *network) fault(from, to string) fault {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults[[2]string{from, to}]
+}
+
+type faultyConn struct {
+	net.Conn
+	now func() fault
+}
+
+func (c faultyConn) Write(p []byte) (int, error) {
+	f := c.now()
+	if f.cut {
+		_ = c.Close()
+		return 0, errCut
+	}
+	time.Sleep(f.delay)
+	return c.Conn.Write(p)
+}
+
+func (c faultyConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if f := c.now(); f.cut || f.loseAnswer {
+		_ = c.Close()
+		return 0, errCut
+	}
+	return n, err
+}
+
+// member is one node with what it was told.
+type member struct {
+	*peer.Node
+	id       string
+	address  string
+	start    time.Time
+	listener net.Listener
+	stop     context.CancelFunc
+
+	mu      sync.Mutex
+	record  config.Record
+	pending sched.Shared
+	got     map[fleet.MemberID]float64
+	leaving map[fleet.UpstreamID]time.Time
+}
+
+func (m *member) Record() config.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.record
+}
+
+// Offer puts a record in force as config.Keeper does.
+func (m *member) Offer(r config.Record) error {
+	m.mu.Lock()
+	newer := r.Version > m.record.Version
+	if newer {
+		m.record = r
+	}
+	m.mu.Unlock()
+	if newer {
+		m.Configure(r.Version, testDeclaration())
+	}
+	return nil
+}
+
+func (m *member) schedule(ev sched.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch ev := ev.(type) {
+	case sched.PeerService:
+		m.got[ev.Member] += ev.Cost
+	case sched.UpstreamState:
+		if ev.Leaving {
+			m.leaving[ev.Upstream] = time.Now()
+		}
+	}
+}
+
+func (m *member) shared() sched.Shared {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := m.pending
+	m.pending = sched.Shared{}
+	return out
+}
+
+func (m *member) serve(cost float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pending.Service = append(m.pending.Service, sched.PeerService{Member: "shea", Group: "language", Cost: cost})
+}
+
+func (m *member) counted() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.got["shea"]
+}
+
+func (m *member) knowsDeparture() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.leaving["engine-1"].IsZero()
+}
+
+func testDeclaration() *declare.Declaration {
+	return &declare.Declaration{
+		Members:   []declare.Member{{ID: "shea"}},
+		Groups:    []declare.Group{{Name: "language"}},
+		Upstreams: []declare.Upstream{{ID: "engine-1", DataCentre: "a"}},
+	}
+}
+
+// start runs a node; the first letter of its name is its data centre.
+func (w *network) start(ctx context.Context, id string, seeds ...string) *member {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	m := &member{
+		id: id, address: listener.Addr().String(), start: time.Now(), listener: listener,
+		got: map[fleet.MemberID]float64{}, leaving: map[fleet.UpstreamID]time.Time{},
+	}
+	m.Node = peer.New(peer.Options{
+		Self:        membership.Profile{ID: fleet.InstanceID(id), DataCentre: fleet.DataCentre(id[:1]), Address: m.address},
+		Incarnation: uint64(time.Now().UnixMilli()), Seed: membership.Hash(id),
+		Now: func() fleet.Instant { return time.Since(m.start) }, Config: m, Seeds: seeds, Log: zap.NewNop(),
+		Hooks: peer.Hooks{
+			Schedule: m.schedule, Shared: m.shared, Poll: func([]fleet.UpstreamID) {}, Watch: func(bool) {},
+		},
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			now := func() fault { return w.fault(id, address) }
+			if now().cut {
+				return nil, errCut
+			}
+			var d net.Dialer
+			conn, err := d.DialContext(ctx, "tcp", address)
+			return faultyConn{conn, now}, err
+		},
+	})
+	ctx, m.stop = context.WithCancel(ctx)
+	go func() { _ = m.Serve(listener) }()
+	go m.Run(ctx)
+	return m
+}
+
+// kill ends a node without a word to its peers.
+func (m *member) kill() {
+	m.stop()
+	_ = m.listener.Close()
+}
+
+// eventually waits for a condition and returns how long it took.
+func eventually(limit time.Duration, done func() bool) time.Duration {
+	begin := time.Now()
+	for !done() && time.Since(begin) < limit+time.Second {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+// fleetOf starts nodes that know each other through the first one, with
+// version 1 in force at the first one only.
+func (w *network) fleetOf(ctx context.Context, ids ...string) []*member {
+	first := w.start(ctx, ids[0])
+	So(first.Offer(config.Record{Version: 1, Text: "one"}), ShouldBeNil)
+	members := []*member{first}
+	for _, id := range ids[1:] {
+		members = append(members, w.start(ctx, id, first.address))
+	}
+	took := eventually(5*time.Second, func() bool {
+		for _, m := range members {
+			if m.Record().Version != 1 || len(m.Instances()) != len(ids)-1 || !allLive(m) {
+				return false
+			}
+		}
+		return true
+	})
+	So(took, ShouldBeLessThan, 5*time.Second)
+	// What an instance does before it has greeted a peer is not told to it.
+	time.Sleep(time.Second)
+	return members
+}
+
+func allLive(m *member) bool {
+	for _, i := range m.Instances() {
+		if i.Status != membership.InstanceLive {
+			return false
+		}
+	}
+	return true
+}
+
+// TestPeerFaults guards against a departure that one broken link keeps from an
+// instance, and against service lost or counted twice over broken links.
+func TestPeerFaults(t *testing.T) {
+	type setup func(w *network, a1, a2, a3 *member)
+	for _, c := range []struct {
+		name string
+		set  setup
+	}{
+		{"all is well", func(*network, *member, *member, *member) {}},
+		{"cut one way", func(w *network, a1, a2, _ *member) { w.set("a1", a2.address, fault{cut: true}) }},
+		{"cut the other way", func(w *network, a1, a2, _ *member) { w.set("a2", a1.address, fault{cut: true}) }},
+		{"cut both ways", func(w *network, a1, a2, _ *member) {
+			w.set("a1", a2.address, fault{cut: true})
+			w.set("a2", a1.address, fault{cut: true})
+		}},
+		{"delayed", func(w *network, a1, a2, a3 *member) {
+			w.set("a1", a2.address, fault{delay: 400 * time.Millisecond})
+			w.set("a1", a3.address, fault{delay: 400 * time.Millisecond})
+		}},
+		{"delayed beyond the deadline", func(w *network, a1, a2, _ *member) {
+			w.set("a1", a2.address, fault{delay: 1200 * time.Millisecond})
+		}},
+		{"answers are lost", func(w *network, a1, a2, a3 *member) {
+			w.set("a1", a2.address, fault{loseAnswer: true})
+			w.set("a1", a3.address, fault{loseAnswer: true})
+		}},
+	} {
+		Convey("With three instances and: "+c.name, t, func() {
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			w := &network{faults: map[[2]string]fault{}}
+			ms := w.fleetOf(ctx, "a1", "a2", "a3")
+			c.set(w, ms[0], ms[1], ms[2])
+			ms[0].serve(3)
+			time.Sleep(1500 * time.Millisecond)
+			ms[0].serve(4)
+			ms[0].Member(membership.Marked{Mark: membership.Mark{Upstream: "engine-1"}})
+			// The state of an upstream that nobody reports on is pending until
+			// its first report.
+			for _, m := range ms {
+				m.Member(membership.Polled{Load: sched.LoadReport{Upstream: "engine-1", Incarnation: "x"}})
+			}
+			took := eventually(departureBound, func() bool { return ms[1].knowsDeparture() && ms[2].knowsDeparture() })
+			So(took, ShouldBeLessThan, departureBound)
+			for _, m := range ms {
+				w.set("a1", m.address, fault{})
+				w.set("a2", m.address, fault{})
+			}
+			eventually(5*time.Second, func() bool { return ms[1].counted() >= 7 && ms[2].counted() >= 7 })
+			time.Sleep(1500 * time.Millisecond)
+			So(ms[1].counted(), ShouldEqual, 7)
+			So(ms[2].counted(), ShouldEqual, 7)
+		})
+	}
+}
+
+// TestRestartedPeer guards against an instance that cannot return under its
+// name, and against its earlier service being counted again.
+func TestRestartedPeer(t *testing.T) {
+	Convey("With three instances of which one is killed and started again", t, func() {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		w := &network{faults: map[[2]string]fault{}}
+		ms := w.fleetOf(ctx, "a1", "a2", "a3")
+		ms[2].serve(5)
+		eventually(3*time.Second, func() bool { return ms[0].counted() == 5 && ms[1].counted() == 5 })
+		ms[2].kill()
+		again := w.start(ctx, "a3", ms[0].address)
+		eventually(5*time.Second, func() bool { return again.Record().Version == 1 && allLive(again) && len(again.Instances()) == 2 })
+		again.serve(2)
+		eventually(5*time.Second, func() bool { return ms[0].counted() >= 7 && ms[1].counted() >= 7 })
+		time.Sleep(1200 * time.Millisecond)
+		So(ms[0].counted(), ShouldEqual, 7)
+		So(ms[1].counted(), ShouldEqual, 7)
+		So(again.counted(), ShouldEqual, 0)
+	})
+}
+
+// TestVersionsOnlyRise guards against a peer's older configuration coming into
+// force and against a newer one staying at one instance.
+func TestVersionsOnlyRise(t *testing.T) {
+	Convey("With two data centres cut from each other while both get new versions", t, func() {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		w := &network{faults: map[[2]string]fault{}}
+		ms := w.fleetOf(ctx, "a1", "a2", "b1")
+		for _, m := range ms[:2] {
+			w.set(m.id, ms[2].address, fault{cut: true})
+			w.set("b1", m.address, fault{cut: true})
+		}
+		So(ms[1].Offer(config.Record{Version: 3, Text: "three"}), ShouldBeNil)
+		So(ms[2].Offer(config.Record{Version: 2, Text: "two"}), ShouldBeNil)
+		So(eventually(3*time.Second, func() bool { return ms[0].Record().Version == 3 }), ShouldBeLessThan, 3*time.Second)
+		So(ms[2].Record().Version, ShouldEqual, 2)
+		w.set("a1", ms[2].address, fault{})
+		w.set("a2", ms[2].address, fault{})
+		w.set("b1", ms[0].address, fault{})
+		w.set("b1", ms[1].address, fault{})
+		So(eventually(10*time.Second, func() bool { return ms[2].Record().Version == 3 }), ShouldBeLessThan, 10*time.Second)
+		So(ms[2].Record().Text, ShouldEqual, "three")
+		So(ms[0].Record().Version, ShouldEqual, 3)
+	})
+}
+
+// TestHostilePeer guards against a peer that sends too much or nonsense taking
+// the instance down.
+func TestHostilePeer(t *testing.T) {
+	Convey("With an instance", t, func() {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		m := (&network{faults: map[[2]string]fault{}}).start(ctx, "a1")
+		So(m.Offer(config.Record{Version: 1, Text: "one"}), ShouldBeNil)
+		Convey("noise closes the connection", func() {
+			conn, err := net.Dial("tcp", m.address)
+			So(err, ShouldBeNil)
+			_, _ = conn.Write(bytes.Repeat([]byte{0xff}, 1<<16))
+			So(conn.SetReadDeadline(time.Now().Add(2*time.Second)), ShouldBeNil)
+			_, err = conn.Read(make([]byte, 1))
+			So(errors.Is(err, context.DeadlineExceeded), ShouldBeFalse)
+		})
+		Convey("a message beyond the limit is not read", func() {
+			client, err := rpc.Dial("tcp", m.address)
+			So(err, ShouldBeNil)
+			var out peer.Delta
+			err = client.Call("Exchange.Push", peer.Delta{Payload: make([]byte, 4<<20)}, &out)
+			So(err, ShouldNotBeNil)
+		})
+		Convey("a malformed payload is refused and the connection lives on", func() {
+			client, err := rpc.Dial("tcp", m.address)
+			So(err, ShouldBeNil)
+			var out peer.Delta
+			So(client.Call("Exchange.Push", peer.Delta{Payload: []byte("nonsense")}, &out), ShouldNotBeNil)
+			var answer peer.ConfigReply
+			So(client.Call("Exchange.Config", peer.ConfigArgs{}, &answer), ShouldBeNil)
+			So(answer.Version, ShouldEqual, 1)
+		})
+	})
+}
+
+// TestConfigDifference guards against every change costing each daemon the
+// whole declaration, and against a difference applied to another text.
+func TestConfigDifference(t *testing.T) {
+	Convey("With the declaration of the designed size in force", t, func() {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		m := (&network{faults: map[[2]string]fault{}}).start(ctx, "a1")
+		var text strings.Builder
+		for i := range 1300 {
+			fmt.Fprintf(&text, "[member team-%04d]\nshare = 1\nkey_sha256 = %s\nkinds = ledger, lookup\n\n", i, declare.HashKey(fmt.Sprint(i)))
+		}
+		first := text.String()
+		second := strings.Replace(first, "[member team-0700]\nshare = 1", "[member team-0700]\nshare = 2.5", 1)
+		So(m.Offer(config.Record{Version: 1, Text: first}), ShouldBeNil)
+		So(m.Offer(config.Record{Version: 2, Text: second}), ShouldBeNil)
+		ask := func(in peer.ConfigArgs) peer.ConfigReply {
+			client, err := rpc.Dial("tcp", m.address)
+			So(err, ShouldBeNil)
+			defer func() { _ = client.Close() }()
+			var out peer.ConfigReply
+			So(client.Call("Exchange.Config", in, &out), ShouldBeNil)
+			return out
+		}
+		difference := ask(peer.ConfigArgs{Have: 1, Digest: membership.Hash(first)})
+		So(len(difference.Middle), ShouldBeLessThan, 100)
+		whole := ask(peer.ConfigArgs{})
+		other := ask(peer.ConfigArgs{Have: 1, Digest: membership.Hash("another text")})
+		So(other.Prefix+other.Suffix, ShouldEqual, 0)
+		Printf("declaration %d bytes, packed %d, difference %d", len(second), len(whole.Middle), len(difference.Middle))
+	})
+}
