Ask a second poller before an upstream is given up

Cause: one poller with a broken link to an engine took it away from every instance.

Change: a report of silence makes the next instance in the rendezvous order poll too, and an answer outweighs silence for two seconds. A stopped listener closes its peers' connections.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -59,6 +59,9 @@
 	maxPending = 13000
 	// maxOrigins bounds the senders whose sequences are remembered.
 	maxOrigins = 4096
+	// maxAsks bounds the peers asked for their peers, whose answers take up to
+	// 20 KB each.
+	maxAsks = 3
 	// maxPeersTold bounds the peers in an answer.
 	maxPeersTold = 512
 )
@@ -91,16 +94,17 @@
 	reports  map[fleet.UpstreamID]*stampedReport
 	marks    map[membership.Mark]uint64
 	// stamp numbers the changes of reports and marks.
-	stamp     uint64
-	pushes    uint64
-	owners    [slots]fleet.InstanceID
-	planAt    fleet.Instant
-	roundAt   fleet.Instant
-	fetchAt   fleet.Instant
-	mesh      bool
-	introduce bool
-	dropped   uint64
-	ready     []Command
+	stamp   uint64
+	pushes  uint64
+	owners  [slots]fleet.InstanceID
+	planAt  fleet.Instant
+	roundAt fleet.Instant
+	fetchAt fleet.Instant
+	mesh    bool
+	// asks is how many more peers are asked for the instances they know.
+	asks    int
+	dropped uint64
+	ready   []Command
 }
 
 type stampedReport struct {
@@ -129,16 +133,16 @@
 // New returns an exchange without peers.
 func New(config Config) *Exchange {
 	return &Exchange{
-		config:    config,
-		names:     NewNames(&declare.Declaration{}),
-		random:    membership.Hash(strconv.FormatUint(config.Seed, 16), strconv.FormatUint(config.Incarnation, 16)) | 1,
-		sessions:  map[fleet.InstanceID]*session{},
-		origins:   map[fleet.InstanceID]*origin{},
-		handles:   map[uint64]*origin{},
-		outbound:  map[fleet.DataCentre]map[itemKey]float64{},
-		reports:   map[fleet.UpstreamID]*stampedReport{},
-		marks:     map[membership.Mark]uint64{},
-		introduce: true,
+		config:   config,
+		names:    NewNames(&declare.Declaration{}),
+		random:   membership.Hash(strconv.FormatUint(config.Seed, 16), strconv.FormatUint(config.Incarnation, 16)) | 1,
+		sessions: map[fleet.InstanceID]*session{},
+		origins:  map[fleet.InstanceID]*origin{},
+		handles:  map[uint64]*origin{},
+		outbound: map[fleet.DataCentre]map[itemKey]float64{},
+		reports:  map[fleet.UpstreamID]*stampedReport{},
+		marks:    map[membership.Mark]uint64{},
+		asks:     maxAsks,
 	}
 }
 
--- a/core/exchange/session.go
+++ b/core/exchange/session.go
@@ -123,7 +123,8 @@
 	f := e.frame()
 	if !s.open {
 		f.profile = &e.config.Self
-		f.askPeers = e.introduce
+		f.askPeers = e.asks > 0
+		e.asks = max(e.asks-1, 0)
 	} else {
 		e.fill(now, s, f)
 	}
@@ -264,7 +265,7 @@
 		ConfigVersion: a.configVersion, Leaving: a.leaving,
 	})
 	if len(a.welcome.peers) > 0 {
-		e.introduce = false
+		e.asks = 0
 		e.learn(membership.Introduced{Profiles: a.welcome.peers})
 	}
 }
--- a/core/membership/instances.go
+++ b/core/membership/instances.go
@@ -239,7 +239,11 @@
 			return false
 		}
 	}
-	return Owner("poll "+string(u.ID), members) == m.config.Self.ID
+	pollers := 1
+	if u.disputed {
+		pollers = 2
+	}
+	return slices.Contains(Owners("poll "+string(u.ID), pollers, members), m.config.Self.ID)
 }
 
 // otherRegion tells whether a data centre is known to be in another region.
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -29,6 +29,13 @@
 	// failedPolls in a row make an upstream unreachable. One may be lost to a
 	// pause of either side.
 	failedPolls = 3
+	// answerGrace is how long an answer that one poller got outweighs the
+	// silence that another one reports. It covers the second poller's period
+	// and push.
+	answerGrace = 2 * time.Second
+	// disputeFor is how long the second poller goes on after the last report
+	// of silence.
+	disputeFor = 5 * time.Second
 	// reachAfter is the silence after which a data centre counts as
 	// partitioned: two exchanges of five seconds and one retry.
 	reachAfter = 12 * time.Second
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -377,6 +377,33 @@
 	})
 }
 
+// TestDisputedSilence guards against one poller's broken link taking an
+// upstream away from every instance, and against a crash being disputed for long.
+func TestDisputedSilence(t *testing.T) {
+	silence := func(r *rig) Event {
+		return Reported{Report{Generation: 1, Unreachable: true, Load: sched.LoadReport{Upstream: "engine-1", At: r.now}}}
+	}
+	r := newRig(t, "a1")
+	r.do(r.answer("x", false), heard("a2", "a", 1))
+	if Owner("poll engine-1", []fleet.InstanceID{"a1", "a2"}) == "a1" {
+		t.Fatal("the test needs an upstream that a2 polls")
+	}
+	r.do(silence(r))
+	if !slices.Contains(r.polled, "engine-1") {
+		t.Errorf("polled %v, want a second opinion on engine-1", r.polled)
+	}
+	for range 10 {
+		r.pass(time.Second, heard("a2", "a", 1), silence(r))
+		r.do(Reported{Report{Generation: 1, Load: sched.LoadReport{Upstream: "engine-1", Incarnation: "x", At: r.now}}})
+	}
+	r.wantUpstream(UpstreamLive, CauseReported)
+	for range 3 {
+		r.pass(time.Second, heard("a2", "a", 1))
+		r.do(silence(r))
+	}
+	r.wantUpstream(UpstreamUnreachable, CauseSilent)
+}
+
 // TestOwnersMoveLittle guards against an assignment that moves more than the
 // keys of the instance that left, and against an uneven one.
 func TestOwnersMoveLittle(t *testing.T) {
--- a/core/membership/upstreams.go
+++ b/core/membership/upstreams.go
@@ -69,6 +69,10 @@
 	failed int
 	// down is the poller's word that the upstream does not answer.
 	down bool
+	// peerAt is when a peer's report of an answer arrived, disputedAt when a
+	// peer last reported that there was none.
+	peerAt, disputedAt fleet.Instant
+	disputed           bool
 	// late tells that no report arrived although the poller is heard.
 	late bool
 	// listing is what the platform's list said last, leftAt when it last said
@@ -233,6 +237,9 @@
 	if u == nil || r.Generation < u.generation {
 		return
 	}
+	if r.Unreachable {
+		m.dispute(now, u)
+	}
 	// Two pollers that start at the same time can give one generation to
 	// different incarnations; the next own poll settles it.
 	if r.Generation == u.generation && u.known && r.Load.At <= u.at {
@@ -241,10 +248,25 @@
 	if u.late {
 		u.late, m.changed = false, true
 	}
+	if !r.Unreachable {
+		u.peerAt = now
+	}
 	m.accept(now, u, r)
 }
 
+// dispute makes a second instance poll an upstream that a peer cannot reach:
+// the fault may be the peer's.
+func (m *Machine) dispute(now fleet.Instant, u *upstream) {
+	u.disputedAt = now
+	if !u.disputed {
+		u.disputed, m.changed = true, true
+	}
+}
+
 func (m *Machine) accept(now fleet.Instant, u *upstream, r Report) {
+	if r.Unreachable && u.peerAt != 0 && now-u.peerAt < answerGrace {
+		return
+	}
 	cause := CauseReported
 	if !r.Unreachable && (!u.known || u.incarnation != r.Load.Incarnation) {
 		cause = m.succeed(u, r.Load.Incarnation)
@@ -292,6 +314,9 @@
 	if silent > lateAfter && !u.late && u.DataCentre == m.config.Self.DataCentre {
 		u.late, m.changed = true, true
 	}
+	if u.disputed && now-u.disputedAt > disputeFor {
+		u.disputed, m.changed = false, true
+	}
 	if silent > unreachableAfter && !u.down {
 		u.down = true
 		m.judge(u, CauseSilent)
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -142,6 +142,15 @@
 	}
 }
 
+// Kill ends the exchange, the polling and the listeners without a word to
+// peers or callers.
+func (d *Daemon) Kill() {
+	d.stopCluster()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+}
+
 // DrainUpstream marks the running incarnation of an upstream as leaving at
 // every instance. It fails when the upstream is not declared.
 func (d *Daemon) DrainUpstream(id fleet.UpstreamID) error {
--- /dev/null
+++ b/daemon/membership_test.go
@@ -0,0 +1,232 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/membership"
+	"github.com/bramleywick/bramleywick/daemon"
+	"github.com/bramleywick/bramleywick/dev"
+	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/settings"
+	"github.com/bramleywick/bramleywick/standin/engine"
+	standin "github.com/bramleywick/bramleywick/standin/platform"
+)
+
+// departureBound is the time within which every instance must know of a
+// departure.
+const departureBound = 3 * time.Second
+
+// site is a fleet of daemons with stand-ins.
+type site struct {
+	ctx      context.Context
+	platform *standin.Server
+	store    string
+	engines  []*engine.Server
+	rows     []platform.InstanceInfo
+	text     string
+	daemons  []*daemon.Daemon
+}
+
+// newSite starts the platform and two engines in each data centre.
+func newSite(ctx context.Context, dcs ...string) *site {
+	s := &site{ctx: ctx, platform: standin.New()}
+	server := httptest.NewServer(s.platform.Handler())
+	context.AfterFunc(ctx, server.Close)
+	s.store = server.URL
+	var text strings.Builder
+	text.WriteString("[member shea]\nkinds = ledger\n\n[kind ledger]\ngroup = language\ndeadline = 60s\n\n[group language]\ntype = engine\nmodel = m\n")
+	for _, dc := range dcs {
+		for i := range 2 {
+			e := engine.New(engine.Config{Incarnation: fleet.Incarnation(fmt.Sprint(dc, i))})
+			address, err := dev.Serve(ctx, "127.0.0.1:0", e.Handler())
+			So(err, ShouldBeNil)
+			s.engines = append(s.engines, e)
+			fmt.Fprintf(&text, "\n[upstream engine-%s%d]\ngroup = language\naddress = %s\ndata_centre = %s\n", dc, i, address, dc)
+		}
+	}
+	s.text = text.String()
+	return s
+}
+
+// start runs a daemon whose data centre is the first letter of its name.
+func (s *site) start(id string, seeds ...string) *daemon.Daemon {
+	d := daemon.New(&settings.Settings{
+		Instance: fleet.InstanceID(id), DataCentre: fleet.DataCentre(id[:1]), Platform: s.store, PeerSeeds: seeds,
+		CallerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
+		OperatorKeyHashes: []string{declare.HashKey(dev.OperatorKey)}, DrainLimit: time.Second,
+	}, zap.NewNop())
+	So(d.Start(s.ctx), ShouldBeNil)
+	s.rows = append(s.rows, platform.InstanceInfo{ID: id, Address: d.Addresses.Peers, DataCentre: id[:1]})
+	s.platform.SetInstances(s.rows)
+	s.daemons = append(s.daemons, d)
+	context.AfterFunc(s.ctx, d.Kill)
+	return d
+}
+
+// apply puts the declaration in force everywhere and waits for first reports.
+func (s *site) apply() {
+	So(dev.Apply(s.ctx, s.daemons[0].Addresses.Operators, s.text), ShouldBeNil)
+	So(s.eventually(15*time.Second, func(d *daemon.Daemon) bool {
+		return len(d.Instances()) == len(s.daemons)-1 && all(d, membership.UpstreamLive)
+	}), ShouldBeLessThan, 15*time.Second)
+	time.Sleep(time.Second)
+}
+
+func all(d *daemon.Daemon, status membership.UpstreamStatus) bool {
+	ups := d.Upstreams()
+	for _, u := range ups {
+		if u.Status != status {
+			return false
+		}
+	}
+	return len(ups) > 0
+}
+
+func status(d *daemon.Daemon, id fleet.UpstreamID) membership.UpstreamStatus {
+	for _, u := range d.Upstreams() {
+		if u.ID == id {
+			return u.Status
+		}
+	}
+	return membership.UpstreamUnknown
+}
+
+// eventually waits until the condition holds at every daemon.
+func (s *site) eventually(limit time.Duration, holds func(*daemon.Daemon) bool) time.Duration {
+	begin := time.Now()
+	for time.Since(begin) < limit {
+		done := true
+		for _, d := range s.daemons {
+			done = done && holds(d)
+		}
+		if done {
+			return time.Since(begin)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return limit
+}
+
+func ready(d *daemon.Daemon) bool {
+	resp, err := http.Get("http://" + d.Addresses.Admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// TestDeparture guards against an engine that is leaving being given work
+// because the platform is down and a single instance knows.
+func TestDeparture(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		inform func(s *site)
+	}{
+		{"an operator drains it at one instance", func(s *site) {
+			So(s.daemons[3].DrainUpstream("engine-a0"), ShouldBeNil)
+		}},
+		{"the engine itself announces it to its poller", func(s *site) { s.engines[0].SetLeaving(true) }},
+	} {
+		Convey("With five instances in two data centres and the platform down: "+c.name, t, func() {
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			s := newSite(ctx, "a", "b")
+			for _, id := range []string{"a1", "a2", "a3", "b1", "b2"} {
+				s.start(id)
+			}
+			s.apply()
+			s.platform.SetFaults(standin.Faults{Down: true})
+			c.inform(s)
+			took := s.eventually(departureBound, func(d *daemon.Daemon) bool {
+				return status(d, "engine-a0") == membership.UpstreamLeaving
+			})
+			So(took, ShouldBeLessThan, departureBound)
+			Printf("known everywhere after %v ", took.Round(time.Millisecond))
+
+			Convey("and only a new incarnation is used again", func() {
+				s.engines[0].SetLeaving(false)
+				time.Sleep(1500 * time.Millisecond)
+				for _, d := range s.daemons {
+					So(status(d, "engine-a0"), ShouldEqual, membership.UpstreamLeaving)
+				}
+				s.engines[0].Restart("next")
+				So(s.eventually(5*time.Second, func(d *daemon.Daemon) bool { return all(d, membership.UpstreamLive) }),
+					ShouldBeLessThan, 5*time.Second)
+			})
+		})
+	}
+}
+
+// TestTakeover guards against upstreams that nobody polls after a kill, and
+// against an instance that cannot start while the platform is down.
+func TestTakeover(t *testing.T) {
+	Convey("With three instances in one data centre", t, func() {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		s := newSite(ctx, "a")
+		for _, id := range []string{"a1", "a2", "a3"} {
+			s.start(id)
+		}
+		s.apply()
+		s.platform.SetFaults(standin.Faults{Down: true})
+
+		Convey("the killed poller's upstreams are polled by another and stay live", func() {
+			victim := 0
+			for i, d := range s.daemons {
+				if d.Upstreams()[0].Polled {
+					victim = i
+				}
+			}
+			s.daemons[victim].Kill()
+			s.daemons = append(s.daemons[:victim:victim], s.daemons[victim+1:]...)
+			lost := false
+			took := s.eventually(6*time.Second, func(d *daemon.Daemon) bool {
+				lost = lost || !all(d, membership.UpstreamLive)
+				return s.daemons[0].Upstreams()[0].Polled || s.daemons[1].Upstreams()[0].Polled
+			})
+			So(took, ShouldBeLessThan, 6*time.Second)
+			Printf("taken over after %v ", took.Round(time.Millisecond))
+			s.eventually(3*time.Second, func(d *daemon.Daemon) bool {
+				lost = lost || !all(d, membership.UpstreamLive)
+				return false
+			})
+			So(lost, ShouldBeFalse)
+		})
+		Convey("an instance that starts learns everything from one seed", func() {
+			So(s.daemons[0].DrainUpstream("engine-a1"), ShouldBeNil)
+			d := s.start("a4", s.daemons[1].Addresses.Peers)
+			took := s.eventually(5*time.Second, func(d *daemon.Daemon) bool {
+				return ready(d) && len(d.Instances()) == 3 && status(d, "engine-a1") == membership.UpstreamLeaving &&
+					status(d, "engine-a0") == membership.UpstreamLive
+			})
+			So(took, ShouldBeLessThan, 5*time.Second)
+			So(ready(d), ShouldBeTrue)
+			Printf("ready after %v ", took.Round(time.Millisecond))
+		})
+		Convey("an instance that stops as planned hands its polling over at once", func() {
+			stopped := s.daemons[0]
+			s.daemons = s.daemons[1:]
+			go func() { _ = stopped.Stop() }()
+			So(s.eventually(2*time.Second, func(*daemon.Daemon) bool {
+				for i := range 2 {
+					if !s.daemons[0].Upstreams()[i].Polled && !s.daemons[1].Upstreams()[i].Polled {
+						return false
+					}
+				}
+				return true
+			}), ShouldBeLessThan, 2*time.Second)
+		})
+	})
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -368,26 +368,59 @@
 	return err
 }
 
-// Serve answers peers on a listener until it is closed.
+// Serve answers peers on a listener until it is closed, then closes their
+// connections, so that they notice at once.
 func (n *Node) Serve(listener net.Listener) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(serviceName, &Service{node: n}); err != nil {
 		return errors.Wrap(err, "register the exchange")
 	}
-	free := make(chan struct{}, maxConns)
+	conns := newConnSet()
+	defer conns.closeAll()
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return errors.Wrap(err, "accept peers")
 		}
-		select {
-		case free <- struct{}{}:
-			go func() {
-				server.ServeCodec(serverCodec{newGobConn(conn, idleTimeout)})
-				<-free
-			}()
-		default:
+		if !conns.add(conn) {
 			_ = conn.Close()
+			continue
 		}
+		go func() {
+			defer conns.remove(conn)
+			server.ServeCodec(serverCodec{newGobConn(conn, idleTimeout)})
+		}()
+	}
+}
+
+// connSet holds the open connections of a listener, at most maxConns.
+type connSet struct {
+	mu   sync.Mutex
+	open map[net.Conn]bool
+}
+
+func newConnSet() *connSet { return &connSet{open: map[net.Conn]bool{}} }
+
+func (s *connSet) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) >= maxConns {
+		return false
+	}
+	s.open[conn] = true
+	return true
+}
+
+func (s *connSet) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, conn)
+}
+
+func (s *connSet) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.open {
+		_ = conn.Close()
 	}
 }
