--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -193,6 +193,17 @@
 // Dropped counts the items that bounds of memory made the exchange forget.
 func (e *Exchange) Dropped() uint64 { return e.dropped }
 
+// Failing counts the peers that did not answer the last push.
+func (e *Exchange) Failing() int {
+	n := 0
+	for _, s := range e.order {
+		if s.failures > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (e *Exchange) emit(c Command) { e.ready = append(e.ready, c) }
 
 func (e *Exchange) learn(ev membership.Event) { e.emit(Learnt{Event: ev}) }
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -364,6 +364,49 @@
 	return false
 }
 
+// TestMarkCrossesRegion guards against a mark that stops at an instance without
+// pushes to other data centres, in a region beyond the mesh.
+func TestMarkCrossesRegion(t *testing.T) {
+	var ids []fleet.InstanceID
+	for i := range 8 {
+		for _, dc := range []string{"a", "b", "c"} {
+			ids = append(ids, fleet.InstanceID(dc+fmt.Sprint(i)))
+		}
+	}
+	w := newWorld(ids...)
+	w.settle(6 * time.Second)
+	mark := membership.Mark{Upstream: "engine-1", Incarnation: "x"}
+	// The first partner of a0 in each data centre fails without notice.
+	dead := map[fleet.InstanceID]bool{}
+	for _, dc := range []fleet.DataCentre{"b", "c"} {
+		dead[membership.Owner("partner a0", w.nodes["a0"].candidates(w.now, dc))] = true
+	}
+	begin := w.now
+	w.nodes["a0"].Step(w.now, Marked{Mark: mark})
+	w.collect("a0")
+	spread := map[fleet.InstanceID]bool{"a0": true}
+	for len(spread) < len(ids)-len(dead) && w.now-begin < 5*time.Second {
+		for len(w.calls) > 0 {
+			c := w.take(0)
+			if dead[c.to] || dead[c.from] {
+				w.finish(c, nil)
+				continue
+			}
+			w.finish(c, w.serve(c))
+			if !spread[c.to] && w.learntMark(c.to, mark) {
+				// Its membership spreads what it had not known.
+				spread[c.to] = true
+				w.nodes[c.to].Step(w.now, Marked{Mark: mark})
+				w.collect(c.to)
+			}
+		}
+		w.advance(50 * time.Millisecond)
+	}
+	if took := w.now - begin; took > 100*time.Millisecond || len(spread) < len(ids)-len(dead) {
+		t.Errorf("%d of %d instances knew after %v", len(spread), len(ids)-len(dead), took)
+	}
+}
+
 // TestReports guards against a report of an overtaken push, against a relay
 // that leaves a data centre without reports, and against rounding of ages.
 func TestReports(t *testing.T) {
@@ -433,37 +476,68 @@
 func TestPartitionHealsWithoutFlood(t *testing.T) {
 	w := newWorld("a1", "a2", "b1", "b2")
 	w.settle(12 * time.Second)
-	cut := func(c *call) bool { return c.from[0] != c.to[0] }
 	for range 600 { // ten minutes
 		w.serveMember("a1", "shea", 1)
 		w.serveMember("b1", "levy", 1)
-		w.advance(time.Second)
-		for len(w.calls) > 0 {
-			c := w.take(0)
-			if cut(c) {
-				w.finish(c, nil)
-			} else {
-				w.finish(c, w.serve(c))
-			}
+		w.crossBytes(time.Second, true)
+	}
+	bytes := w.crossBytes(20*time.Second, false)
+	// Four senders, two pushes a second to each of two peers, of at most 60
+	// bytes, and the items of three members.
+	if limit := 4 * 2 * 20 * 2 * 60; bytes > limit {
+		t.Fatalf("%d bytes between the data centres in 20 s after the partition, want at most %d", bytes, limit)
+	}
+	w.compare(t, w.order)
+}
+
+// TestHealingAtDesignedSize guards against a flood after a partition between
+// data centres in which every member was served on both sides.
+func TestHealingAtDesignedSize(t *testing.T) {
+	const members, bytesPerItem, seconds = 1300, 9, 20
+	var extra []fleet.MemberID
+	for i := range members {
+		extra = append(extra, fleet.MemberID(fmt.Sprint("team-", i)))
+	}
+	w := newWorld("a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4")
+	for _, id := range w.order {
+		w.nodes[id].Step(w.now, Configured{Version: 2, Names: testNames(extra...)})
+	}
+	w.settle(12 * time.Second)
+	regular := w.crossBytes(seconds*time.Second, false)
+	for range 3 {
+		for i, m := range extra {
+			w.serveMember(w.order[i%len(w.order)], m, 1)
+			w.serveMember(w.order[(i+4)%len(w.order)], m, 1)
 		}
+		w.crossBytes(20*time.Second, true)
 	}
-	bytes, end := 0, w.now+20*time.Second
-	for w.now < end {
+	healing := w.crossBytes(seconds*time.Second, false) - regular
+	t.Logf("%d bytes beyond the regular %d in the %d s after the partition", healing, regular, seconds)
+	if limit := 2 * members * bytesPerItem; healing > limit {
+		t.Errorf("%d bytes, want at most %d", healing, limit)
+	}
+}
+
+// crossBytes runs the world and counts the bytes sent between data centres,
+// which are lost while these are cut from each other.
+func (w *world) crossBytes(d time.Duration, cut bool) int {
+	bytes := 0
+	for end := w.now + d; w.now < end; {
 		w.advance(50 * time.Millisecond)
 		for len(w.calls) > 0 {
 			c := w.take(0)
-			if cut(c) {
+			across := c.from[0] != c.to[0]
+			if across {
 				bytes += len(c.payload)
 			}
-			w.finish(c, w.serve(c))
+			if across && cut {
+				w.finish(c, nil)
+			} else {
+				w.finish(c, w.serve(c))
+			}
 		}
 	}
-	// Four senders, two pushes a second to each of two peers, of at most 60
-	// bytes, and the items of three members.
-	if limit := 4 * 2 * 20 * 2 * 60; bytes > limit {
-		t.Fatalf("%d bytes between the data centres in 20 s after the partition, want at most %d", bytes, limit)
-	}
-	w.compare(t, w.order)
+	return bytes
 }
 
 // TestNewerVersionFetched guards against an older version being asked for and
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/bramleywick/bramleywick/dispatch"
 	"github.com/bramleywick/bramleywick/metrics"
 	"github.com/bramleywick/bramleywick/operator"
+	"github.com/bramleywick/bramleywick/peer"
 	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/settings"
 	"github.com/bramleywick/bramleywick/upstream"
@@ -44,6 +45,8 @@
 	cluster    cluster
 	// Addresses are the bound addresses of the listeners, by purpose.
 	Addresses Addresses
+	// PeerTransport carries the exchange with peers; set it before Start.
+	PeerTransport peer.Transport
 }
 
 // Addresses are the bound listen addresses of a daemon.
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,12 +47,19 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for peers on %s", address)
 	}
-	d.Addresses.Peers = listener.Addr().String()
+	if d.Addresses.Peers, err = peerAddress(d.settings.PeerAddress, listener); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	if d.PeerTransport.Wrap != nil {
+		listener = d.PeerTransport.Wrap(listener)
+	}
 	ctx, stop := context.WithCancel(ctx)
 	d.cluster.listener, d.cluster.stop = listener, stop
 	d.cluster.poller = poll.New(ctx, d.pollHooks())
 	node := peer.New(d.peerOptions(ctx))
 	d.cluster.node.Store(node)
+	d.metrics.Register(membershipCollector{node})
 	go func() {
 		if err := node.Serve(listener); ctx.Err() == nil {
 			d.log.Error("listener for peers failed", zap.Error(err))
@@ -62,6 +70,18 @@
 	return nil
 }
 
+// peerAddress returns the address that peers are told.
+func peerAddress(declared string, listener net.Listener) (string, error) {
+	if declared != "" {
+		return declared, nil
+	}
+	bound := listener.Addr().String()
+	if at, err := netip.ParseAddrPort(bound); err != nil || at.Addr().IsUnspecified() {
+		return "", errors.Errorf("peers cannot reach %s: set address in [peers]", bound)
+	}
+	return bound, nil
+}
+
 func (d *Daemon) peerOptions(ctx context.Context) peer.Options {
 	return peer.Options{
 		Self: membership.Profile{
@@ -72,6 +92,7 @@
 		Seed:        seedOf(d.settings.Instance),
 		Now:         d.dispatcher.Now,
 		Config:      d.keeper,
+		Dial:        d.PeerTransport.Dial,
 		Seeds:       d.settings.PeerSeeds,
 		Log:         d.log,
 		Hooks: peer.Hooks{
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -45,3 +45,6 @@
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
+
+// Register adds the collectors of another package.
+func (m *Metrics) Register(c prometheus.Collector) { m.registry.MustRegister(c) }
--- a/peer/node.go
+++ b/peer/node.go
@@ -72,8 +72,7 @@
 	Hooks Hooks
 	// Config is the configuration in force.
 	Config ConfigSource
-	// Dial opens connections to peers; nil means plain TCP. A dialer and a
-	// listener with mutual TLS are supplied by the caller.
+	// Dial opens connections to peers; nil means plain TCP.
 	Dial Dialer
 	// Seeds are addresses to try without the platform's list.
 	Seeds []string
@@ -92,6 +91,28 @@
 	version  int64
 	peers    int
 	refused  uint64
+	failures uint64
+}
+
+// Stats counts what operators watch.
+type Stats struct {
+	PeersFailing    int
+	ConfigVersion   int64
+	PushFailures    uint64
+	MessagesRefused uint64
+	// ItemsDropped counts service items that a bound of memory made the
+	// exchange forget.
+	ItemsDropped uint64
+}
+
+// Stats returns the present counts.
+func (n *Node) Stats() Stats {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return Stats{
+		PeersFailing: n.exchange.Failing(), ConfigVersion: n.version, PushFailures: n.failures,
+		MessagesRefused: n.refused, ItemsDropped: n.exchange.Dropped(),
+	}
 }
 
 // New returns a node without peers.
@@ -291,6 +312,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err != nil {
+		n.failures++
 		n.options.Log.Debug("push failed", zap.String("peer", string(c.Peer)), zap.Error(err))
 		n.step(exchange.Failed{Peer: c.Peer})
 		return
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,6 +20,9 @@
 	// PeerSeeds are addresses of other instances' listeners for peers, tried
 	// in addition to the platform's list.
 	PeerSeeds []string
+	// PeerAddress is the address at which peers reach this instance when it
+	// is not the one it listens on.
+	PeerAddress string
 	// CallerListen, OperatorListen, PeerListen and AdminListen are IP
 	// addresses with ports.
 	CallerListen   string
@@ -83,6 +86,7 @@
 		s.AdminListen = dec.Address("admin", "127.0.0.1:8083")
 	case "peers":
 		s.PeerSeeds = dec.Strings("seeds")
+		s.PeerAddress = dec.Address("address", "")
 	case "platform":
 		s.Platform = dec.Required("url", "a URL such as http://127.0.0.1:7000")
 	case "operators":
