--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"testing"
 	"time"
 
@@ -540,6 +541,58 @@
 	return bytes
 }
 
+// TestNumbersReturnAfterChange guards against names being spelt out for good
+// after a configuration that renumbered them.
+func TestNumbersReturnAfterChange(t *testing.T) {
+	w := newWorld("a1", "a2")
+	w.settle(3 * time.Second)
+	for i, id := range w.order {
+		w.nodes[id].Step(w.now, Configured{Version: 2, Names: testNames("another")})
+		if w.settle(3 * time.Second); i == 0 {
+			continue
+		}
+		w.advance(1200 * time.Millisecond)
+		for _, c := range w.calls {
+			if f := decodeHead(&reader{in: c.payload}); !f.numbered {
+				t.Errorf("%s spells names out to %s", c.from, c.to)
+			}
+		}
+		if len(w.calls) != 2 {
+			t.Errorf("%d pushes, want 2", len(w.calls))
+		}
+	}
+}
+
+// BenchmarkPartitionMemory measures what an instance keeps for 34 peers and ten
+// data centres that do not answer, with every member served in six groups.
+func BenchmarkPartitionMemory(b *testing.B) {
+	for range b.N {
+		var ids []fleet.InstanceID
+		for i := range 35 {
+			ids = append(ids, fleet.InstanceID(fmt.Sprint("a", i)))
+		}
+		for _, dc := range "bcdefghijk" {
+			ids = append(ids, fleet.InstanceID(string(dc)+"1"))
+		}
+		w := newWorld(ids...)
+		w.settle(12 * time.Second)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for m := range 1300 {
+			for g := range 6 {
+				w.nodes["a0"].Step(w.now, Work{Shared: sched.Shared{Service: []sched.PeerService{{
+					Member: fleet.MemberID(fmt.Sprint("team-", m)), Group: fleet.GroupName(fmt.Sprint("group-", g)), Cost: 1,
+				}}}})
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+		runtime.KeepAlive(w)
+	}
+}
+
 // TestNewerVersionFetched guards against an older version being asked for and
 // against a request for each of many messages.
 func TestNewerVersionFetched(t *testing.T) {
--- a/core/exchange/frame.go
+++ b/core/exchange/frame.go
@@ -247,10 +247,11 @@
 	applied       uint64
 	configVersion int64
 	leaving       bool
-	// refused tells that the receiver numbers names differently; digest is
-	// that of its numbers.
+	// refused tells that the receiver numbers names differently.
 	refused bool
-	digest  uint64
+	// digest is that of the receiver's numbers, or 0 in the answer to a
+	// frame with the same ones.
+	digest uint64
 	// unknown tells that the receiver did not give out the handle.
 	unknown bool
 	// welcome answers a frame with a profile.
@@ -268,10 +269,10 @@
 
 func (a *reply) encode() []byte {
 	w := &writer{}
-	w.flags(a.refused, a.leaving, a.unknown, a.welcome != nil)
+	w.flags(a.refused, a.leaving, a.unknown, a.welcome != nil, a.digest != 0)
 	w.uint(a.applied)
 	w.uint(uint64(a.configVersion))
-	if a.refused || a.welcome != nil {
+	if a.digest != 0 {
 		w.uint(a.digest)
 	}
 	if a.welcome != nil {
@@ -294,7 +295,7 @@
 	a.refused, a.leaving, a.unknown = bits[0], bits[1], bits[2]
 	a.applied = r.uint()
 	a.configVersion = int64(r.uint() & (1<<62 - 1))
-	if a.refused || bits[3] {
+	if bits[4] {
 		a.digest = r.uint()
 	}
 	if bits[3] {
--- a/core/exchange/receive.go
+++ b/core/exchange/receive.go
@@ -176,7 +176,10 @@
 func (e *Exchange) answer(f *frame, o *origin, refused bool) *reply {
 	a := &reply{
 		configVersion: e.version, refused: refused, leaving: e.leaving,
-		digest: e.names.digest, unknown: o == nil && f.profile == nil,
+		unknown: o == nil && f.profile == nil,
+	}
+	if !f.numbered || refused {
+		a.digest = e.names.digest
 	}
 	if o != nil {
 		a.applied = o.applied
--- a/core/exchange/session.go
+++ b/core/exchange/session.go
@@ -187,6 +187,9 @@
 		return
 	}
 	s.inFlight, s.failures = false, 0
+	if a.digest != 0 {
+		s.digest = a.digest
+	}
 	e.hearReply(s, a)
 	switch {
 	case a.welcome != nil && a.welcome.known > e.config.Incarnation:
@@ -199,7 +202,6 @@
 		s.open = false
 		s.due = now
 	case a.refused:
-		s.digest = a.digest
 		s.due = now
 	case a.applied >= s.sequence:
 		e.confirmed(now, s)
@@ -217,7 +219,7 @@
 	if !s.frozen {
 		s.sequence = a.applied + 1
 	}
-	s.open, s.incarnation, s.handle, s.digest = true, a.welcome.incarnation, a.welcome.handle, a.digest
+	s.open, s.incarnation, s.handle = true, a.welcome.incarnation, a.welcome.handle
 }
 
 // confirmed completes the outstanding batch.
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -49,6 +49,8 @@
 	// upstreams can use. Two and a half times the designed size.
 	maxInstances = 1024
 	maxMarks     = 4
+	// maxEarly bounds the marks of upstreams that are not declared.
+	maxEarly = 256
 )
 
 // Config fixes the identity of the instance.
@@ -71,6 +73,7 @@
 	// declaration, which tells upstreams from instances.
 	rows     []Row
 	declared bool
+	early    []Mark
 	reach    map[fleet.DataCentre]bool
 	polling  []fleet.UpstreamID
 	watching bool
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -138,6 +138,10 @@
 		{"a late word that it does not answer", func(r *rig) {
 			r.do(Reported{Report{Generation: 1, Unreachable: true, Load: sched.LoadReport{Upstream: "engine-1", At: r.now - time.Second}}})
 		}, UpstreamLive, CauseReported},
+		{"a mark ahead of the declaration", func(r *rig) {
+			r.do(Declared{Upstreams: testUpstreams[1:]}, Marked{Mark: Mark{"engine-1", "x"}},
+				Declared{Upstreams: testUpstreams}, r.answer("x", false))
+		}, UpstreamLeaving, CauseReported},
 		{"undeclared", func(r *rig) { r.do(Declared{Upstreams: testUpstreams[1:]}) }, UpstreamGone, CauseUndeclared},
 		{"many marks of other incarnations", func(r *rig) {
 			r.do(Marked{Mark: Mark{"engine-1", "x"}})
--- a/core/membership/upstreams.go
+++ b/core/membership/upstreams.go
@@ -120,6 +120,7 @@
 		}
 	}
 	m.changed = true
+	m.markEarly()
 	m.list(now, m.rows)
 }
 
@@ -157,6 +158,7 @@
 func (m *Machine) mark(mark Mark) {
 	u := m.upstreams[mark.Upstream]
 	if u == nil {
+		m.keepEarly(mark)
 		return
 	}
 	if mark.Incarnation == "" && u.known {
@@ -175,6 +177,27 @@
 	}
 }
 
+// keepEarly keeps a mark of an upstream that is not declared here yet: peers
+// send it once, and it may arrive before the configuration.
+func (m *Machine) keepEarly(mark Mark) {
+	if slices.Contains(m.early, mark) {
+		return
+	}
+	if len(m.early) >= maxEarly {
+		m.early = slices.Delete(m.early, 0, 1)
+	}
+	m.early = append(m.early, mark)
+}
+
+// markEarly applies the kept marks after a declaration.
+func (m *Machine) markEarly() {
+	early := m.early
+	m.early = nil
+	for _, mark := range early {
+		m.mark(mark)
+	}
+}
+
 // oldestMark returns the oldest mark that is not of the running incarnation.
 func oldestMark(u *upstream) fleet.Incarnation {
 	if u.marks[0] == u.incarnation {
