Use goconvey in the core's table tests

Cause: the house style asks for goconvey outside state-machine tests.

Change: the tables of core/membership and core/exchange assert with goconvey; the conditions are the same.

--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
 	"github.com/bramleywick/bramleywick/core/declare"
@@ -291,18 +292,18 @@
 // TestClockWentBack guards against a restarted instance being ignored because
 // its incarnation is lower than the one its peers remember.
 func TestClockWentBack(t *testing.T) {
-	w := newWorld("a1", "a2")
-	w.nodes["a1"].restarts = 1000
-	w.start("a1")
-	w.settle(3 * time.Second)
-	w.nodes["a1"].restarts = 10
-	w.start("a1")
-	w.settle(3 * time.Second)
-	w.serveMember("a1", "shea", 4)
-	w.settle(3 * time.Second)
-	if got := w.nodes["a2"].got["shea"]; got != 4 {
-		t.Fatalf("counted %v, want 4", got)
-	}
+	Convey("After a restart with a lower incarnation, new service is counted", t, func() {
+		w := newWorld("a1", "a2")
+		w.nodes["a1"].restarts = 1000
+		w.start("a1")
+		w.settle(3 * time.Second)
+		w.nodes["a1"].restarts = 10
+		w.start("a1")
+		w.settle(3 * time.Second)
+		w.serveMember("a1", "shea", 4)
+		w.settle(3 * time.Second)
+		So(w.nodes["a2"].got["shea"], ShouldEqual, 4)
+	})
 }
 
 // TestMarkPushedAtOnce guards against a departure that waits for the regular
@@ -329,17 +330,17 @@
 			}
 		}, 0, 0},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		Convey("With a mark for a peer: "+c.name, t, func() {
 			w := newWorld("a1", "a2")
 			w.settle(3 * time.Second)
 			c.setup(w)
-			start := w.now
+			start, lost := w.now, c.lost
 			w.nodes["a1"].Step(w.now, Marked{Mark: mark})
 			w.collect("a1")
 			for !w.learntMark("a2", mark) && w.now-start < 10*time.Second {
 				for len(w.calls) > 0 {
-					if call := w.take(0); c.lost > 0 && call.from == "a1" {
-						c.lost--
+					if call := w.take(0); lost > 0 && call.from == "a1" {
+						lost--
 						w.finish(call, nil)
 					} else {
 						w.finish(call, w.serve(call))
@@ -349,9 +350,7 @@
 					w.advance(50 * time.Millisecond)
 				}
 			}
-			if took := w.now - start; took > c.limit {
-				t.Fatalf("the mark took %v, want at most %v", took, c.limit)
-			}
+			So(w.now-start, ShouldBeLessThanOrEqualTo, c.limit)
 		})
 	}
 }
@@ -368,44 +367,45 @@
 // TestMarkCrossesRegion guards against a mark that stops at an instance without
 // pushes to other data centres, in a region beyond the mesh.
 func TestMarkCrossesRegion(t *testing.T) {
-	var ids []fleet.InstanceID
-	for i := range 8 {
-		for _, dc := range []string{"a", "b", "c"} {
-			ids = append(ids, fleet.InstanceID(dc+fmt.Sprint(i)))
-		}
-	}
-	w := newWorld(ids...)
-	w.settle(6 * time.Second)
-	mark := membership.Mark{Upstream: "engine-1", Incarnation: "x"}
-	// The first partner of a0 in each data centre fails without notice.
-	dead := map[fleet.InstanceID]bool{}
-	for _, dc := range []fleet.DataCentre{"b", "c"} {
-		dead[membership.Owner("partner a0", w.nodes["a0"].candidates(w.now, dc))] = true
-	}
-	begin := w.now
-	w.nodes["a0"].Step(w.now, Marked{Mark: mark})
-	w.collect("a0")
-	spread := map[fleet.InstanceID]bool{"a0": true}
-	for len(spread) < len(ids)-len(dead) && w.now-begin < 5*time.Second {
-		for len(w.calls) > 0 {
-			c := w.take(0)
-			if dead[c.to] || dead[c.from] {
-				w.finish(c, nil)
-				continue
+	Convey("With 24 instances in three data centres and two dead partners", t, func() {
+		var ids []fleet.InstanceID
+		for i := range 8 {
+			for _, dc := range []string{"a", "b", "c"} {
+				ids = append(ids, fleet.InstanceID(dc+fmt.Sprint(i)))
 			}
-			w.finish(c, w.serve(c))
-			if !spread[c.to] && w.learntMark(c.to, mark) {
-				// Its membership spreads what it had not known.
-				spread[c.to] = true
-				w.nodes[c.to].Step(w.now, Marked{Mark: mark})
-				w.collect(c.to)
+		}
+		w := newWorld(ids...)
+		w.settle(6 * time.Second)
+		mark := membership.Mark{Upstream: "engine-1", Incarnation: "x"}
+		// The first partner of a0 in each data centre fails without notice.
+		dead := map[fleet.InstanceID]bool{}
+		for _, dc := range []fleet.DataCentre{"b", "c"} {
+			dead[membership.Owner("partner a0", w.nodes["a0"].candidates(w.now, dc))] = true
+		}
+		begin := w.now
+		w.nodes["a0"].Step(w.now, Marked{Mark: mark})
+		w.collect("a0")
+		spread := map[fleet.InstanceID]bool{"a0": true}
+		for len(spread) < len(ids)-len(dead) && w.now-begin < 5*time.Second {
+			for len(w.calls) > 0 {
+				c := w.take(0)
+				if dead[c.to] || dead[c.from] {
+					w.finish(c, nil)
+					continue
+				}
+				w.finish(c, w.serve(c))
+				if !spread[c.to] && w.learntMark(c.to, mark) {
+					// Its membership spreads what it had not known.
+					spread[c.to] = true
+					w.nodes[c.to].Step(w.now, Marked{Mark: mark})
+					w.collect(c.to)
+				}
 			}
+			w.advance(50 * time.Millisecond)
 		}
-		w.advance(50 * time.Millisecond)
-	}
-	if took := w.now - begin; took > 100*time.Millisecond || len(spread) < len(ids)-len(dead) {
-		t.Errorf("%d of %d instances knew after %v", len(spread), len(ids)-len(dead), took)
-	}
+		So(len(spread), ShouldEqual, len(ids)-len(dead))
+		So(w.now-begin, ShouldBeLessThanOrEqualTo, 100*time.Millisecond)
+	})
 }
 
 // TestReports guards against a report of an overtaken push, against a relay
@@ -416,7 +416,7 @@
 			Upstream: "engine-1", Incarnation: "x", At: w.now, Running: running, KVCapacityTokens: 4096, Role: fleet.RoleDecode,
 		}}
 	}
-	t.Run("a report reaches every instance of a region beyond the mesh", func(t *testing.T) {
+	Convey("A report reaches every instance of a region beyond the mesh", t, func() {
 		var ids []fleet.InstanceID
 		for i := range 10 {
 			ids = append(ids, fleet.InstanceID(fmt.Sprintf("a%d", i)), fleet.InstanceID(fmt.Sprintf("b%d", i)))
@@ -428,20 +428,14 @@
 		w.settle(3 * time.Second)
 		for _, id := range ids[1:] {
 			got := w.reports(id)
-			if len(got) == 0 {
-				t.Fatalf("instance %s has no report", id)
-			}
+			So(got, ShouldNotBeEmpty)
 			last := got[len(got)-1]
-			if age := last.Load.At - sent.Load.At; age < 0 || age > 20*time.Millisecond {
-				t.Fatalf("instance %s dates the report %v later", id, age)
-			}
+			So(last.Load.At-sent.Load.At, ShouldBeBetweenOrEqual, 0, 20*time.Millisecond)
 			last.Load.At = sent.Load.At
-			if last != sent {
-				t.Fatalf("instance %s has %+v, want %+v", id, last, sent)
-			}
+			So(last, ShouldResemble, sent)
 		}
 	})
-	t.Run("a push that was overtaken brings no report", func(t *testing.T) {
+	Convey("A push that was overtaken brings no report", t, func() {
 		w := newWorld("a1", "a2")
 		w.settle(3 * time.Second)
 		w.nodes["a1"].Step(w.now, Polled{Report: report(w, 1)})
@@ -455,9 +449,7 @@
 		w.settle(3 * time.Second)
 		before := len(w.reports("a2"))
 		w.serve(delayed)
-		if after := len(w.reports("a2")); after != before {
-			t.Fatalf("%d reports after the delayed push, want %d", after, before)
-		}
+		So(len(w.reports("a2")), ShouldEqual, before)
 	})
 }
 
@@ -475,48 +467,48 @@
 // partition and against a flood afterwards: what is sent is bounded by the
 // number of members, not by the length of the partition.
 func TestPartitionHealsWithoutFlood(t *testing.T) {
-	w := newWorld("a1", "a2", "b1", "b2")
-	w.settle(12 * time.Second)
-	for range 600 { // ten minutes
-		w.serveMember("a1", "shea", 1)
-		w.serveMember("b1", "levy", 1)
-		w.crossBytes(time.Second, true)
-	}
-	bytes := w.crossBytes(20*time.Second, false)
-	// Four senders, two pushes a second to each of two peers, of at most 60
-	// bytes, and the items of three members.
-	if limit := 4 * 2 * 20 * 2 * 60; bytes > limit {
-		t.Fatalf("%d bytes between the data centres in 20 s after the partition, want at most %d", bytes, limit)
-	}
-	w.compare(t, w.order)
+	Convey("After ten minutes of partition, little crosses and all is counted", t, func() {
+		w := newWorld("a1", "a2", "b1", "b2")
+		w.settle(12 * time.Second)
+		for range 600 { // ten minutes
+			w.serveMember("a1", "shea", 1)
+			w.serveMember("b1", "levy", 1)
+			w.crossBytes(time.Second, true)
+		}
+		bytes := w.crossBytes(20*time.Second, false)
+		// Four senders, two pushes a second to each of two peers, of at most 60
+		// bytes, and the items of three members.
+		So(bytes, ShouldBeLessThanOrEqualTo, 4*2*20*2*60)
+		w.compare(t, w.order)
+	})
 }
 
 // TestHealingAtDesignedSize guards against a flood after a partition between
 // data centres in which every member was served on both sides.
 func TestHealingAtDesignedSize(t *testing.T) {
-	const members, bytesPerItem, seconds = 1300, 9, 20
-	var extra []fleet.MemberID
-	for i := range members {
-		extra = append(extra, fleet.MemberID(fmt.Sprint("team-", i)))
-	}
-	w := newWorld("a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4")
-	for _, id := range w.order {
-		w.nodes[id].Step(w.now, Configured{Version: 2, Names: testNames(extra...)})
-	}
-	w.settle(12 * time.Second)
-	regular := w.crossBytes(seconds*time.Second, false)
-	for range 3 {
-		for i, m := range extra {
-			w.serveMember(w.order[i%len(w.order)], m, 1)
-			w.serveMember(w.order[(i+4)%len(w.order)], m, 1)
+	Convey("After a partition in which every member was served on both sides", t, func() {
+		const members, bytesPerItem, seconds = 1300, 9, 20
+		var extra []fleet.MemberID
+		for i := range members {
+			extra = append(extra, fleet.MemberID(fmt.Sprint("team-", i)))
 		}
-		w.crossBytes(20*time.Second, true)
-	}
-	healing := w.crossBytes(seconds*time.Second, false) - regular
-	t.Logf("%d bytes beyond the regular %d in the %d s after the partition", healing, regular, seconds)
-	if limit := 2 * members * bytesPerItem; healing > limit {
-		t.Errorf("%d bytes, want at most %d", healing, limit)
-	}
+		w := newWorld("a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4")
+		for _, id := range w.order {
+			w.nodes[id].Step(w.now, Configured{Version: 2, Names: testNames(extra...)})
+		}
+		w.settle(12 * time.Second)
+		regular := w.crossBytes(seconds*time.Second, false)
+		for range 3 {
+			for i, m := range extra {
+				w.serveMember(w.order[i%len(w.order)], m, 1)
+				w.serveMember(w.order[(i+4)%len(w.order)], m, 1)
+			}
+			w.crossBytes(20*time.Second, true)
+		}
+		healing := w.crossBytes(seconds*time.Second, false) - regular
+		Printf("%d bytes beyond the regular %d in the %d s after it ", healing, regular, seconds)
+		So(healing, ShouldBeLessThanOrEqualTo, 2*members*bytesPerItem)
+	})
 }
 
 // crossBytes runs the world and counts the bytes sent between data centres,
@@ -544,23 +536,21 @@
 // TestNumbersReturnAfterChange guards against names being spelt out for good
 // after a configuration that renumbered them.
 func TestNumbersReturnAfterChange(t *testing.T) {
-	w := newWorld("a1", "a2")
-	w.settle(3 * time.Second)
-	for i, id := range w.order {
-		w.nodes[id].Step(w.now, Configured{Version: 2, Names: testNames("another")})
-		if w.settle(3 * time.Second); i == 0 {
-			continue
-		}
-		w.advance(1200 * time.Millisecond)
-		for _, c := range w.calls {
-			if f := decodeHead(&reader{in: c.payload}); !f.numbered {
-				t.Errorf("%s spells names out to %s", c.from, c.to)
+	Convey("After both instances renumbered their names, numbers are used again", t, func() {
+		w := newWorld("a1", "a2")
+		w.settle(3 * time.Second)
+		for i, id := range w.order {
+			w.nodes[id].Step(w.now, Configured{Version: 2, Names: testNames("another")})
+			if w.settle(3 * time.Second); i == 0 {
+				continue
 			}
+			w.advance(1200 * time.Millisecond)
+			for _, c := range w.calls {
+				So(decodeHead(&reader{in: c.payload}).numbered, ShouldBeTrue)
+			}
+			So(len(w.calls), ShouldEqual, 2)
 		}
-		if len(w.calls) != 2 {
-			t.Errorf("%d pushes, want 2", len(w.calls))
-		}
-	}
+	})
 }
 
 // BenchmarkPartitionMemory measures what an instance keeps for 34 peers and ten
@@ -596,18 +586,16 @@
 // TestNewerVersionFetched guards against an older version being asked for and
 // against a request for each of many messages.
 func TestNewerVersionFetched(t *testing.T) {
-	w := newWorld("a1", "a2", "a3")
-	w.settle(3 * time.Second)
-	w.nodes["a2"].Step(w.now, Configured{Version: 7, Names: testNames()})
-	w.settle(500 * time.Millisecond)
-	if n := len(w.nodes["a1"].fetched); n != 1 {
-		t.Fatalf("%d requests, want 1", n)
-	}
-	w.nodes["a1"].Step(w.now, Configured{Version: 9, Names: testNames()})
-	w.settle(3 * time.Second)
-	if n := len(w.nodes["a1"].fetched); n != 1 {
-		t.Fatalf("%d requests after a newer version came into force, want 1", n)
-	}
+	Convey("A newer version is asked for once, an older one never", t, func() {
+		w := newWorld("a1", "a2", "a3")
+		w.settle(3 * time.Second)
+		w.nodes["a2"].Step(w.now, Configured{Version: 7, Names: testNames()})
+		w.settle(500 * time.Millisecond)
+		So(len(w.nodes["a1"].fetched), ShouldEqual, 1)
+		w.nodes["a1"].Step(w.now, Configured{Version: 9, Names: testNames()})
+		w.settle(3 * time.Second)
+		So(len(w.nodes["a1"].fetched), ShouldEqual, 1)
+	})
 }
 
 // FuzzReceive guards against panics and unbounded allocation on what a peer sends.
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	. "github.com/smartystreets/goconvey/convey"
+
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/sched"
@@ -14,7 +16,6 @@
 // rig drives one machine and records its last word on each subject.
 type rig struct {
 	*Machine
-	t        *testing.T
 	now      fleet.Instant
 	upstream map[fleet.UpstreamID]UpstreamChanged
 	instance map[fleet.InstanceID]InstanceStatus
@@ -31,9 +32,9 @@
 	{ID: "engine-3", DataCentre: "b", Address: "192.0.2.3:80"},
 }
 
-func newRig(t *testing.T, id fleet.InstanceID) *rig {
+func newRig(id fleet.InstanceID) *rig {
 	r := &rig{
-		Machine: New(Config{Self: Profile{ID: id, DataCentre: "a", Address: "192.0.2.10:1"}}), t: t, now: time.Second,
+		Machine: New(Config{Self: Profile{ID: id, DataCentre: "a", Address: "192.0.2.10:1"}}), now: time.Second,
 		upstream: map[fleet.UpstreamID]UpstreamChanged{}, instance: map[fleet.InstanceID]InstanceStatus{},
 		reach: map[fleet.DataCentre]bool{},
 	}
@@ -85,10 +86,9 @@
 }
 
 func (r *rig) wantUpstream(status UpstreamStatus, cause Cause) {
-	r.t.Helper()
-	if got := r.upstream["engine-1"]; got.Status != status || got.Cause != cause {
-		r.t.Errorf("engine-1 is %v (%v), want %v (%v)", got.Status, got.Cause, status, cause)
-	}
+	got := r.upstream["engine-1"]
+	So(got.Status.String(), ShouldEqual, status.String())
+	So(got.Cause.String(), ShouldEqual, cause.String())
 }
 
 // TestUpstreamEnds guards against a withdrawn, a crashed, a replaced and a
@@ -150,41 +150,34 @@
 			}
 		}, UpstreamLeaving, CauseMarked},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			r := newRig(t, "a1")
+		Convey("With an upstream that ran: "+c.name, t, func() {
+			r := newRig("a1")
 			r.do(r.answer("x", false))
 			c.drive(r)
 			r.wantUpstream(c.status, c.cause)
 			state := r.upstream["engine-1"].State
-			if usable := state.Available && !state.Leaving; usable != (c.status == UpstreamLive) {
-				t.Errorf("usable is %v in state %v", usable, c.status)
-			}
-			if n := len(r.upstreams["engine-1"].marksOrNone()); n > maxMarks {
-				t.Errorf("%d marks are kept", n)
+			So(state.Available && !state.Leaving, ShouldEqual, c.status == UpstreamLive)
+			if u := r.upstreams["engine-1"]; u != nil {
+				So(len(u.marks), ShouldBeLessThanOrEqualTo, maxMarks)
 			}
 		})
 	}
 }
 
-func (u *upstream) marksOrNone() []fleet.Incarnation {
-	if u == nil {
-		return nil
-	}
-	return u.marks
-}
-
 // TestGenerationSettles guards against two pollers that never agree on which
 // of two incarnations is the later one.
 func TestGenerationSettles(t *testing.T) {
-	r := newRig(t, "a1")
-	r.do(r.answer("new", false))
-	r.now += time.Second
-	r.do(Reported{Report{Generation: 9, Load: sched.LoadReport{Upstream: "engine-1", Incarnation: "old", At: r.now}}})
-	r.now += time.Second
-	r.do(r.answer("new", false))
-	if got := r.Upstreams()[0]; got.Incarnation != "new" || got.Generation != 10 {
-		t.Errorf("incarnation %s in generation %d, want new in 10", got.Incarnation, got.Generation)
-	}
+	Convey("After a peer's wrong word in a higher generation, an own poll is believed", t, func() {
+		r := newRig("a1")
+		r.do(r.answer("new", false))
+		r.now += time.Second
+		r.do(Reported{Report{Generation: 9, Load: sched.LoadReport{Upstream: "engine-1", Incarnation: "old", At: r.now}}})
+		r.now += time.Second
+		r.do(r.answer("new", false))
+		got := r.Upstreams()[0]
+		So(string(got.Incarnation), ShouldEqual, "new")
+		So(got.Generation, ShouldEqual, uint64(10))
+	})
 }
 
 // TestPlatformList guards against a list that lags, omits, invents or flaps
@@ -225,16 +218,12 @@
 			r.do(r.answer("y", false), row(true))
 		}, UpstreamLeaving, []Mark{{"engine-1", "x"}, {"engine-1", "y"}}},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			r := newRig(t, "a1")
+		Convey("With a row of an upstream: "+c.name, t, func() {
+			r := newRig("a1")
 			r.do(r.answer("x", false))
 			c.drive(r)
-			if got := r.upstream["engine-1"].Status; got != c.status {
-				t.Errorf("engine-1 is %v, want %v", got, c.status)
-			}
-			if !slices.Equal(r.spread, c.spread) {
-				t.Errorf("spread %v, want %v", r.spread, c.spread)
-			}
+			So(r.upstream["engine-1"].Status.String(), ShouldEqual, c.status.String())
+			So(r.spread, ShouldResemble, c.spread)
 		})
 	}
 }
@@ -278,41 +267,33 @@
 			r.do(heard("a2", "a", 2))
 		}, InstanceLive, 1},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			r := newRig(t, "a1")
+		Convey("With an instance: "+c.name, t, func() {
+			r := newRig("a1")
 			c.drive(r)
-			if got := r.instance["a2"]; got != c.want {
-				t.Errorf("a2 is %v, want %v", got, c.want)
-			}
-			if len(r.peers) != c.peers {
-				t.Errorf("%d peers, want %d", len(r.peers), c.peers)
-			}
+			So(r.instance["a2"].String(), ShouldEqual, c.want.String())
+			So(len(r.peers), ShouldEqual, c.peers)
 		})
 	}
-	t.Run("an instance's own address outranks the list's", func(t *testing.T) {
-		r := newRig(t, "a1")
+	Convey("An instance's own address outranks the list's", t, func() {
+		r := newRig("a1")
 		r.do(listed, heard("a2", "a", 1), listed)
-		if got := r.Instances()[0].Address; got != heard("a2", "a", 1).Profile.Address {
-			t.Errorf("address %s", got)
-		}
+		So(r.Instances()[0].Address, ShouldEqual, heard("a2", "a", 1).Profile.Address)
 	})
-	t.Run("a list of many invented instances is bounded", func(t *testing.T) {
-		r := newRig(t, "a1")
+	Convey("A list of many invented instances is bounded", t, func() {
+		r := newRig("a1")
 		var rows []Row
 		for i := range 5 * maxInstances {
 			rows = append(rows, Row{ID: fmt.Sprint(i), DataCentre: "a"})
 		}
 		r.do(Listed{Rows: rows})
-		if n := len(r.Instances()); n != maxInstances {
-			t.Errorf("%d instances are kept", n)
-		}
+		So(len(r.Instances()), ShouldEqual, maxInstances)
 	})
 }
 
 // TestPollingAssignment guards against upstreams that nobody polls, above all
 // after their poller is gone, and against each instance polling all.
 func TestPollingAssignment(t *testing.T) {
-	rigs := map[fleet.InstanceID]*rig{"a1": newRig(t, "a1"), "a2": newRig(t, "a2"), "a3": newRig(t, "a3")}
+	rigs := map[fleet.InstanceID]*rig{"a1": newRig("a1"), "a2": newRig("a2"), "a3": newRig("a3")}
 	beat := func(alive ...fleet.InstanceID) {
 		for _, at := range alive {
 			var events []Event
@@ -337,47 +318,32 @@
 		}
 		return out
 	}
-	for range 3 {
-		beat("a1", "a2", "a3")
-	}
-	for _, u := range testUpstreams[:2] {
-		if got := pollers(u.ID, "a1", "a2", "a3"); len(got) != 1 {
-			t.Errorf("%s is polled by %v, want one instance", u.ID, got)
+	Convey("With three instances of one data centre", t, func() {
+		for range 3 {
+			beat("a1", "a2", "a3")
 		}
-	}
-	if got := pollers("engine-3", "a1", "a2", "a3"); len(got) != 0 {
-		t.Errorf("engine-3 of the connected data centre b is polled by %v", got)
-	}
-	dead := pollers("engine-1", "a1", "a2", "a3")[0]
-	rest := slices.DeleteFunc([]fleet.InstanceID{"a1", "a2", "a3"}, func(id fleet.InstanceID) bool { return id == dead })
-	for range 4 {
-		beat(rest...)
-	}
-	if got := pollers("engine-1", rest...); len(got) != 1 {
-		t.Errorf("engine-1 is polled by %v four seconds after its poller was killed", got)
-	}
-	watchers := 0
-	for _, at := range rest {
-		if rigs[at].watching {
-			watchers++
+		for _, u := range testUpstreams[:2] {
+			So(len(pollers(u.ID, "a1", "a2", "a3")), ShouldEqual, 1)
 		}
-	}
-	if watchers != 2 {
-		t.Errorf("%d watchers, want 2", watchers)
-	}
-	t.Run("a partitioned data centre's engines are tried", func(t *testing.T) {
+		So(pollers("engine-3", "a1", "a2", "a3"), ShouldBeEmpty)
+		dead := pollers("engine-1", "a1", "a2", "a3")[0]
+		rest := slices.DeleteFunc([]fleet.InstanceID{"a1", "a2", "a3"}, func(id fleet.InstanceID) bool { return id == dead })
+		for range 4 {
+			beat(rest...)
+		}
+		So(len(pollers("engine-1", rest...)), ShouldEqual, 1)
+		So(rigs[rest[0]].watching && rigs[rest[1]].watching, ShouldBeTrue)
+		// The engines of a partitioned data centre are tried.
 		r := rigs[rest[0]]
 		r.pass(reachAfter + 2*time.Second)
-		if r.reach["b"] || !slices.Contains(r.polled, "engine-3") {
-			t.Errorf("reach of b is %v, polled %v", r.reach["b"], r.polled)
-		}
+		So(r.reach["b"], ShouldBeFalse)
+		So(r.polled, ShouldContain, fleet.UpstreamID("engine-3"))
 	})
-	t.Run("reports that do not arrive are fetched", func(t *testing.T) {
-		r := newRig(t, rest[0])
+	Convey("Upstreams whose poller is heard but whose reports are not are polled", t, func() {
+		r := newRig("a1")
 		r.pass(5*time.Second, heard("a2", "a", 1), heard("a3", "a", 1))
-		if !slices.Contains(r.polled, "engine-1") || !slices.Contains(r.polled, "engine-2") {
-			t.Errorf("polled %v while the poller is heard but its reports are not", r.polled)
-		}
+		So(r.polled, ShouldContain, fleet.UpstreamID("engine-1"))
+		So(r.polled, ShouldContain, fleet.UpstreamID("engine-2"))
 	})
 }
 
@@ -387,25 +353,23 @@
 	silence := func(r *rig) Event {
 		return Reported{Report{Generation: 1, Unreachable: true, Load: sched.LoadReport{Upstream: "engine-1", At: r.now}}}
 	}
-	r := newRig(t, "a1")
-	r.do(r.answer("x", false), heard("a2", "a", 1))
-	if Owner("poll engine-1", []fleet.InstanceID{"a1", "a2"}) == "a1" {
-		t.Fatal("the test needs an upstream that a2 polls")
-	}
-	r.do(silence(r))
-	if !slices.Contains(r.polled, "engine-1") {
-		t.Errorf("polled %v, want a second opinion on engine-1", r.polled)
-	}
-	for range 10 {
-		r.pass(time.Second, heard("a2", "a", 1), silence(r))
-		r.do(Reported{Report{Generation: 1, Load: sched.LoadReport{Upstream: "engine-1", Incarnation: "x", At: r.now}}})
-	}
-	r.wantUpstream(UpstreamLive, CauseReported)
-	for range 3 {
-		r.pass(time.Second, heard("a2", "a", 1))
+	Convey("With an upstream that another instance polls and reports silent", t, func() {
+		r := newRig("a1")
+		r.do(r.answer("x", false), heard("a2", "a", 1))
+		So(string(Owner("poll engine-1", []fleet.InstanceID{"a1", "a2"})), ShouldEqual, "a2")
 		r.do(silence(r))
-	}
-	r.wantUpstream(UpstreamUnreachable, CauseSilent)
+		So(r.polled, ShouldContain, fleet.UpstreamID("engine-1"))
+		for range 10 {
+			r.pass(time.Second, heard("a2", "a", 1), silence(r))
+			r.do(Reported{Report{Generation: 1, Load: sched.LoadReport{Upstream: "engine-1", Incarnation: "x", At: r.now}}})
+		}
+		r.wantUpstream(UpstreamLive, CauseReported)
+		for range 3 {
+			r.pass(time.Second, heard("a2", "a", 1))
+			r.do(silence(r))
+		}
+		r.wantUpstream(UpstreamUnreachable, CauseSilent)
+	})
 }
 
 // TestOwnersMoveLittle guards against an assignment that moves more than the
@@ -415,18 +379,19 @@
 	for i := range 35 {
 		ids = append(ids, fleet.InstanceID(fmt.Sprintf("entry-%02d", i)))
 	}
-	count := map[fleet.InstanceID]int{}
-	for i := range 7000 {
-		key := fmt.Sprint("key ", i)
-		before := Owner(key, ids)
-		count[before]++
-		if after := Owner(key, ids[1:]); before != ids[0] && after != before {
-			t.Fatalf("%s moved from %s to %s", key, before, after)
+	Convey("With 35 instances and 7,000 keys", t, func() {
+		count, moved := map[fleet.InstanceID]int{}, 0
+		for i := range 7000 {
+			key := fmt.Sprint("key ", i)
+			before := Owner(key, ids)
+			count[before]++
+			if after := Owner(key, ids[1:]); before != ids[0] && after != before {
+				moved++
+			}
 		}
-	}
-	for _, id := range ids {
-		if n := count[id]; n < 140 || n > 260 {
-			t.Errorf("%s owns %d of 7000 keys, want about 200", id, n)
+		So(moved, ShouldEqual, 0)
+		for _, id := range ids {
+			So(count[id], ShouldBeBetween, 140, 260)
 		}
-	}
+	})
 }
