--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -1,10 +1,13 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"github.com/bramleywick/bramleywick/config"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/membership"
 	"github.com/bramleywick/bramleywick/operator"
 	"github.com/bramleywick/bramleywick/platform"
 )
@@ -39,15 +42,36 @@
 }
 
 // watchesConfiguration tells whether this instance holds a watch on the
-// platform's configuration. Without a membership every instance does.
-func (d *Daemon) watchesConfiguration() bool { return true }
+// platform's configuration; one or two instances of a data centre do.
+func (d *Daemon) watchesConfiguration() bool { return d.cluster.watches.Load() }
 
-// VersionsInForce implements config.InForce for an instance without a
-// membership: it knows of itself only.
+// VersionsInForce implements config.InForce: this instance and every other one
+// that is known.
 func (d *Daemon) VersionsInForce() []config.InstanceVersion {
-	return []config.InstanceVersion{{
+	out := []config.InstanceVersion{{
 		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre, Version: d.keeper.Version(),
 	}}
+	for _, i := range d.Instances() {
+		if i.Status == membership.InstanceGone {
+			continue
+		}
+		out = append(out, config.InstanceVersion{Instance: i.ID, DataCentre: i.DataCentre, Version: i.ConfigVersion})
+	}
+	return out
+}
+
+// Drain implements operator.Drainer. The incarnation is empty when no report of
+// the upstream has been seen; the mark is then tied to the first one.
+func (d *Daemon) Drain(_ context.Context, id fleet.UpstreamID) (fleet.Incarnation, error) {
+	if err := d.DrainUpstream(id); err != nil {
+		return "", err
+	}
+	for _, u := range d.Upstreams() {
+		if u.ID == id {
+			return u.Incarnation, nil
+		}
+	}
+	return "", nil
 }
 
 // operatorOptions provisions the operators' calls.
@@ -55,6 +79,6 @@
 	return operator.Options{
 		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre,
 		KeyHashes: d.settings.OperatorKeyHashes, Keeper: d.keeper, Scheduler: d.dispatcher,
-		Counters: d.metrics, InForce: d, Log: d.log,
+		Counters: d.metrics, InForce: d, Drainer: d, Log: d.log,
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/bramleywick/bramleywick/dispatch"
 	"github.com/bramleywick/bramleywick/metrics"
 	"github.com/bramleywick/bramleywick/operator"
+	"github.com/bramleywick/bramleywick/peer"
 	"github.com/bramleywick/bramleywick/settings"
 	"github.com/bramleywick/bramleywick/upstream"
 )
@@ -39,13 +40,16 @@
 	engines    *upstream.EngineClient
 	servers    []*http.Server
 	stopping   atomic.Bool
+	cluster    cluster
 	// Addresses are the bound addresses of the listeners, by purpose.
 	Addresses Addresses
+	// PeerTransport carries the exchange with peers; set it before Start.
+	PeerTransport peer.Transport
 }
 
 // Addresses are the bound listen addresses of a daemon.
 type Addresses struct {
-	Callers, Operators, Admin string
+	Callers, Operators, Admin, Peers string
 }
 
 // New provisions a daemon without starting anything.
@@ -56,6 +60,7 @@
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
 	}, d.cancelAt)
 	store := d.newStore()
+	d.cluster.store = store
 	d.keeper = d.newKeeper(store)
 	return d
 }
@@ -71,6 +76,7 @@
 
 func (d *Daemon) putInForce(index *declare.Index) {
 	d.dispatcher.Step(sched.Configure{Version: index.Version, Declaration: index.Declaration})
+	d.configureCluster(index)
 }
 
 func (d *Daemon) cancelAt(id fleet.RequestID, target fleet.UpstreamID) {
@@ -113,7 +119,7 @@
 	}
 	go d.keeper.Run(ctx, d.watchesConfiguration)
 	go d.dispatcher.Run(context.WithoutCancel(ctx))
-	return nil
+	return d.startCluster(context.WithoutCancel(ctx))
 }
 
 func (d *Daemon) listen(purpose, address string, handler http.Handler) (string, error) {
@@ -147,6 +153,8 @@
 // work is accepted and running answers are finished.
 func (d *Daemon) Stop() error {
 	d.stopping.Store(true)
+	d.leaveCluster()
+	defer d.stopCluster()
 	time.Sleep(d.settings.BalancerDelay)
 	d.dispatcher.Step(sched.Drain{})
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainLimit)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,14 @@
 type Settings struct {
 	Instance   fleet.InstanceID
 	DataCentre fleet.DataCentre
+	// Region names the data centres whose engines are used together.
+	Region string
+	// PeerSeeds are addresses of other instances' listeners for peers, tried
+	// in addition to the platform's list.
+	PeerSeeds []string
+	// PeerAddress is the address at which peers reach this instance when it
+	// is not the one it listens on.
+	PeerAddress string
 	// CallerListen, OperatorListen, PeerListen and AdminListen are IP
 	// addresses with ports.
 	CallerListen   string
@@ -83,6 +91,7 @@
 	case "instance":
 		s.Instance = fleet.InstanceID(name(dec, "id", "the instance's name"))
 		s.DataCentre = fleet.DataCentre(name(dec, "data_centre", "a data centre's name"))
+		s.Region = dec.String("region", "")
 		s.BalancerDelay = within(dec, "balancer_delay", 5*time.Second, 0, maxBalancerDelay)
 		s.DrainLimit = within(dec, "drain_limit", 10*time.Minute, time.Second, maxDrainLimit)
 	case "listen":
@@ -91,6 +100,9 @@
 		s.PeerListen = dec.Address("peers", "127.0.0.1:8082")
 		s.AdminListen = dec.Address("admin", "127.0.0.1:8083")
 		s.listeners(dec)
+	case "peers":
+		s.PeerSeeds = dec.Strings("seeds")
+		s.PeerAddress = dec.Address("address", "")
 	case "platform":
 		s.Platform = baseURL(dec, "url")
 		s.PlatformLimits = platform.Limits{
@@ -103,7 +115,7 @@
 	default:
 		*faults = append(*faults, inifile.Fault{
 			File: file, Line: section.Line, Message: "unknown section [" + kind + "]",
-			Expected: "[instance], [listen], [platform] or [operators]",
+			Expected: "[instance], [listen], [peers], [platform] or [operators]",
 		})
 		return
 	}
