Run calls with an idempotency key at most once

Cause: a call of a kind that may not be repeated had no protection against a second run when its caller repeated it, at this or another instance.

Change: core/claim is the state machine of one call; package claim carries it out through the platform. The claim is written before the call enters the queue, because only the claim tells whether an earlier call with the key ran. The age of a key that tells its time is checked after the claim is made, so that a late duplicate cannot run when the first claim has been removed. Claims vanish with a platform lease per instance and ten minutes, which replaces a delete per claim.

--- a/caller/server.go
+++ b/caller/server.go
@@ -37,6 +37,8 @@
 	Requests Requests
 	Engines  *upstream.EngineClient
 	Services *upstream.ServiceClient
+	// Claims may be nil; then calls with an idempotency key are refused.
+	Claims   Claims
 	Observer Observer
 	Log      *zap.Logger
 }
--- a/caller/service.go
+++ b/caller/service.go
@@ -22,6 +22,9 @@
 	if route == nil || !member.Grants(route.Kind) {
 		return s.refuse(c, id, fleet.Refuse(fleet.ReasonKindNotGranted, "no granted route matches the path"))
 	}
+	if kind := index.Kind(route.Kind); !kind.Repeatable && c.Request().Header.Get(idempotencyHeader) != "" {
+		return s.once(c, id, index, member, kind)
+	}
 	ctx := c.Request().Context()
 	ticket, refusal := s.Requests.Submit(ctx, sched.Request{ID: id, Member: member.ID, Kind: route.Kind})
 	if refusal != nil {
--- /dev/null
+++ b/claim/claim.go
@@ -0,0 +1,285 @@
+// Package claim runs calls at most once: it carries out the commands of
+// core/claim against the platform's service.
+package claim
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleywick/bramleywick/core/claim"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/platform"
+)
+
+const (
+	// storeTimeout bounds one call to the platform, which answers in
+	// milliseconds when it is well.
+	storeTimeout = 2 * time.Second
+	// firstCallWait is the default of Claims.FirstCallWait; a plain service
+	// answers most calls sooner.
+	firstCallWait = 5 * time.Second
+	// recordWait is how long a caller waits for its outcome to be stored; the
+	// answer is not held back longer by a platform that has become slow.
+	recordWait = time.Second
+	// leasePeriod is how long new claims are put under the same lease. One
+	// lease per instance and period replaces a delete per claim.
+	leasePeriod = 10 * time.Minute
+	// mostAhead is how far a key's time may be ahead of the instance's clock.
+	mostAhead = claim.ClockSkew
+)
+
+// Call is one call that may run at most once.
+type Call struct {
+	Member fleet.MemberID
+	// Key is the caller's idempotency key.
+	Key          string
+	Method, Path string
+	Body         []byte
+}
+
+// Sent is how the sending of a call ended. Refusal is set when no byte of the
+// call reached an upstream; Lost when the call may have run without an answer.
+type Sent struct {
+	Answer  claim.Answer
+	Refusal *fleet.Refusal
+	Lost    error
+}
+
+// Claims is safe for concurrent use.
+type Claims struct {
+	// FirstCallWait is how long a repeated call waits for the first one.
+	FirstCallWait time.Duration
+
+	store    platform.Store
+	instance fleet.InstanceID
+	start    time.Time
+	now      func() time.Time
+
+	pending sync.WaitGroup
+
+	mu     sync.Mutex
+	leases map[time.Duration]grantedLease
+}
+
+type grantedLease struct {
+	id    string
+	until time.Time
+}
+
+// New returns claims that are kept in store.
+func New(store platform.Store, instance fleet.InstanceID) *Claims {
+	return &Claims{
+		store: store, instance: instance, start: wallClock(), now: wallClock,
+		leases: map[time.Duration]grantedLease{}, FirstCallWait: firstCallWait,
+	}
+}
+
+// wallClock returns the time without its monotonic reading, which may stand
+// still while the machine is suspended; a key's age must not.
+func wallClock() time.Time { return time.Now().Round(0) }
+
+// Wait blocks until every outcome is stored or given up.
+func (c *Claims) Wait() { c.pending.Wait() }
+
+// Do claims the call and, if it is the first one with its key, runs send once.
+// replayed tells that the answer is the recorded answer of an earlier call.
+func (c *Claims) Do(ctx context.Context, call Call, send func(context.Context) Sent) (answer claim.Answer, replayed bool, refusal *fleet.Refusal) {
+	config, keep, refusal := c.configure(call)
+	if refusal != nil {
+		return claim.Answer{}, false, refusal
+	}
+	r := &run{
+		claims: c, keep: keep, machine: claim.New(config),
+		// A caller that leaves must not end a claim halfway.
+		ctx: context.WithoutCancel(ctx),
+		key: "claim/" + url.PathEscape(string(call.Member)) + "/" + url.PathEscape(call.Key),
+	}
+	r.step(claim.Start{})
+	return r.drive(ctx, send)
+}
+
+func (c *Claims) configure(call Call) (claim.Config, time.Duration, *fleet.Refusal) {
+	config := claim.Config{
+		Attempt: newAttempt(), Instance: c.instance, Wait: c.FirstCallWait,
+		BodyHash: claim.Hash(call.Method, call.Path, call.Body),
+	}
+	if !claim.ValidKey(call.Key) {
+		return config, 0, fleet.Refuse(fleet.ReasonBadRequest, "the idempotency key must be 1 to %d printable ASCII characters without spaces", claim.MaxKeyBytes)
+	}
+	created, ok := claim.CreatedAt(call.Key)
+	if !ok {
+		return config, claim.OpaqueKeep, nil
+	}
+	now := c.now()
+	age := now.Sub(created)
+	if age < -mostAhead || age >= claim.TimedKeyAge {
+		return config, 0, fleet.Refuse(fleet.ReasonBadRequest, "the idempotency key was created %s ago; at most %s is accepted", age.Round(time.Second), claim.TimedKeyAge)
+	}
+	config.SendBefore = now.Sub(c.start) + claim.TimedKeyAge - age
+	return config, claim.TimedKeep, nil
+}
+
+func newAttempt() string {
+	var raw [16]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+// lease returns the lease under which new claims are written. Every claim lives
+// at least keep, because the lease outlives the last claim put under it by that.
+func (c *Claims) lease(ctx context.Context, keep time.Duration) (string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l := c.leases[keep]; c.now().Before(l.until) {
+		return l.id, nil
+	}
+	asked := c.now()
+	granted, err := c.store.GrantLease(ctx, keep+leasePeriod+claim.ClockSkew)
+	if err != nil {
+		return "", errors.Wrap(err, "grant a lease for claims")
+	}
+	c.leases[keep] = grantedLease{id: granted.ID, until: asked.Add(leasePeriod)}
+	return granted.ID, nil
+}
+
+func (c *Claims) dropLease(keep time.Duration, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leases[keep].id == id {
+		delete(c.leases, keep)
+	}
+}
+
+// run carries out one call's commands.
+type run struct {
+	claims  *Claims
+	ctx     context.Context
+	key     string
+	keep    time.Duration
+	leaseID string
+	machine *claim.Machine
+	next    claim.Command
+}
+
+func (r *run) step(ev claim.Event) {
+	r.machine.Step(r.claims.now().Sub(r.claims.start), ev)
+	r.next = nil
+	for _, c := range r.machine.Ready() {
+		r.next = c
+	}
+}
+
+// drive carries out commands until the call is to be sent or ends before.
+func (r *run) drive(ctx context.Context, send func(context.Context) Sent) (claim.Answer, bool, *fleet.Refusal) {
+	for {
+		switch c := r.next.(type) {
+		case claim.Run:
+			return r.send(ctx, send)
+		case claim.Refuse:
+			return claim.Answer{}, false, c.Refusal
+		case claim.Replay:
+			return c.Answer, true, nil
+		default:
+			r.step(r.call(c))
+		}
+	}
+}
+
+func (r *run) send(ctx context.Context, send func(context.Context) Sent) (claim.Answer, bool, *fleet.Refusal) {
+	sent := send(ctx)
+	switch {
+	case sent.Refusal != nil:
+		r.step(claim.NotSent{})
+	case sent.Lost != nil:
+		r.step(claim.Lost{})
+	default:
+		r.step(claim.Answered{Answer: sent.Answer})
+	}
+	r.record()
+	if sent.Lost != nil {
+		return claim.Answer{}, false, &fleet.Refusal{
+			Reason: fleet.ReasonOutcomeUnknown, Outcome: fleet.OutcomeUnknown, Detail: sent.Lost.Error(),
+		}
+	}
+	return sent.Answer, false, sent.Refusal
+}
+
+// record stores the outcome and returns early when that takes long.
+func (r *run) record() {
+	stored := make(chan struct{})
+	r.claims.pending.Add(1)
+	go func() {
+		defer r.claims.pending.Done()
+		defer close(stored)
+		for {
+			if _, ended := r.next.(claim.Recorded); ended {
+				return
+			}
+			r.step(r.call(r.next))
+		}
+	}()
+	select {
+	case <-stored:
+	case <-time.After(recordWait):
+	}
+}
+
+// call carries out one call to the platform.
+func (r *run) call(c claim.Command) claim.Event {
+	switch c := c.(type) {
+	case claim.Write:
+		return r.write(c)
+	case claim.Watch:
+		ctx, stop := context.WithTimeout(r.ctx, c.Wait+storeTimeout)
+		defer stop()
+		return found(r.claims.store.Watch(ctx, r.key, c.After, c.Wait))
+	default:
+		ctx, stop := context.WithTimeout(r.ctx, storeTimeout)
+		defer stop()
+		return found(r.claims.store.Get(ctx, r.key))
+	}
+}
+
+func found(entry platform.Entry, err error) claim.Event {
+	if errors.Is(err, platform.ErrNotFound) {
+		return claim.Found{}
+	}
+	ev := claim.Found{Revision: entry.Revision}
+	if err != nil || json.Unmarshal(entry.Value, &ev.Record) != nil {
+		return claim.Unavailable{}
+	}
+	return ev
+}
+
+func (r *run) write(c claim.Write) claim.Event {
+	raw, err := json.Marshal(c.Record)
+	if err != nil {
+		return claim.Unavailable{}
+	}
+	ctx, stop := context.WithTimeout(r.ctx, storeTimeout)
+	defer stop()
+	if c.Record.Phase == claim.PhaseClaimed || r.leaseID == "" {
+		if r.leaseID, err = r.claims.lease(ctx, r.keep); err != nil {
+			return claim.Unavailable{}
+		}
+	}
+	entry, err := r.claims.store.CompareAndSwap(ctx, r.key, c.Revision, raw, r.leaseID)
+	switch {
+	case err == nil:
+		return claim.Written{Revision: entry.Revision}
+	case errors.Is(err, platform.ErrConflict):
+		return claim.Conflict{}
+	case errors.Is(err, platform.ErrUnknown):
+		return claim.Unknown{}
+	case errors.Is(err, platform.ErrLeaseLost):
+		r.claims.dropLease(r.keep, r.leaseID)
+	}
+	return claim.Unavailable{}
+}
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -22,6 +22,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "5000")
 	os.Exit(m.Run())
 }
 
--- a/core/order/explore_test.go
+++ b/core/order/explore_test.go
@@ -453,6 +453,7 @@
 	flag.Parse()
 	if os.Getenv("BRAMLEYWICK_LONG") == "" {
 		_ = flag.Set("rapid.seed", "1")
+		_ = flag.Set("rapid.checks", "300")
 	}
 	os.Exit(m.Run())
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/caller"
+	"github.com/bramleywick/bramleywick/claim"
 	"github.com/bramleywick/bramleywick/config"
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
@@ -39,6 +40,7 @@
 	keeper     *config.Keeper
 	dispatcher *dispatch.Dispatcher
 	engines    *upstream.EngineClient
+	claims     *claim.Claims
 	servers    []*http.Server
 	stopping   atomic.Bool
 	// Addresses are the bound addresses of the listeners, by purpose.
@@ -58,6 +60,7 @@
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
 	}, d.cancelAt)
 	store := platform.NewClient(s.Platform, &http.Client{Timeout: platformTimeout})
+	d.claims = claim.New(store, s.Instance)
 	d.keeper = config.NewKeeper(store, d.putInForce)
 	return d
 }
@@ -101,7 +104,7 @@
 func (d *Daemon) Start(ctx context.Context) error {
 	calls := caller.NewServer(caller.Options{
 		Index: d.keeper.Index, Requests: d.dispatcher, Engines: d.engines,
-		Services: upstream.NewServiceClient(), Observer: d.metrics, Log: d.log,
+		Services: upstream.NewServiceClient(), Claims: d.claims, Observer: d.metrics, Log: d.log,
 	})
 	var err error
 	if d.Addresses.Callers, err = d.listen("callers", d.settings.CallerListen, calls.Handler()); err != nil {
@@ -159,6 +162,7 @@
 			return errors.Wrap(err, "drain")
 		}
 	}
+	d.claims.Wait()
 	d.log.Info("stopped")
 	return nil
 }
