Give orders to engines under the data centre's lease

Cause: the lease and order machines had no adapter, and the stand-in engine accepted no orders.

Change: package authority carries out both machines with timers, the platform's store and an HTTP client that sends each order on the connection on which the engine's incarnation was read, so that an order cannot reach a later incarnation. A process is confirmed to be gone when an instance that the platform has listed stays missing for LateLimit. The daemon feeds the declaration in force; drains are acknowledged by this instance only, and not at all while the platform lists another one. Groups declare weight_loads, the number of engines that may load at once.

Measured: go test -race -count=3 ./authority passes: lost answer, crash halfway, refused drain, outage, handover and takeover from a partitioned holder, with engines that check numbers and engines that ignore them.

--- /dev/null
+++ b/authority/authority.go
@@ -0,0 +1,323 @@
+// Package authority keeps a data centre's order lease and gives orders to its
+// engines: it carries out the commands of core/lease and core/order with timers,
+// the platform's service and the engines' HTTP interface.
+package authority
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/lease"
+	"github.com/bramleywick/bramleywick/core/order"
+	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/upstream"
+)
+
+// Mark tells instances to stop or resume sending work to an engine. An instance
+// ignores a mark whose Fence is lower than the highest it has seen for the
+// engine, so that a replaced holder cannot lift its successor's mark.
+type Mark struct {
+	Upstream fleet.UpstreamID
+	Fence    int64
+	On       bool
+}
+
+// Drains spreads marks among the instances.
+type Drains interface {
+	// Mark hands the mark to every instance that can be reached. It fails when
+	// the mark is older than one already seen.
+	Mark(ctx context.Context, m Mark) error
+	// Acknowledged tells whether every instance that might send work to the
+	// engine has acknowledged the mark and has nothing in flight there. An
+	// instance that cannot be asked has not acknowledged.
+	Acknowledged(ctx context.Context, m Mark) bool
+}
+
+// Times are the periods of an authority.
+type Times struct {
+	// LeaseTTL, LeaseMargin and LeaseRetry are described in core/lease.
+	LeaseTTL, LeaseMargin, LeaseRetry time.Duration
+	// Poll, Observe, DrainLimit, LateLimit and Backoff are described in
+	// core/order.
+	Poll, Observe, DrainLimit, LateLimit, Backoff time.Duration
+	// Tick is how often the machines look at the time.
+	Tick time.Duration
+}
+
+// DefaultTimes are the periods in production.
+var DefaultTimes = Times{
+	LeaseTTL: 15 * time.Second,
+	// A fifth of the lease covers clocks that differ in rate by far more than
+	// the 500 parts per million of an unsynchronised clock.
+	LeaseMargin: 3 * time.Second,
+	LeaseRetry:  time.Second,
+	Poll:        500 * time.Millisecond,
+	// 71 engines read every 10 s cost the holder 7 short requests a second.
+	Observe:    10 * time.Second,
+	DrainLimit: 2 * time.Minute,
+	// Twice the 60 s that a TCP segment is assumed to live.
+	LateLimit: 2 * time.Minute,
+	Backoff:   30 * time.Second,
+	Tick:      100 * time.Millisecond,
+}
+
+// Options are the parts that an authority works with.
+type Options struct {
+	Store      platform.Store
+	Instance   fleet.InstanceID
+	DataCentre fleet.DataCentre
+	// Start distinguishes this process from earlier ones of the instance.
+	Start   string
+	Engines *upstream.EngineClient
+	Drains  Drains
+	Times   Times
+	Log     *zap.Logger
+}
+
+// Authority is safe for concurrent use.
+type Authority struct {
+	Options
+	clock  clock
+	active sync.WaitGroup
+
+	mu      sync.Mutex
+	lease   *lease.Machine
+	last    lease.Authority
+	process order.Process
+	engines map[fleet.UpstreamID]*engine
+	index   *declare.Index
+	roles   map[fleet.UpstreamID]fleet.Role
+	listed  map[fleet.InstanceID]fleet.Instant
+	// competing is set once this instance may compete for the lease; the
+	// machines are created then, because they carry the process's identity.
+	competing bool
+	// retired are machines of engines whose address or fencing was declared
+	// anew. They only withdraw their attempts.
+	retired  []*engine
+	stopping bool
+}
+
+// engine is one engine's machine with its order connection.
+type engine struct {
+	machine *order.Engine
+	id      fleet.UpstreamID
+	address string
+	group   atomic.Pointer[declare.Group]
+	fence   int64 // of the latest mark
+	conn    *upstream.OrderConn
+	retired bool
+}
+
+// New returns an authority; Run starts it.
+func New(o Options) *Authority {
+	return &Authority{
+		Options: o, clock: newClock(),
+		process: order.Process{Instance: o.Instance, Start: o.Start},
+		lease: lease.New(lease.Config{
+			Instance: o.Instance, Process: o.Start,
+			TTL: o.Times.LeaseTTL, Margin: o.Times.LeaseMargin, Retry: o.Times.LeaseRetry,
+		}),
+		engines: map[fleet.UpstreamID]*engine{},
+		roles:   map[fleet.UpstreamID]fleet.Role{},
+		listed:  map[fleet.InstanceID]fleet.Instant{},
+	}
+}
+
+// Run competes for the lease and gives orders until ctx ends. Then it gives the
+// lease back and waits for the calls under way, whose answers it records.
+func (a *Authority) Run(ctx context.Context) {
+	calls, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	a.active.Add(1)
+	go func() {
+		defer a.active.Done()
+		a.releasePredecessor(ctx)
+	}()
+	a.awaitListing(ctx)
+	a.compete()
+	ticker := time.NewTicker(a.Times.Tick)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		a.tick(calls)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	a.resign(calls)
+}
+
+func (a *Authority) tick(ctx context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stepLease(ctx, lease.Tick{})
+	for _, e := range a.engines {
+		a.stepEngine(ctx, e, order.Tick{})
+	}
+	for _, e := range a.retired {
+		a.stepEngine(ctx, e, order.Tick{})
+	}
+}
+
+func (a *Authority) compete() {
+	a.mu.Lock()
+	a.competing = true
+	index := a.index
+	a.mu.Unlock()
+	if index != nil {
+		a.Configure(index)
+	}
+}
+
+// resign ends the term. Each engine's machine then removes this process from
+// the attempts, unless a sending without an answer must still be waited out.
+func (a *Authority) resign(ctx context.Context) {
+	a.mu.Lock()
+	a.stepLease(ctx, lease.Resign{})
+	a.stopping = true
+	a.mu.Unlock()
+	a.active.Wait()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, e := range a.engines {
+		e.close()
+	}
+}
+
+// Configure takes the engines of this data centre from the declaration in force.
+func (a *Authority) Configure(index *declare.Index) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.index = index
+	if !a.competing {
+		return
+	}
+	for _, u := range index.Declaration.Upstreams {
+		group := index.Group(u.Group)
+		if u.DataCentre != a.DataCentre || group == nil || group.Type != declare.GroupEngine {
+			continue
+		}
+		e := a.engines[u.ID]
+		if e != nil && (e.address != u.Address || e.group.Load().ChecksFencing != group.ChecksFencing) {
+			a.retire(e)
+			e = nil
+		}
+		if e == nil {
+			e = a.newEngine(u, group)
+		}
+		e.group.Store(group)
+		a.want(e, a.desired(u, group))
+	}
+	for id, e := range a.engines {
+		if index.Upstream(id) == nil {
+			a.retire(e)
+		}
+	}
+}
+
+// retire ends a machine's authority; it is kept to withdraw its attempts.
+func (a *Authority) retire(e *engine) {
+	e.retired = true
+	e.machine.Revoke()
+	a.retired = append(a.retired, e)
+	delete(a.engines, e.id)
+}
+
+func (a *Authority) newEngine(u declare.Upstream, group *declare.Group) *engine {
+	e := &engine{id: u.ID, address: u.Address}
+	e.machine = order.New(order.Config{
+		Self: a.process, Upstream: u.ID, ChecksFencing: group.ChecksFencing,
+		Poll: a.Times.Poll, Observe: a.Times.Observe, DrainLimit: a.Times.DrainLimit,
+		LateLimit: a.Times.LateLimit, Backoff: a.Times.Backoff,
+	})
+	e.machine.Grant(a.last)
+	a.engines[u.ID] = e
+	return e
+}
+
+// desired joins the declaration's model with the planner's role.
+func (a *Authority) desired(u declare.Upstream, group *declare.Group) order.Desired {
+	role, planned := a.roles[u.ID]
+	if !planned {
+		role = u.Role
+	}
+	return order.Desired{Model: group.Model, Adapter: group.Adapter, Version: group.ModelVersion, Role: role}
+}
+
+// SetRole is the role planner's wish for an engine; it outlives new versions of
+// the declaration.
+func (a *Authority) SetRole(id fleet.UpstreamID, role fleet.Role) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.roles[id] = role
+	if e := a.engines[id]; e != nil && a.index != nil && a.index.Upstream(id) != nil {
+		a.want(e, a.desired(*a.index.Upstream(id), e.group.Load()))
+	}
+}
+
+// Want sets an engine's desired state directly.
+func (a *Authority) Want(id fleet.UpstreamID, d order.Desired) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e := a.engines[id]; e != nil {
+		a.want(e, d)
+	}
+}
+
+// want only sets the wish; the next tick acts on it.
+func (a *Authority) want(e *engine, d order.Desired) {
+	e.machine.SetWant(&d)
+}
+
+// EngineStatus is an engine's orders as operators see them.
+type EngineStatus struct {
+	Upstream fleet.UpstreamID
+	order.Status
+}
+
+// Status returns the lease and the engines' orders as this instance knows them.
+func (a *Authority) Status() (lease.Authority, []EngineStatus) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var list []EngineStatus
+	for id, e := range a.engines {
+		list = append(list, EngineStatus{Upstream: id, Status: e.machine.Status()})
+	}
+	slices.SortFunc(list, func(x, y EngineStatus) int {
+		if x.Upstream < y.Upstream {
+			return -1
+		}
+		return 1
+	})
+	return a.lease.Authority(), list
+}
+
+// clock counts the time since the start of the process. It follows the wall
+// clock when that is ahead, because the monotonic clock of a suspended machine
+// may stand still; it never goes back.
+type clock struct {
+	start time.Time
+	wall  time.Time
+	mu    *sync.Mutex
+	high  *fleet.Instant
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{start: now, wall: now.Round(0), mu: &sync.Mutex{}, high: new(fleet.Instant)}
+}
+
+func (c clock) now() fleet.Instant {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	*c.high = max(*c.high, now.Sub(c.start), now.Round(0).Sub(c.wall))
+	return *c.high
+}
--- /dev/null
+++ b/authority/authority_test.go
@@ -0,0 +1,278 @@
+package authority_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/authority"
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/order"
+	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/standin/engine"
+	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/upstream"
+)
+
+var times = authority.Times{
+	LeaseTTL: time.Second, LeaseMargin: 200 * time.Millisecond, LeaseRetry: 20 * time.Millisecond,
+	Poll: 10 * time.Millisecond, Observe: 30 * time.Millisecond, DrainLimit: time.Second,
+	LateLimit: 300 * time.Millisecond, Backoff: 20 * time.Millisecond, Tick: 5 * time.Millisecond,
+}
+
+// marks is the instances' side of a drain.
+type marks struct {
+	mu   sync.Mutex
+	seen authority.Mark
+	held bool // acknowledgements are withheld
+}
+
+func (m *marks) Mark(_ context.Context, next authority.Mark) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if next.Fence < m.seen.Fence {
+		return errors.New("old mark")
+	}
+	m.seen = next
+	return nil
+}
+
+func (m *marks) Acknowledged(_ context.Context, mark authority.Mark) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.held && m.seen == mark
+}
+
+func (m *marks) set(held bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held = held
+}
+
+func (m *marks) on() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.seen.On
+}
+
+// bed is one engine, one store and the instances that order it.
+type bed struct {
+	service *standin.Server
+	store   platform.Store
+	engine  *engine.Server
+	address string
+	marks   *marks
+	fencing bool
+	stops   []func()
+}
+
+func newBed(fencing bool, change time.Duration) *bed {
+	b := &bed{service: standin.New(), marks: &marks{}, fencing: fencing}
+	b.list("a", "b")
+	store := httptest.NewServer(b.service.Handler())
+	b.store = platform.NewClient(store.URL, store.Client())
+	b.engine = engine.New(engine.Config{Incarnation: "e1", Orders: &engine.Orders{
+		Model: "m", IgnoresFencing: !fencing, ChangeTime: change,
+	}})
+	server := httptest.NewUnstartedServer(b.engine.Handler())
+	server.Config.ConnContext = b.engine.ConnContext
+	server.Start()
+	b.address = strings.TrimPrefix(server.URL, "http://")
+	b.stops = append(b.stops, server.Close, store.Close)
+	return b
+}
+
+func (b *bed) close() {
+	for _, stop := range b.stops {
+		stop()
+	}
+}
+
+func (b *bed) list(names ...string) {
+	var list []platform.InstanceInfo
+	for _, n := range names {
+		list = append(list, platform.InstanceInfo{ID: n})
+	}
+	b.service.SetInstances(list)
+}
+
+// start runs an instance and returns it and the function that stops it.
+func (b *bed) start(name string, store platform.Store) (*authority.Authority, func()) {
+	a := authority.New(authority.Options{
+		Store: store, Instance: fleet.InstanceID(name), DataCentre: "d", Start: name + "-1",
+		Engines: upstream.NewEngineClient(nil), Drains: b.marks, Times: times, Log: zap.NewNop(),
+	})
+	a.Configure(declare.NewIndex(1, &declare.Declaration{
+		Groups:    []declare.Group{{Name: "g", Type: declare.GroupEngine, ChecksFencing: b.fencing, Model: "m"}},
+		Upstreams: []declare.Upstream{{ID: "u", Group: "g", Address: b.address, DataCentre: "d"}},
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.Run(ctx)
+	}()
+	stop := func() {
+		cancel()
+		<-done
+	}
+	b.stops = append([]func(){stop}, b.stops...)
+	return a, stop
+}
+
+func eventually(what string, condition func() bool) {
+	deadline := time.Now().Add(10 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			panic("not reached: " + what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (b *bed) role() string { return b.engine.State().Role }
+
+func (b *bed) record() order.Record {
+	entry, err := b.store.Get(context.Background(), "order/u")
+	if err != nil {
+		return order.Record{}
+	}
+	var r order.Record
+	So(json.Unmarshal(entry.Value, &r), ShouldBeNil)
+	return r
+}
+
+// TestOrders guards the interface to engines: each fault must end with the
+// wanted state, no request cut, and no order executed beside the recorded ones.
+func TestOrders(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		Convey(fmt.Sprintf("With an engine that checks numbers: %v", fencing), t, func() {
+			b := newBed(fencing, 60*time.Millisecond)
+			Reset(b.close)
+
+			Convey("a change of role is carried out once and the engine returns to service", func() {
+				a, _ := b.start("a", b.store)
+				a.SetRole("u", fleet.RoleDecode)
+				eventually("role", func() bool { return b.role() == "decode" })
+				eventually("mark lifted", func() bool { return !b.marks.on() && !b.record().Open() })
+				So(b.engine.Executed(), ShouldHaveLength, 1)
+				So(b.record().Attempts, ShouldBeEmpty)
+			})
+			Convey("a lost answer is settled by reading the engine's state", func() {
+				b.engine.SetLoseAnswers(true)
+				a, _ := b.start("a", b.store)
+				a.SetRole("u", fleet.RoleDecode)
+				eventually("role", func() bool { return b.role() == "decode" })
+				eventually("settled", func() bool { return !b.record().Open() && len(b.record().Attempts) == 0 })
+				So(b.engine.Executed(), ShouldHaveLength, 1)
+			})
+			for _, applied := range []bool{true, false} {
+				Convey(fmt.Sprintf("a crash halfway, change applied %v, ends in the wanted state", applied), func() {
+					a, _ := b.start("a", b.store)
+					a.SetRole("u", fleet.RoleDecode)
+					eventually("started", func() bool { return len(b.engine.Executed()) == 1 })
+					b.engine.Crash(applied)
+					eventually("role", func() bool { return b.role() == "decode" && !b.record().Open() && !b.marks.on() })
+				})
+			}
+			Convey("a drain that is not acknowledged is undone", func() {
+				b.marks.set(true)
+				a, _ := b.start("a", b.store)
+				a.SetRole("u", fleet.RoleDecode)
+				eventually("drained", b.marks.on)
+				eventually("undone", func() bool { return b.record().Phase == order.PhaseUndone && !b.marks.on() })
+				So(b.engine.Executed(), ShouldBeEmpty)
+				b.marks.set(false)
+				eventually("role", func() bool { return b.role() == "decode" })
+			})
+			Convey("an outage of the platform holds the order back until it is over", func() {
+				a, _ := b.start("a", b.store)
+				eventually("holder", func() bool { held, _ := a.Status(); return held.Fence > 0 })
+				b.service.SetFaults(standin.Faults{Down: true})
+				time.Sleep(times.LeaseTTL)
+				a.SetRole("u", fleet.RoleDecode)
+				time.Sleep(100 * time.Millisecond)
+				So(b.engine.Executed(), ShouldBeEmpty)
+				b.service.SetFaults(standin.Faults{})
+				eventually("role", func() bool { return b.role() == "decode" })
+			})
+			Convey("a second instance takes over when the first one stops", func() {
+				first, stop := b.start("a", b.store)
+				eventually("first", func() bool { held, _ := first.Status(); return held.Fence == 1 })
+				second, _ := b.start("b", b.store)
+				stop()
+				eventually("second", func() bool { held, _ := second.Status(); return held.Fence == 2 })
+				second.SetRole("u", fleet.RolePrefill)
+				eventually("role", func() bool { return b.role() == "prefill" })
+			})
+		})
+	}
+}
+
+// cut is a store that fails every call once it is closed: a partition of one
+// instance from the platform.
+type cut struct {
+	platform.Store
+	mu     sync.Mutex
+	closed bool
+	writes int
+}
+
+func (c *cut) CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, leaseID string) (platform.Entry, error) {
+	c.mu.Lock()
+	closed := c.closed
+	if strings.HasPrefix(key, "order/") && strings.Contains(string(value), `"phase":"sending"`) {
+		// The partition begins once the order may be sent.
+		c.closed, c.writes = true, c.writes+1
+	}
+	c.mu.Unlock()
+	if closed {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return c.Store.CompareAndSwap(ctx, key, revision, value, leaseID)
+}
+
+func (c *cut) RenewLease(ctx context.Context, id string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return platform.ErrUnavailable
+	}
+	return c.Store.RenewLease(ctx, id)
+}
+
+// TestTakeover guards against a different order after a takeover while the
+// earlier sender may still send, with an engine that ignores numbers.
+func TestTakeover(t *testing.T) {
+	Convey("With a holder that loses the platform after it may have sent", t, func() {
+		b := newBed(false, 20*time.Millisecond)
+		Reset(b.close)
+		partitioned := &cut{Store: b.store}
+		first, _ := b.start("a", partitioned)
+		first.SetRole("u", fleet.RoleDecode)
+		eventually("executed", func() bool { return b.role() == "decode" })
+		second, _ := b.start("b", b.store)
+		second.SetRole("u", fleet.RolePrefill)
+		eventually("takeover", func() bool { held, _ := second.Status(); return held.Fence == 2 })
+		eventually("settled", func() bool { return b.record().Phase == order.PhaseSettled })
+
+		Convey("the successor gives no other order until the platform has confirmed its end", func() {
+			time.Sleep(300 * time.Millisecond)
+			So(b.engine.Executed(), ShouldHaveLength, 1)
+			_, status := second.Status()
+			So(status[0].BlockedBy, ShouldHaveLength, 1)
+			b.list("b")
+			eventually("role", func() bool { return b.role() == "prefill" })
+		})
+	})
+}
--- /dev/null
+++ b/authority/gone.go
@@ -0,0 +1,137 @@
+package authority
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/order"
+)
+
+// recordPrefix is the common prefix of the engines' order keys.
+const recordPrefix = "order/"
+
+// awaitListing waits until the platform lists this instance. Only then does the
+// instance's later absence from the list prove anything. An empty list means
+// that the platform keeps none; then no process is ever confirmed to be gone.
+func (a *Authority) awaitListing(ctx context.Context) {
+	for ctx.Err() == nil {
+		list, err := a.Store.Instances(ctx)
+		if err == nil && len(list) == 0 {
+			return
+		}
+		for _, i := range list {
+			if err == nil && fleet.InstanceID(i.ID) == a.Instance {
+				a.mu.Lock()
+				a.process.Listed = true
+				a.mu.Unlock()
+				a.active.Add(1)
+				go a.watchGone(ctx)
+				return
+			}
+		}
+		pause(ctx, a.Times.LeaseRetry)
+	}
+}
+
+// watchGone tells the engines' machines which processes the platform has
+// confirmed to be gone: those whose instance has been missing from the list for
+// LateLimit, after which nothing that they sent can still arrive.
+func (a *Authority) watchGone(ctx context.Context) {
+	defer a.active.Done()
+	for ctx.Err() == nil {
+		pause(ctx, a.Times.Observe)
+		if len(a.attempts()) == 0 {
+			continue
+		}
+		list, err := a.Store.Instances(ctx)
+		if err != nil || len(list) == 0 {
+			continue
+		}
+		now := a.clock.now()
+		a.mu.Lock()
+		for _, i := range list {
+			a.listed[fleet.InstanceID(i.ID)] = now
+		}
+		a.mu.Unlock()
+		a.tellGone(context.WithoutCancel(ctx), now)
+	}
+}
+
+// attempts returns the processes of other instances that may still send.
+func (a *Authority) attempts() []order.Process {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var list []order.Process
+	for _, e := range a.engines {
+		for _, p := range e.machine.Status().Record.Attempts {
+			if p.Instance != a.Instance {
+				list = append(list, p)
+			}
+		}
+	}
+	return list
+}
+
+func (a *Authority) tellGone(ctx context.Context, now fleet.Instant) {
+	attempts := a.attempts()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var gone []order.Process
+	for _, p := range attempts {
+		seen, known := a.listed[p.Instance]
+		if !known {
+			// Absence is counted from the first look.
+			a.listed[p.Instance] = now
+		}
+		if known && p.Listed && now-seen >= a.Times.LateLimit {
+			gone = append(gone, p)
+		}
+	}
+	for _, e := range a.engines {
+		a.stepEngine(ctx, e, order.Gone{Processes: gone})
+	}
+}
+
+// releasePredecessor removes earlier processes of this instance from the
+// attempts. They have ended, because this process could not otherwise have
+// bound their listen addresses; what they sent is waited out first.
+func (a *Authority) releasePredecessor(ctx context.Context) {
+	pause(ctx, a.Times.LateLimit)
+	for ctx.Err() == nil {
+		if a.releaseOnce(ctx) {
+			return
+		}
+		pause(ctx, a.Times.Observe)
+	}
+}
+
+func (a *Authority) releaseOnce(ctx context.Context) (done bool) {
+	entries, err := a.Store.List(ctx, recordPrefix)
+	if err != nil {
+		return false
+	}
+	done = true
+	for _, entry := range entries {
+		var record order.Record
+		if json.Unmarshal(entry.Value, &record) != nil {
+			continue
+		}
+		next, changed := record.WithoutPredecessors(a.process)
+		if !changed {
+			continue
+		}
+		if _, err := a.swapJSON(ctx, entry.Key, entry.Revision, next, ""); err != nil {
+			done = false
+		}
+	}
+	return done
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -27,12 +27,12 @@
 	attempt string
 	hash    string
 	pending claim.Command
-	// sent tells that the call was handed to the upstream and may still run.
-	sent, running bool
-	refused       *fleet.Refusal
-	replayed      *claim.Answer
-	ran           bool
-	notSent       bool
+	// running tells that the call may still reach the upstream.
+	running  bool
+	refused  *fleet.Refusal
+	replayed *claim.Answer
+	ran      bool
+	notSent  bool
 }
 
 // world is the platform's key and the upstream.
--- a/core/declare/declare.go
+++ b/core/declare/declare.go
@@ -71,7 +71,10 @@
 	// RoleChangeWeight multiplies the price of a role change; a larger value
 	// makes role changes rarer.
 	RoleChangeWeight float64
-	Pos              Position
+	// WeightLoads is how many of the group's engines may load from the weight
+	// store at once.
+	WeightLoads int
+	Pos         Position
 }
 
 // Upstream is one engine or plain service.
--- a/core/order/engine.go
+++ b/core/order/engine.go
@@ -106,6 +106,8 @@
 	AnswerBusy
 	// AnswerStale means that the engine has seen a higher fencing number.
 	AnswerStale
+	// AnswerRefused means that the engine will not execute the order at all.
+	AnswerRefused
 	// AnswerNotSent means that no byte of the order left the instance.
 	AnswerNotSent
 	// AnswerLost means that the engine may have received the order.
@@ -211,6 +213,8 @@
 	swept      fleet.Instant
 	replaced   bool
 
+	// refused is the id of the order that the engine would not execute.
+	refused string
 	// mayAttempt is set once a record that names this process as a possible
 	// sender may have been written, and cleared when it has been removed.
 	mayAttempt bool
@@ -230,9 +234,8 @@
 
 // Status is a snapshot of an engine's machine for operators.
 type Status struct {
-	Record   Record
-	State    State
-	Observed bool
+	Record Record
+	State  State
 	// BlockedBy are processes that may still send an earlier order.
 	BlockedBy []Process
 	// Changing tells that an order is under way or wanted.
@@ -243,14 +246,25 @@
 
 // Status returns a snapshot.
 func (e *Engine) Status() Status {
-	s := Status{Record: e.record, State: e.state, Observed: e.observed, Replaced: e.replaced}
-	s.Changing = e.record.Open() || e.wanted()
-	if e.wanted() && !e.record.Open() && !e.record.MayGiveAnother(e.config.ChecksFencing) {
+	s := Status{Record: e.record, State: e.state, Replaced: e.replaced}
+	// The last state read is shown, also while the next one is being read.
+	wanted := e.state.Incarnation != "" && e.want != nil && *e.want != e.state.Current
+	s.Changing = e.record.Open() || wanted
+	if wanted && !e.record.Open() && !e.record.MayGiveAnother(e.config.ChecksFencing) {
 		s.BlockedBy = e.record.Attempts
 	}
 	return s
 }
 
+// Grant gives the present authority without issuing a call.
+func (e *Engine) Grant(a lease.Authority) { e.authorize(a) }
+
+// Revoke ends the authority without issuing a call.
+func (e *Engine) Revoke() { e.authority = lease.Authority{} }
+
+// SetWant sets the desired state without issuing a call.
+func (e *Engine) SetWant(d *Desired) { e.want = d }
+
 func (e *Engine) wanted() bool {
 	return e.observed && e.want != nil && *e.want != e.state.Current
 }
@@ -426,6 +440,8 @@
 	switch ev.Answer {
 	case AnswerStale:
 		e.replaced = true
+	case AnswerRefused:
+		e.refused = e.record.Order.ID
 	case AnswerNotSent, AnswerBusy, AnswerLost:
 		e.next = now + e.config.Poll
 	}
@@ -438,6 +454,9 @@
 		return
 	}
 	e.next = now + e.config.Poll
+	if !e.record.Open() && !e.wanted() {
+		e.next = now + e.config.Observe
+	}
 	switch c.(type) {
 	case WriteRecord:
 		// The write may have taken effect or may have met another holder's.
@@ -647,6 +666,8 @@
 	case len(e.record.Attempts) == 0 && (e.want == nil || *e.want != o.Desired):
 		// Nobody can send the order any more and the engine never took it.
 		e.finish(now, PhaseUndone)
+	case e.refused == o.ID && len(e.record.without(e.config.Self).Attempts) == 0 && now >= e.lateUntil:
+		e.finish(now, PhaseUndone)
 	case e.mustDrain():
 		e.stepDrain()
 	case !e.connected:
--- a/core/order/record.go
+++ b/core/order/record.go
@@ -41,6 +41,9 @@
 	Instance fleet.InstanceID `json:"instance"`
 	// Start distinguishes successive processes of one instance.
 	Start string `json:"start"`
+	// Listed tells that the platform's list has contained the instance, so
+	// that its absence later proves that it is gone.
+	Listed bool `json:"listed,omitempty"`
 }
 
 // Phase is how far an order has come.
@@ -101,6 +104,16 @@
 	return r
 }
 
+// WithoutPredecessors returns the record without the attempts of earlier
+// processes of the same instance.
+func (r Record) WithoutPredecessors(p Process) (next Record, changed bool) {
+	before := len(r.Attempts)
+	r.Attempts = slices.DeleteFunc(slices.Clone(r.Attempts), func(q Process) bool {
+		return q.Instance == p.Instance && q.Start != p.Start
+	})
+	return r, len(r.Attempts) != before
+}
+
 func (r Record) with(p Process) Record {
 	if !r.attempting(p) {
 		r.Attempts = append(slices.Clone(r.Attempts), p)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/bramleywick/bramleywick/authority"
 	"github.com/bramleywick/bramleywick/caller"
 	"github.com/bramleywick/bramleywick/claim"
 	"github.com/bramleywick/bramleywick/config"
@@ -41,8 +42,11 @@
 	dispatcher *dispatch.Dispatcher
 	engines    *upstream.EngineClient
 	claims     *claim.Claims
-	servers    []*http.Server
-	stopping   atomic.Bool
+	authority  *authority.Authority
+	// authorityDone is closed when the order lease has been given back.
+	authorityDone chan struct{}
+	servers       []*http.Server
+	stopping      atomic.Bool
 	// Addresses are the bound addresses of the listeners, by purpose.
 	Addresses Addresses
 }
@@ -61,6 +65,7 @@
 	}, d.cancelAt)
 	store := platform.NewClient(s.Platform, &http.Client{Timeout: platformTimeout})
 	d.claims = claim.New(store, s.Instance)
+	d.authority = d.newAuthority(store)
 	d.keeper = config.NewKeeper(store, d.putInForce)
 	return d
 }
@@ -76,6 +81,7 @@
 
 func (d *Daemon) putInForce(index *declare.Index) {
 	d.dispatcher.Step(sched.Configure{Version: index.Version, Declaration: index.Declaration})
+	d.authority.Configure(index)
 	d.log.Info("configuration in force", zap.Int64("version", index.Version))
 }
 
@@ -118,6 +124,7 @@
 		return err
 	}
 	go d.keeper.Run(ctx)
+	d.startAuthority(ctx)
 	go d.dispatcher.Run(context.WithoutCancel(ctx))
 	return nil
 }
@@ -163,6 +170,10 @@
 		}
 	}
 	d.claims.Wait()
+	select {
+	case <-d.authorityDone:
+	case <-ctx.Done():
+	}
 	d.log.Info("stopped")
 	return nil
 }
--- a/declfile/declfile.go
+++ b/declfile/declfile.go
@@ -81,6 +81,7 @@
 		Adapter:          dec.String("adapter", ""),
 		ModelVersion:     dec.String("model_version", ""),
 		RoleChangeWeight: dec.Float("role_change_weight", 1),
+		WeightLoads:      dec.Int("weight_loads", 1),
 		Pos:              pos,
 	}
 }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -18,6 +18,7 @@
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/daemon"
+	realplatform "github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/settings"
 	"github.com/bramleywick/bramleywick/standin/engine"
 	"github.com/bramleywick/bramleywick/standin/platform"
@@ -76,7 +77,9 @@
 // Start starts the stand-ins, which live until outer ends, and a daemon whose
 // background work ends with ctx.
 func Start(ctx, outer context.Context, log *zap.Logger, callers, operators, admin string) (*daemon.Daemon, error) {
-	store, err := Serve(outer, "127.0.0.1:0", platform.New().Handler())
+	service := platform.New()
+	service.SetInstances([]realplatform.InstanceInfo{{ID: "dev", DataCentre: "dev-a"}})
+	store, err := Serve(outer, "127.0.0.1:0", service.Handler())
 	if err != nil {
 		return nil, err
 	}
@@ -103,6 +106,7 @@
 		if strings.HasPrefix(name, "engine") {
 			handler = engine.New(engine.Config{
 				Incarnation: fleet.Incarnation(name), TokenGap: 20 * time.Millisecond, FirstToken: 50 * time.Millisecond,
+				Orders: &engine.Orders{Model: "ledger-7b", ChangeTime: 5 * time.Second},
 			}).Handler()
 		}
 		address, err := Serve(ctx, "127.0.0.1:0", handler)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -22,6 +22,8 @@
 	TokenGap time.Duration
 	// FirstToken is the time to the first token.
 	FirstToken time.Duration
+	// Orders is set for an engine that accepts orders.
+	Orders *Orders
 }
 
 // Server is one stand-in engine.
@@ -29,10 +31,13 @@
 	config  Config
 	running atomic.Int64
 	reports atomic.Int64
+	orders  *orderState
 }
 
 // New returns an engine with the given behaviour.
-func New(config Config) *Server { return &Server{config: config} }
+func New(config Config) *Server {
+	return &Server{config: config, orders: newOrderState(config)}
+}
 
 // Handler returns the engine's HTTP interface.
 func (s *Server) Handler() http.Handler {
@@ -40,7 +45,8 @@
 	mux.HandleFunc("POST /v1/completions", s.complete)
 	mux.HandleFunc("DELETE /v1/requests/{id}", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /v1/load", s.load)
-	return mux
+	s.addOrders(mux)
+	return s.alive(mux)
 }
 
 // Answer returns the tokens that the engine generates for a prompt.
@@ -100,10 +106,11 @@
 }
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	state := s.State()
 	_ = json.NewEncoder(w).Encode(upstream.Load{
-		Incarnation: s.config.Incarnation,
+		Incarnation: state.Incarnation,
 		Sequence:    s.reports.Add(1),
-		Role:        s.config.Role.String(),
+		Role:        state.Role,
 		Running:     int(s.running.Load()),
 	})
 }
