--- a/cmd/bramleywickd/dev.go
+++ b/cmd/bramleywickd/dev.go
@@ -52,8 +52,9 @@
 }
 
 func devService() *ffcli.Command {
-	return standIn("service", func(*flag.FlagSet) func() http.Handler {
-		return func() http.Handler { return (&service.Server{}).Handler() }
+	return standIn("service", func(flags *flag.FlagSet) func() http.Handler {
+		delay := flags.Duration("delay", 0, "time between running a call and answering it")
+		return func() http.Handler { return (&service.Server{Delay: *delay}).Handler() }
 	})
 }
 
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // maxBodyBytes bounds the body of one call.
@@ -14,6 +15,9 @@
 
 // Server is one stand-in service. The zero value is ready to use.
 type Server struct {
+	// Delay is the time between running a call and answering it.
+	Delay time.Duration
+
 	mu   sync.Mutex
 	runs map[string]int
 }
@@ -34,6 +38,7 @@
 			return
 		}
 		runs := s.record(r.URL.Path, string(body))
+		time.Sleep(s.Delay)
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"path": r.URL.Path, "runs": runs})
 	})
