Spread drains to every listed instance and count their acknowledgements

Cause: a drain was acknowledged by the holder's own instance only, and an instance that missed the end of a drain would not have used the engine again.

Change: FleetDrains asks every instance that the platform lists through net/rpc; the receiver is registered on the server for the project's own processes by LocalDrain.Register. A mark is repeated until every listed instance has taken it; an instance with requests in flight does not acknowledge.

Measured: go test -race ./authority passes with three instances that talk net/rpc, one of which holds requests back until the drain is undone.

--- a/authority/authority.go
+++ b/authority/authority.go
@@ -31,8 +31,8 @@
 
 // Drains spreads marks among the instances.
 type Drains interface {
-	// Mark hands the mark to every instance that can be reached. It fails when
-	// the mark is older than one already seen.
+	// Mark hands the mark to every instance. It fails when one has not taken
+	// it or has seen a newer one.
 	Mark(ctx context.Context, m Mark) error
 	// Acknowledged tells whether every instance that might send work to the
 	// engine has acknowledged the mark and has nothing in flight there. An
--- a/authority/authority_test.go
+++ b/authority/authority_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http/httptest"
+	"net/rpc"
 	"strings"
 	"sync"
 	"testing"
@@ -30,39 +32,59 @@
 	LateLimit: 300 * time.Millisecond, Backoff: 20 * time.Millisecond, Tick: 5 * time.Millisecond,
 }
 
-// marks is the instances' side of a drain.
-type marks struct {
-	mu   sync.Mutex
-	seen authority.Mark
-	held bool // acknowledgements are withheld
+// traffic is one instance's requests at the engine.
+type traffic struct {
+	mu       sync.Mutex
+	leaving  bool
+	inFlight int
 }
 
-func (m *marks) Mark(_ context.Context, next authority.Mark) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if next.Fence < m.seen.Fence {
-		return errors.New("old mark")
-	}
-	m.seen = next
-	return nil
+func (c *traffic) SetLeaving(_ fleet.UpstreamID, leaving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = leaving
+}
+
+func (c *traffic) InFlight(fleet.UpstreamID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inFlight
+}
+
+func (c *traffic) set(inFlight int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight = inFlight
 }
 
-func (m *marks) Acknowledged(_ context.Context, mark authority.Mark) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return !m.held && m.seen == mark
+func (c *traffic) on() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving
 }
 
-func (m *marks) set(held bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.held = held
+// peers connects the instances' drains by net/rpc over in-memory connections.
+type peers struct {
+	mu     sync.Mutex
+	drains map[string]*authority.LocalDrain
 }
 
-func (m *marks) on() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.seen.On
+func (p *peers) call(_ context.Context, peer platform.InstanceInfo, method string, args, reply any) error {
+	p.mu.Lock()
+	local := p.drains[peer.ID]
+	p.mu.Unlock()
+	if local == nil {
+		return errors.Errorf("instance %s cannot be reached", peer.ID)
+	}
+	server := rpc.NewServer()
+	if err := local.Register(server); err != nil {
+		return err
+	}
+	here, there := net.Pipe()
+	go server.ServeConn(there)
+	client := rpc.NewClient(here)
+	defer func() { _ = client.Close() }()
+	return client.Call(method, args, reply)
 }
 
 // bed is one engine, one store and the instances that order it.
@@ -71,14 +93,20 @@
 	store   platform.Store
 	engine  *engine.Server
 	address string
-	marks   *marks
+	// marks is the traffic of instance c, which gives no orders.
+	marks   *traffic
+	peers   *peers
 	fencing bool
 	stops   []func()
 }
 
 func newBed(fencing bool, change time.Duration) *bed {
-	b := &bed{service: standin.New(), marks: &marks{}, fencing: fencing}
-	b.list("a", "b")
+	b := &bed{service: standin.New(), marks: &traffic{}, fencing: fencing}
+	b.peers = &peers{drains: map[string]*authority.LocalDrain{
+		"a": authority.NewLocalDrain(&traffic{}), "b": authority.NewLocalDrain(&traffic{}),
+		"c": authority.NewLocalDrain(b.marks),
+	}}
+	b.list("a", "b", "c")
 	store := httptest.NewServer(b.service.Handler())
 	b.store = platform.NewClient(store.URL, store.Client())
 	b.engine = engine.New(engine.Config{Incarnation: "e1", Orders: &engine.Orders{
@@ -110,7 +138,10 @@
 func (b *bed) start(name string, store platform.Store) (*authority.Authority, func()) {
 	a := authority.New(authority.Options{
 		Store: store, Instance: fleet.InstanceID(name), DataCentre: "d", Start: name + "-1",
-		Engines: upstream.NewEngineClient(nil), Drains: b.marks, Times: times, Log: zap.NewNop(),
+		Engines: upstream.NewEngineClient(nil), Times: times, Log: zap.NewNop(),
+		Drains: &authority.FleetDrains{
+			Local: b.peers.drains[name], Self: fleet.InstanceID(name), Store: store, Call: b.peers.call,
+		},
 	})
 	a.Configure(declare.NewIndex(1, &declare.Declaration{
 		Groups:    []declare.Group{{Name: "g", Type: declare.GroupEngine, ChecksFencing: b.fencing, Model: "m"}},
@@ -185,14 +216,14 @@
 					eventually("role", func() bool { return b.role() == "decode" && !b.record().Open() && !b.marks.on() })
 				})
 			}
-			Convey("a drain that is not acknowledged is undone", func() {
-				b.marks.set(true)
+			Convey("a drain that another instance does not acknowledge is undone", func() {
+				b.marks.set(1)
 				a, _ := b.start("a", b.store)
 				a.SetRole("u", fleet.RoleDecode)
 				eventually("drained", b.marks.on)
 				eventually("undone", func() bool { return b.record().Phase == order.PhaseUndone && !b.marks.on() })
 				So(b.engine.Executed(), ShouldBeEmpty)
-				b.marks.set(false)
+				b.marks.set(0)
 				eventually("role", func() bool { return b.role() == "decode" })
 			})
 			Convey("an outage of the platform holds the order back until it is over", func() {
@@ -271,7 +302,7 @@
 			So(b.engine.Executed(), ShouldHaveLength, 1)
 			_, status := second.Status()
 			So(status[0].BlockedBy, ShouldHaveLength, 1)
-			b.list("b")
+			b.list("b", "c")
 			eventually("role", func() bool { return b.role() == "prefill" })
 		})
 	})
--- /dev/null
+++ b/authority/drains.go
@@ -0,0 +1,177 @@
+package authority
+
+import (
+	"context"
+	"net/rpc"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/platform"
+)
+
+// Traffic is what one instance sends to an engine.
+type Traffic interface {
+	// SetLeaving stops or resumes the sending of new work.
+	SetLeaving(id fleet.UpstreamID, leaving bool)
+	// InFlight is the number of this instance's requests at the engine.
+	InFlight(id fleet.UpstreamID) int
+}
+
+// LocalDrain keeps the marks of one instance. It is safe for concurrent use.
+type LocalDrain struct {
+	traffic Traffic
+
+	mu   sync.Mutex
+	seen map[fleet.UpstreamID]Mark
+}
+
+// NewLocalDrain returns an instance's marks, all off.
+func NewLocalDrain(traffic Traffic) *LocalDrain {
+	return &LocalDrain{traffic: traffic, seen: map[fleet.UpstreamID]Mark{}}
+}
+
+// Ack is an instance's answer to a mark.
+type Ack struct {
+	// InFlight is the number of the instance's requests at the engine, counted
+	// after the mark took effect.
+	InFlight int
+}
+
+// Set applies a mark. It fails when a mark with a higher number was seen.
+func (l *LocalDrain) Set(m Mark) (Ack, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := l.seen[m.Upstream]
+	if m.Fence < seen.Fence {
+		return Ack{}, errors.Errorf("mark of upstream %s has fencing number %d after %d", m.Upstream, m.Fence, seen.Fence)
+	}
+	l.seen[m.Upstream] = m
+	if m.On != seen.On {
+		l.traffic.SetLeaving(m.Upstream, m.On)
+	}
+	return Ack{InFlight: l.traffic.InFlight(m.Upstream)}, nil
+}
+
+// DrainService is the net/rpc receiver through which the order holder marks
+// engines at an instance.
+type DrainService struct{ local *LocalDrain }
+
+// drainServiceName is the receiver's name, markMethod its method.
+const (
+	drainServiceName = "Drains"
+	markMethod       = drainServiceName + ".Mark"
+)
+
+// Mark applies a mark; repeating it asks for the present number in flight.
+func (s *DrainService) Mark(m Mark, ack *Ack) (err error) {
+	*ack, err = s.local.Set(m)
+	return err
+}
+
+// Register adds the receiver to the server for the project's own processes.
+func (l *LocalDrain) Register(server *rpc.Server) error {
+	return errors.Wrap(server.RegisterName(drainServiceName, &DrainService{local: l}), "register drains")
+}
+
+// CallPeer calls a net/rpc method of another instance.
+type CallPeer func(ctx context.Context, peer platform.InstanceInfo, method string, args, reply any) error
+
+// FleetDrains marks engines at every instance that the platform lists. An
+// instance must not send work before it has seen itself in that list; then a
+// list fetched after the mark contains every instance that may send.
+type FleetDrains struct {
+	Local *LocalDrain
+	Self  fleet.InstanceID
+	Store platform.Store
+	// Call may be nil; then no other instance can be asked.
+	Call CallPeer
+
+	mu   sync.Mutex
+	last []platform.InstanceInfo
+}
+
+// Mark implements Drains. It fails while any listed instance has not taken the
+// mark: one that misses the end of a drain would never use the engine again.
+func (f *FleetDrains) Mark(ctx context.Context, m Mark) error {
+	if _, err := f.Local.Set(m); err != nil {
+		return err
+	}
+	list, err := f.instances(ctx)
+	if err != nil {
+		// The end of a drain must also be spread during an outage.
+		f.mu.Lock()
+		list = f.last
+		f.mu.Unlock()
+	}
+	if reached, _ := f.each(ctx, list, m); !reached {
+		return errors.Errorf("mark of upstream %s has not reached every instance", m.Upstream)
+	}
+	return nil
+}
+
+func (f *FleetDrains) instances(ctx context.Context) ([]platform.InstanceInfo, error) {
+	list, err := f.Store.Instances(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "list instances to mark")
+	}
+	f.mu.Lock()
+	f.last = list
+	f.mu.Unlock()
+	return list, nil
+}
+
+// Acknowledged implements Drains.
+func (f *FleetDrains) Acknowledged(ctx context.Context, m Mark) bool {
+	list, err := f.instances(ctx)
+	if err != nil || !f.listed(list) {
+		// A list without this instance says nothing about the others.
+		return false
+	}
+	_, quiet := f.each(ctx, list, m)
+	return quiet
+}
+
+func (f *FleetDrains) listed(list []platform.InstanceInfo) bool {
+	for _, i := range list {
+		if fleet.InstanceID(i.ID) == f.Self {
+			return true
+		}
+	}
+	return false
+}
+
+// each hands the mark to all instances at once. reached tells whether every one
+// has taken it, quiet whether besides none has anything in flight.
+func (f *FleetDrains) each(ctx context.Context, list []platform.InstanceInfo, m Mark) (reached, quiet bool) {
+	type answer struct {
+		ack Ack
+		err error
+	}
+	answers := make(chan answer, len(list))
+	for _, i := range list {
+		go func() {
+			ack, err := f.ask(ctx, i, m)
+			answers <- answer{ack, err}
+		}()
+	}
+	reached, quiet = true, true
+	for range list {
+		a := <-answers
+		reached = reached && a.err == nil
+		quiet = quiet && a.err == nil && a.ack.InFlight == 0
+	}
+	return reached, quiet
+}
+
+func (f *FleetDrains) ask(ctx context.Context, i platform.InstanceInfo, m Mark) (ack Ack, err error) {
+	switch {
+	case fleet.InstanceID(i.ID) == f.Self:
+		return f.Local.Set(m)
+	case f.Call == nil:
+		return Ack{}, errors.Errorf("instance %s cannot be asked", i.ID)
+	}
+	err = f.Call(ctx, i, markMethod, m, &ack)
+	return ack, err
+}
--- a/authority/perform.go
+++ b/authority/perform.go
@@ -144,7 +144,7 @@
 func (a *Authority) stepEngine(ctx context.Context, e *engine, ev order.Event) {
 	e.machine.Step(a.clock.now(), ev)
 	for _, c := range e.machine.Ready() {
-		if (a.stopping || e.retired) && beforeOf(c) != 0 {
+		if (a.stopping || e.retired) && c.Head().Before != 0 {
 			continue
 		}
 		a.active.Add(1)
@@ -162,28 +162,6 @@
 	a.stepEngine(ctx, e, ev)
 }
 
-func beforeOf(c order.Command) fleet.Instant {
-	switch c := c.(type) {
-	case order.ReadRecord:
-		return c.Before
-	case order.WriteRecord:
-		return c.Before
-	case order.TakeSlot:
-		return c.Before
-	case order.FreeSlot:
-		return c.Before
-	case order.Mark:
-		return c.Before
-	case order.CheckDrain:
-		return c.Before
-	case order.ReadState:
-		return c.Before
-	case order.Send:
-		return c.Before
-	}
-	return 0
-}
-
 // late tells whether a command may no longer begin.
 func (a *Authority) late(before fleet.Instant) bool { return before != 0 && a.clock.now() >= before }
 
--- a/core/order/engine.go
+++ b/core/order/engine.go
@@ -116,7 +116,7 @@
 
 // Command is a call to the platform, the instances or the engine. Before is
 // the instant after which the call must not begin; 0 means no limit.
-type Command interface{ isCommand() }
+type Command interface{ Head() Header }
 
 // Header is common to all commands.
 type Header struct {
@@ -124,6 +124,9 @@
 	Before fleet.Instant
 }
 
+// Head returns the header.
+func (h Header) Head() Header { return h }
+
 type (
 	// ReadRecord reads the engine's order key.
 	ReadRecord struct{ Header }
@@ -169,15 +172,6 @@
 	}
 )
 
-func (ReadRecord) isCommand()  {}
-func (WriteRecord) isCommand() {}
-func (TakeSlot) isCommand()    {}
-func (FreeSlot) isCommand()    {}
-func (Mark) isCommand()        {}
-func (CheckDrain) isCommand()  {}
-func (ReadState) isCommand()   {}
-func (Send) isCommand()        {}
-
 // Engine gives orders to one engine. It is not safe for concurrent use.
 type Engine struct {
 	config    Config
--- a/daemon/authority.go
+++ b/daemon/authority.go
@@ -4,9 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"sync"
-
-	"github.com/pkg/errors"
 
 	"github.com/bramleywick/bramleywick/authority"
 	"github.com/bramleywick/bramleywick/core/fleet"
@@ -15,17 +12,19 @@
 	"github.com/bramleywick/bramleywick/platform"
 )
 
-// newAuthority provisions the order holder's part of an instance.
+// newAuthority provisions the order holder's part of an instance. Without
+// FleetDrains.Call a drain is acknowledged only while this instance is alone.
 func (d *Daemon) newAuthority(store platform.Store) *authority.Authority {
 	var raw [8]byte
 	_, _ = rand.Read(raw[:])
+	d.drains = &authority.FleetDrains{
+		Local: authority.NewLocalDrain(traffic{d.dispatcher}),
+		Self:  d.settings.Instance, Store: store,
+	}
 	return authority.New(authority.Options{
 		Store: store, Instance: d.settings.Instance, DataCentre: d.settings.DataCentre,
-		Start: hex.EncodeToString(raw[:]), Engines: d.engines, Times: authority.DefaultTimes, Log: d.log,
-		Drains: &localDrains{
-			dispatcher: d.dispatcher, store: store, self: d.settings.Instance,
-			seen: map[fleet.UpstreamID]authority.Mark{},
-		},
+		Start: hex.EncodeToString(raw[:]), Engines: d.engines, Drains: d.drains,
+		Times: authority.DefaultTimes, Log: d.log,
 	})
 }
 
@@ -38,53 +37,20 @@
 	}()
 }
 
-// localDrains marks engines at this instance only. A drain is acknowledged only
-// while the platform lists this instance and no other; otherwise no engine is
-// taken away.
-type localDrains struct {
-	dispatcher *dispatch.Dispatcher
-	store      platform.Store
-	self       fleet.InstanceID
+// traffic is the scheduler's side of a drain.
+type traffic struct{ dispatcher *dispatch.Dispatcher }
 
-	mu   sync.Mutex
-	seen map[fleet.UpstreamID]authority.Mark
+// SetLeaving implements authority.Traffic.
+func (t traffic) SetLeaving(id fleet.UpstreamID, leaving bool) {
+	t.dispatcher.Step(sched.UpstreamState{Upstream: id, Available: true, Leaving: leaving})
 }
 
-// Mark implements authority.Drains.
-func (l *localDrains) Mark(_ context.Context, m authority.Mark) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	seen := l.seen[m.Upstream]
-	if m.Fence < seen.Fence {
-		return errors.Errorf("mark of upstream %s has fencing number %d after %d", m.Upstream, m.Fence, seen.Fence)
-	}
-	l.seen[m.Upstream] = m
-	if m.On != seen.On {
-		l.dispatcher.Step(sched.UpstreamState{Upstream: m.Upstream, Available: true, Leaving: m.On})
-	}
-	return nil
-}
-
-// Acknowledged implements authority.Drains.
-func (l *localDrains) Acknowledged(ctx context.Context, m authority.Mark) bool {
-	l.mu.Lock()
-	seen := l.seen[m.Upstream]
-	l.mu.Unlock()
-	if seen != m {
-		return false
-	}
-	list, err := l.store.Instances(ctx)
-	if err != nil {
-		return false
-	}
-	// An empty list says nothing about other instances.
-	if len(list) != 1 || fleet.InstanceID(list[0].ID) != l.self {
-		return false
-	}
-	for _, u := range l.dispatcher.Status().Upstreams {
-		if u.ID == m.Upstream {
-			return u.InFlight == 0
+// InFlight implements authority.Traffic.
+func (t traffic) InFlight(id fleet.UpstreamID) int {
+	for _, u := range t.dispatcher.Status().Upstreams {
+		if u.ID == id {
+			return u.InFlight
 		}
 	}
-	return true
+	return 0
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -43,6 +43,7 @@
 	engines    *upstream.EngineClient
 	claims     *claim.Claims
 	authority  *authority.Authority
+	drains     *authority.FleetDrains
 	// authorityDone is closed when the order lease has been given back.
 	authorityDone chan struct{}
 	servers       []*http.Server
