--- a/authority/drains.go
+++ b/authority/drains.go
@@ -90,6 +90,14 @@
 
 	mu   sync.Mutex
 	last []platform.InstanceInfo
+	// taken are the latest marks that instances took, so that repeating a mark
+	// for one instance that cannot be reached does not burden the others.
+	taken map[takenKey]Mark
+}
+
+type takenKey struct {
+	instance string
+	upstream fleet.UpstreamID
 }
 
 // Mark implements Drains. It fails while any listed instance has not taken the
@@ -105,12 +113,33 @@
 		list = f.last
 		f.mu.Unlock()
 	}
-	if reached, _ := f.each(ctx, list, m); !reached {
+	if reached, _ := f.each(ctx, f.missing(list, m), m); !reached {
 		return errors.Errorf("mark of upstream %s has not reached every instance", m.Upstream)
 	}
 	return nil
 }
 
+// missing returns the instances that have not taken the mark yet.
+func (f *FleetDrains) missing(list []platform.InstanceInfo, m Mark) (rest []platform.InstanceInfo) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range list {
+		if f.taken[takenKey{i.ID, m.Upstream}] != m {
+			rest = append(rest, i)
+		}
+	}
+	return rest
+}
+
+func (f *FleetDrains) note(i platform.InstanceInfo, m Mark) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.taken == nil {
+		f.taken = map[takenKey]Mark{}
+	}
+	f.taken[takenKey{i.ID, m.Upstream}] = m
+}
+
 func (f *FleetDrains) instances(ctx context.Context) ([]platform.InstanceInfo, error) {
 	list, err := f.Store.Instances(ctx)
 	if err != nil {
@@ -172,6 +201,8 @@
 	case f.Call == nil:
 		return Ack{}, errors.Errorf("instance %s cannot be asked", i.ID)
 	}
-	err = f.Call(ctx, i, markMethod, m, &ack)
+	if err = f.Call(ctx, i, markMethod, m, &ack); err == nil {
+		f.note(i, m)
+	}
 	return ack, err
 }
