--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -146,6 +146,7 @@
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.metrics.Handler())
+	mux.HandleFunc("/orders", d.serveOrders)
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		switch {
