Test a holder that freezes before it sends

Cause: the adapter's path by which a frozen sender withdraws and lets its successor give another order was covered by the model only.

--- a/authority/authority_test.go
+++ b/authority/authority_test.go
@@ -254,21 +254,31 @@
 	platform.Store
 	mu     sync.Mutex
 	closed bool
-	writes int
+	healed bool
+	hold   chan struct{} // when set, the sender waits for it before it sends
 }
 
 func (c *cut) CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, leaseID string) (platform.Entry, error) {
 	c.mu.Lock()
 	closed := c.closed
-	if strings.HasPrefix(key, "order/") && strings.Contains(string(value), `"phase":"sending"`) {
-		// The partition begins once the order may be sent.
-		c.closed, c.writes = true, c.writes+1
-	}
+	sending := strings.Contains(string(value), `"phase":"sending","order"`) && !closed && !c.healed
+	c.closed = closed || sending // the partition begins once the order may be sent
 	c.mu.Unlock()
 	if closed {
 		return platform.Entry{}, platform.ErrUnavailable
 	}
-	return c.Store.CompareAndSwap(ctx, key, revision, value, leaseID)
+	entry, err := c.Store.CompareAndSwap(ctx, key, revision, value, leaseID)
+	if sending && c.hold != nil {
+		<-c.hold
+	}
+	return entry, err
+}
+
+func (c *cut) heal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed, c.healed = false, true
+	close(c.hold)
 }
 
 func (c *cut) RenewLease(ctx context.Context, id string) error {
@@ -305,3 +315,27 @@
 		})
 	})
 }
+
+// TestFrozenSender guards against an effect of a holder that freezes between
+// the record and the order, and against a successor that waits for it forever.
+func TestFrozenSender(t *testing.T) {
+	Convey("With a holder that freezes before it sends to an engine that ignores numbers", t, func() {
+		b := newBed(false, 20*time.Millisecond)
+		Reset(b.close)
+		frozen := &cut{Store: b.store, hold: make(chan struct{})}
+		first, _ := b.start("a", frozen)
+		first.SetRole("u", fleet.RoleDecode)
+		eventually("recorded", func() bool { return b.record().Phase == order.PhaseSending })
+		second, _ := b.start("b", b.store)
+		second.SetRole("u", fleet.RolePrefill)
+		eventually("same order repeated", func() bool { return b.role() == "decode" && !b.record().Open() })
+		time.Sleep(200 * time.Millisecond)
+		So(b.engine.Executed(), ShouldHaveLength, 1)
+
+		frozen.heal()
+		eventually("role", func() bool { return b.role() == "prefill" && !b.record().Open() })
+		time.Sleep(200 * time.Millisecond)
+		So(b.engine.Executed(), ShouldHaveLength, 2)
+		So(b.role(), ShouldEqual, "prefill")
+	})
+}
