Merge authority over engines and at-most-once calls

Orders' drains reach peers over the exchange's connections, and a drain holds an engine back by its own event, since a leaving mark is final.

--- a/caller/service.go
+++ b/caller/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/sched"
+	"github.com/bramleywick/bramleywick/upstream"
 )
 
 // service forwards a call on a declared route to a plain service.
@@ -22,6 +23,9 @@
 	if route == nil || !member.Grants(route.Kind) {
 		return s.refuse(c, id, fleet.Refuse(fleet.ReasonKindNotGranted, "no granted route matches the path"))
 	}
+	if kind := index.Kind(route.Kind); !kind.Repeatable && c.Request().Header.Get(idempotencyHeader) != "" {
+		return s.once(c, id, index, member, kind)
+	}
 	ctx := c.Request().Context()
 	ticket, refusal := s.Requests.Submit(ctx, sched.Request{ID: id, Member: member.ID, Kind: route.Kind})
 	if refusal != nil {
@@ -32,6 +36,9 @@
 	resp, err := s.Services.Call(ctx, address, c.Request().Method, c.Request().URL.RequestURI(), c.Request().Header.Get("Content-Type"), body)
 	if err != nil {
 		ticket.Fail()
+		if upstream.NotSent(err) {
+			return s.refuse(c, id, fleet.Refuse(fleet.ReasonUpstreamFailed, "%v", err))
+		}
 		return s.refuse(c, id, &fleet.Refusal{Reason: fleet.ReasonOutcomeUnknown, Outcome: fleet.OutcomeUnknown, Detail: err.Error()})
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/core/declare/declare.go
+++ b/core/declare/declare.go
@@ -90,7 +90,10 @@
 	FixedRoles bool
 	// CacheBlockTokens is the size of the engines' prefix cache blocks.
 	CacheBlockTokens int
-	Pos              Position
+	// WeightLoads is how many of the group's engines may load from the weight
+	// store at once.
+	WeightLoads int
+	Pos         Position
 }
 
 // Defaults of a group.
--- a/core/sched/event.go
+++ b/core/sched/event.go
@@ -78,6 +78,12 @@
 		Leaving     bool
 		Role        fleet.Role
 	}
+	// Hold stops or resumes new work at an upstream while an order is carried
+	// out. Unlike a departure it can be undone.
+	Hold struct {
+		Upstream fleet.UpstreamID
+		On       bool
+	}
 	// CacheUpdate is a batch of an engine's prefix cache events.
 	CacheUpdate struct {
 		Upstream fleet.UpstreamID
@@ -121,6 +127,7 @@
 func (PeerService) isEvent()   {}
 func (PeerDispatch) isEvent()  {}
 func (UpstreamState) isEvent() {}
+func (Hold) isEvent()          {}
 func (CacheUpdate) isEvent()   {}
 func (Drain) isEvent()         {}
 func (Tick) isEvent()          {}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -159,6 +159,8 @@
 		s.peerDispatch(ev)
 	case UpstreamState:
 		s.setState(ev)
+	case Hold:
+		s.hold(ev)
 	case CacheUpdate:
 		s.cacheUpdate(ev)
 	case Drain:
--- a/core/sched/shared.go
+++ b/core/sched/shared.go
@@ -50,6 +50,8 @@
 	Incarnation fleet.Incarnation
 	Available   bool
 	Leaving     bool
+	// Held tells that no new work is sent until an order ends.
+	Held bool
 	// InFlight is this instance's own running work.
 	InFlight int
 	// ReportedAt is the time of the last load report.
@@ -147,7 +149,7 @@
 		}
 		out.Upstreams = append(out.Upstreams, UpstreamStatus{
 			ID: s.upstreams.names[i], Group: e.Group, DataCentre: u.dataCentre, Role: e.Role,
-			Incarnation: u.incarnation, Available: u.declared && u.available, Leaving: u.leaving,
+			Incarnation: u.incarnation, Available: u.declared && u.available, Leaving: u.leaving, Held: u.held,
 			InFlight: e.InFlight, ReportedAt: e.ReportedAt, Speed: e.Speed, Batch: e.Batch(),
 			Backlog: time.Duration(e.Backlog(s.now) * float64(time.Second)), CacheConfidence: confidence,
 		})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,7 +12,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/bramleywick/bramleywick/authority"
 	"github.com/bramleywick/bramleywick/caller"
+	"github.com/bramleywick/bramleywick/claim"
 	"github.com/bramleywick/bramleywick/config"
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
@@ -38,9 +40,14 @@
 	keeper     *config.Keeper
 	dispatcher *dispatch.Dispatcher
 	engines    *upstream.EngineClient
-	servers    []*http.Server
-	stopping   atomic.Bool
-	cluster    cluster
+	claims     *claim.Claims
+	authority  *authority.Authority
+	localDrain *authority.LocalDrain
+	// authorityDone is closed when the order lease has been given back.
+	authorityDone chan struct{}
+	servers       []*http.Server
+	stopping      atomic.Bool
+	cluster       cluster
 	// Addresses are the bound addresses of the listeners, by purpose.
 	Addresses Addresses
 	// PeerTransport carries the exchange with peers; set it before Start.
@@ -61,6 +68,9 @@
 	}, d.cancelAt)
 	store := d.newStore()
 	d.cluster.store = store
+	d.claims = claim.New(store, s.Instance)
+	d.claims.Recorded = d.metrics.Claimed
+	d.authority = d.newAuthority(store)
 	d.keeper = d.newKeeper(store)
 	return d
 }
@@ -77,6 +87,7 @@
 func (d *Daemon) putInForce(index *declare.Index) {
 	d.dispatcher.Step(sched.Configure{Version: index.Version, Declaration: index.Declaration})
 	d.configureCluster(index)
+	d.authority.Configure(index)
 }
 
 func (d *Daemon) cancelAt(id fleet.RequestID, target fleet.UpstreamID) {
@@ -104,7 +115,7 @@
 func (d *Daemon) Start(ctx context.Context) error {
 	calls := caller.NewServer(caller.Options{
 		Index: d.keeper.Index, Requests: d.dispatcher, Engines: d.engines,
-		Services: upstream.NewServiceClient(), Observer: d.metrics, Log: d.log,
+		Services: upstream.NewServiceClient(), Claims: d.claims, Observer: d.metrics, Log: d.log,
 	})
 	var err error
 	if d.Addresses.Callers, err = d.listen("callers", d.settings.CallerListen, calls.Handler()); err != nil {
@@ -118,6 +129,7 @@
 		return err
 	}
 	go d.keeper.Run(ctx, d.watchesConfiguration)
+	d.startAuthority(ctx)
 	go d.dispatcher.Run(context.WithoutCancel(ctx))
 	return d.startCluster(context.WithoutCancel(ctx))
 }
@@ -137,6 +149,7 @@
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.metrics.Handler())
+	mux.HandleFunc("/orders", d.serveOrders)
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		switch {
@@ -164,6 +177,11 @@
 			return errors.Wrap(err, "drain")
 		}
 	}
+	d.claims.Wait()
+	select {
+	case <-d.authorityDone:
+	case <-ctx.Done():
+	}
 	d.log.Info("stopped")
 	return nil
 }
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -93,6 +93,7 @@
 		Config:      d.keeper,
 		Dial:        d.PeerTransport.Dial,
 		Seeds:       d.settings.PeerSeeds,
+		Services:    []peer.Register{d.localDrain.Register},
 		Log:         d.log,
 		Hooks: peer.Hooks{
 			Schedule: d.dispatcher.Step,
--- a/declfile/declfile.go
+++ b/declfile/declfile.go
@@ -175,6 +175,7 @@
 		ModelVersion:     dec.String("model_version", ""),
 		RoleChangeWeight: dec.Float("role_change_weight", declare.DefaultRoleChangeWeight),
 		CacheBlockTokens: dec.Int("cache_block_tokens", declare.DefaultCacheBlockTokens),
+		WeightLoads:      dec.Int("weight_loads", 1),
 		Pos:              pos,
 	}
 	switch dec.String("roles", "automatic") {
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -99,7 +99,9 @@
 
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
 	header := *r
-	header.ServiceMethod = shortNames[r.ServiceMethod]
+	if short, ok := shortNames[r.ServiceMethod]; ok {
+		header.ServiceMethod = short
+	}
 	return c.write(&header, body)
 }
 
--- a/peer/node.go
+++ b/peer/node.go
@@ -76,9 +76,14 @@
 	Dial Dialer
 	// Seeds are addresses to try without the platform's list.
 	Seeds []string
-	Log   *zap.Logger
+	// Services are further receivers on the listener for peers.
+	Services []Register
+	Log      *zap.Logger
 }
 
+// Register adds a receiver to the server that answers peers.
+type Register func(*rpc.Server) error
+
 // Node is safe for concurrent use.
 type Node struct {
 	options Options
@@ -397,6 +402,11 @@
 	if err := server.RegisterName(serviceName, &Service{node: n}); err != nil {
 		return errors.Wrap(err, "register the exchange")
 	}
+	for _, register := range n.options.Services {
+		if err := register(server); err != nil {
+			return err
+		}
+	}
 	conns := newConnSet()
 	defer conns.closeAll()
 	for {
@@ -415,6 +425,19 @@
 	}
 }
 
+// Call calls a method of a further receiver at a peer. The method must be
+// idempotent: a call whose connection was closed is repeated once.
+func (n *Node) Call(ctx context.Context, address, method string, in, out any) error {
+	timeout := pushTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline))
+	}
+	if err := ctx.Err(); err != nil {
+		return errors.Wrapf(err, "%s at peer %s", method, address)
+	}
+	return n.clients.call(address, method, in, out, timeout)
+}
+
 // connSet holds the open connections of a listener, at most maxConns.
 type connSet struct {
 	mu   sync.Mutex
--- a/standin/engine/departure.go
+++ b/standin/engine/departure.go
@@ -15,12 +15,11 @@
 
 // lifecycle is what a test changes while the engine runs.
 type lifecycle struct {
-	mu          sync.Mutex
-	incarnation fleet.Incarnation
-	leaving     bool
-	silent      bool
-	sequence    int64
-	events      []upstream.CacheEvent
+	mu       sync.Mutex
+	leaving  bool
+	silent   bool
+	sequence int64
+	events   []upstream.CacheEvent
 }
 
 // SetLeaving makes the load report announce the engine's departure.
@@ -41,7 +40,8 @@
 func (s *Server) Restart(next fleet.Incarnation) {
 	s.life.mu.Lock()
 	defer s.life.mu.Unlock()
-	s.life.incarnation, s.life.leaving, s.life.silent = next, false, false
+	s.orders.replace(next)
+	s.life.leaving, s.life.silent = false, false
 	s.life.sequence, s.life.events = 0, nil
 }
 
@@ -61,7 +61,7 @@
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	s.life.mu.Lock()
 	defer s.life.mu.Unlock()
-	out := upstream.CacheEvents{Incarnation: s.life.incarnation}
+	out := upstream.CacheEvents{Incarnation: s.State().Incarnation}
 	for _, ev := range s.life.events {
 		if ev.Sequence > after {
 			out.Events = append(out.Events, ev)
@@ -77,10 +77,11 @@
 		http.Error(w, "silent", http.StatusServiceUnavailable)
 		return
 	}
+	state := s.State()
 	_ = json.NewEncoder(w).Encode(upstream.Load{
-		Incarnation:      s.life.incarnation,
+		Incarnation:      state.Incarnation,
 		Sequence:         s.reports.Add(1),
-		Role:             s.config.Role.String(),
+		Role:             state.Role,
 		Running:          int(s.running.Load()),
 		KVCapacityTokens: kvCapacityTokens,
 		Leaving:          s.life.leaving,
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -22,6 +22,8 @@
 	TokenGap time.Duration
 	// FirstToken is the time to the first token.
 	FirstToken time.Duration
+	// Orders is set for an engine that accepts orders.
+	Orders *Orders
 }
 
 // Server is one stand-in engine.
@@ -30,11 +32,12 @@
 	running atomic.Int64
 	reports atomic.Int64
 	life    lifecycle
+	orders  *orderState
 }
 
 // New returns an engine with the given behaviour.
 func New(config Config) *Server {
-	return &Server{config: config, life: lifecycle{incarnation: config.Incarnation}}
+	return &Server{config: config, orders: newOrderState(config)}
 }
 
 // Handler returns the engine's HTTP interface.
@@ -44,7 +47,8 @@
 	mux.HandleFunc("DELETE /v1/requests/{id}", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /v1/load", s.load)
 	mux.HandleFunc("GET /v1/cache-events", s.cacheEvents)
-	return mux
+	s.addOrders(mux)
+	return s.alive(mux)
 }
 
 // Answer returns the tokens that the engine generates for a prompt.
