--- a/cmd/bramleywickd/main.go
+++ b/cmd/bramleywickd/main.go
@@ -9,11 +9,13 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/daemon"
+	"github.com/bramleywick/bramleywick/declfile"
 	"github.com/bramleywick/bramleywick/settings"
 )
 
@@ -34,11 +36,12 @@
 func runCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("run", flag.ContinueOnError)
 	path := flags.String("config", "", "settings file (INI)")
+	overrides := settings.RegisterFlags(flags)
 	return &ffcli.Command{
-		Name: "run", ShortUsage: "bramleywickd run -config F", ShortHelp: "run an entry instance",
-		FlagSet: flags,
+		Name: "run", ShortUsage: "bramleywickd run -config F [flags]", ShortHelp: "run an entry instance",
+		FlagSet: flags, Options: []ff.Option{ff.WithEnvVarPrefix(settings.EnvPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
-			s, err := settings.Load(*path)
+			s, err := settings.Load(*path, overrides)
 			if err != nil {
 				return err
 			}
@@ -54,12 +57,34 @@
 func checkCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("check", flag.ContinueOnError)
 	path := flags.String("config", "", "settings file (INI)")
+	declaration := flags.String("declaration", "", "check this declaration (INI) instead of settings")
+	overrides := settings.RegisterFlags(flags)
 	return &ffcli.Command{
-		Name: "check", ShortUsage: "bramleywickd check -config F", ShortHelp: "check a settings file",
-		FlagSet: flags,
+		Name: "check", ShortUsage: "bramleywickd check -config F [flags] | -declaration F",
+		ShortHelp: "check settings or a declaration and report every fault",
+		FlagSet:   flags, Options: []ff.Option{ff.WithEnvVarPrefix(settings.EnvPrefix)},
 		Exec: func(context.Context, []string) error {
-			_, err := settings.Load(*path)
-			return err
+			if *declaration != "" {
+				return checkDeclaration(*declaration)
+			}
+			s, err := settings.Load(*path, overrides)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("instance %s in data centre %s: the settings are valid\n", s.Instance, s.DataCentre)
+			return nil
 		},
 	}
 }
+
+func checkDeclaration(path string) error {
+	_, remarks, err := declfile.Load(path)
+	if err != nil {
+		return err
+	}
+	for _, r := range remarks {
+		fmt.Println("remark:", r)
+	}
+	fmt.Printf("%s: the declaration is valid\n", path)
+	return nil
+}
--- /dev/null
+++ b/core/exchange/wire.go
@@ -0,0 +1,209 @@
+package exchange
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// errMalformed is the only way in which decoding fails.
+var errMalformed = errors.New("malformed exchange message")
+
+// maxText bounds one name on the wire.
+const maxText = 512
+
+// writer appends values to a message.
+type writer struct {
+	out   []byte
+	names *Names
+	// spell writes every name in full, for a peer with other numbers.
+	spell bool
+}
+
+func (w *writer) uint(v uint64) { w.out = binary.AppendUvarint(w.out, v) }
+
+func (w *writer) count(v int) { w.uint(uint64(max(v, 0))) }
+
+func (w *writer) text(s string) {
+	if len(s) > maxText {
+		s = s[:maxText]
+	}
+	w.uint(uint64(len(s)))
+	w.out = append(w.out, s...)
+}
+
+func (w *writer) name(t table, s string) {
+	if number := t.number[s]; number != 0 && !w.spell {
+		w.uint(number)
+		return
+	}
+	w.uint(0)
+	w.text(s)
+}
+
+// cost writes a cost in four bytes; the relative error is below 1e-7.
+func (w *writer) cost(v float64) {
+	w.out = binary.LittleEndian.AppendUint32(w.out, math.Float32bits(float32(v)))
+}
+
+// ageUnit lets ages up to 1.27 s fit in one byte. Reports are older than that
+// by the time they are used.
+const ageUnit = 10 * time.Millisecond
+
+func (w *writer) age(d time.Duration) { w.uint(uint64(max(d, 0) / ageUnit)) }
+
+// coarse writes a number rounded to a unit.
+func (w *writer) coarse(v, unit int) { w.count((v + unit/2) / unit) }
+
+// handleBytes make a handle given out by an earlier process valid by accident
+// once in a million million.
+const handleBytes = 5
+
+func (w *writer) handle(h uint64) {
+	for i := range handleBytes {
+		w.out = append(w.out, byte(h>>(8*i)))
+	}
+}
+
+// group writes an item's group and class in one number: the group's number
+// times the number of classes, plus the class.
+func (w *writer) group(t table, i item) {
+	number := t.number[string(i.group)]
+	if w.spell {
+		number = 0
+	}
+	w.uint(number*uint64(classes) + uint64(i.class))
+	if number == 0 {
+		w.text(string(i.group))
+	}
+}
+
+func (w *writer) flags(bits ...bool) {
+	var b byte
+	for i, set := range bits {
+		if set {
+			b |= 1 << i
+		}
+	}
+	w.out = append(w.out, b)
+}
+
+// reader takes values from a message. The first fault sticks and makes every
+// later value zero.
+type reader struct {
+	in    []byte
+	names *Names
+	err   error
+}
+
+func (r *reader) fail() { r.in, r.err = nil, errMalformed }
+
+func (r *reader) uint() uint64 {
+	v, n := binary.Uvarint(r.in)
+	if n <= 0 {
+		r.fail()
+		return 0
+	}
+	r.in = r.in[n:]
+	return v
+}
+
+// maxCount bounds counts of tokens and requests, so that sums cannot overflow.
+const maxCount = 1 << 31
+
+func (r *reader) count() int { return int(min(r.uint(), maxCount)) }
+
+// length reads the number of items that follow, each of at least one byte.
+func (r *reader) length() int {
+	n := r.uint()
+	if n > uint64(len(r.in)) {
+		r.fail()
+		return 0
+	}
+	return int(n)
+}
+
+func (r *reader) bytes(n uint64) []byte {
+	if n > uint64(len(r.in)) {
+		r.fail()
+		return nil
+	}
+	out := r.in[:n]
+	r.in = r.in[n:]
+	return out
+}
+
+func (r *reader) text() string {
+	n := r.uint()
+	if n > maxText {
+		r.fail()
+		return ""
+	}
+	return string(r.bytes(n))
+}
+
+func (r *reader) name(t table) string {
+	number := r.uint()
+	if number == 0 {
+		return r.text()
+	}
+	s, ok := t.name(number)
+	if !ok {
+		r.fail()
+	}
+	return s
+}
+
+func (r *reader) cost() float64 {
+	raw := r.bytes(4)
+	if raw == nil {
+		return 0
+	}
+	v := float64(math.Float32frombits(binary.LittleEndian.Uint32(raw)))
+	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		r.fail()
+		return 0
+	}
+	return v
+}
+
+// maxAge bounds ages; an older report has no use.
+const maxAge = time.Hour
+
+func (r *reader) age() time.Duration {
+	return time.Duration(min(r.uint(), uint64(maxAge/ageUnit))) * ageUnit
+}
+
+func (r *reader) handle() (h uint64) {
+	for i, b := range r.bytes(handleBytes) {
+		h |= uint64(b) << (8 * i)
+	}
+	return h
+}
+
+func (r *reader) group(t table) (fleet.GroupName, class) {
+	v := r.uint()
+	number, kind := v/uint64(classes), class(v%uint64(classes))
+	if number == 0 {
+		return fleet.GroupName(r.text()), kind
+	}
+	name, ok := t.name(number)
+	if !ok {
+		r.fail()
+	}
+	return fleet.GroupName(name), kind
+}
+
+func (r *reader) flags() (bits [8]bool) {
+	raw := r.bytes(1)
+	if raw == nil {
+		return bits
+	}
+	for i := range bits {
+		bits[i] = raw[0]&(1<<i) != 0
+	}
+	return bits
+}
--- a/core/sched/event.go
+++ b/core/sched/event.go
@@ -93,10 +93,13 @@
 		Available   bool
 		// Leaving marks a departure, which only a new incarnation clears.
 		Leaving bool
-		// Draining holds new work back while an order is carried out; unlike
-		// Leaving it is cleared by the next event without it.
-		Draining bool
-		Role     fleet.Role
+		Role    fleet.Role
+	}
+	// Hold stops or resumes new work at an upstream while an order is carried
+	// out. Unlike a departure it can be undone.
+	Hold struct {
+		Upstream fleet.UpstreamID
+		On       bool
 	}
 	// CacheUpdate is a batch of an engine's prefix cache events.
 	CacheUpdate struct {
@@ -142,6 +145,7 @@
 func (PeerTurn) isEvent()      {}
 func (PeerDispatch) isEvent()  {}
 func (UpstreamState) isEvent() {}
+func (Hold) isEvent()          {}
 func (CacheUpdate) isEvent()   {}
 func (Drain) isEvent()         {}
 func (Tick) isEvent()          {}
--- a/core/sched/shared.go
+++ b/core/sched/shared.go
@@ -54,8 +54,8 @@
 	Incarnation fleet.Incarnation
 	Available   bool
 	Leaving     bool
-	// Draining tells that the engine takes no new work until an order ends.
-	Draining bool
+	// Held tells that no new work is sent until an order ends.
+	Held bool
 	// InFlight is this instance's own running work.
 	InFlight int
 	// ReportedAt is the time of the last load report.
@@ -159,7 +159,7 @@
 		}
 		out.Upstreams = append(out.Upstreams, UpstreamStatus{
 			ID: s.upstreams.names[i], Group: e.Group, DataCentre: u.dataCentre, Role: e.Role,
-			Incarnation: u.incarnation, Available: u.declared && u.available, Leaving: u.leaving, Draining: u.draining,
+			Incarnation: u.incarnation, Available: u.declared && u.available, Leaving: u.leaving, Held: u.held,
 			InFlight: e.InFlight, ReportedAt: e.ReportedAt, Speed: e.Corrected(s.speeds.InRole(int32(i))), Batch: e.Batch(s.now),
 			Backlog: time.Duration(e.Backlog(s.now) * float64(time.Second)), CacheConfidence: confidence,
 		})
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -103,7 +103,7 @@
 	group       int32
 	available   bool
 	leaving     bool
-	draining    bool
+	held        bool
 	incarnation fleet.Incarnation
 }
 
@@ -194,7 +194,7 @@
 // updateEngine copies learned and declared state to the router's view.
 func (s *Scheduler) updateEngine(i int32) {
 	x, e := &s.upstreamStates[i], &s.router.Engines[i]
-	e.Usable = x.declared && x.available && !x.leaving && !x.draining
+	e.Usable = x.declared && x.available && !x.leaving && !x.held
 	e.Speed = s.speeds.Of(i, e.Role)
 }
 
@@ -367,12 +367,21 @@
 	x.available = ev.Available
 	// Only a new incarnation clears the mark.
 	x.leaving = x.leaving || ev.Leaving
-	x.draining = ev.Draining
 	s.router.Engines[i].Role = ev.Role
 	s.updateEngine(i)
 	s.pump(x.group)
 }
 
+func (s *Scheduler) hold(ev Hold) {
+	i, ok := s.upstreams.find(ev.Upstream)
+	if !ok {
+		return
+	}
+	s.upstreamStates[i].held = ev.On
+	s.updateEngine(i)
+	s.pump(s.upstreamStates[i].group)
+}
+
 func (s *Scheduler) cacheUpdate(ev CacheUpdate) {
 	if i, ok := s.upstreams.find(ev.Upstream); ok && s.blocks != nil {
 		s.blocks.Update(i, ev.Sequence, ev.Stored, ev.Evicted)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,7 +12,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/bramleywick/bramleywick/authority"
 	"github.com/bramleywick/bramleywick/caller"
+	"github.com/bramleywick/bramleywick/claim"
 	"github.com/bramleywick/bramleywick/config"
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
@@ -20,15 +22,14 @@
 	"github.com/bramleywick/bramleywick/dispatch"
 	"github.com/bramleywick/bramleywick/metrics"
 	"github.com/bramleywick/bramleywick/operator"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/peer"
 	"github.com/bramleywick/bramleywick/settings"
 	"github.com/bramleywick/bramleywick/upstream"
 )
 
 const (
-	headerTimeout   = 10 * time.Second
-	platformTimeout = 30 * time.Second
-	cancelTimeout   = 2 * time.Second
+	headerTimeout = 10 * time.Second
+	cancelTimeout = 2 * time.Second
 )
 
 // Daemon is one entry instance.
@@ -39,15 +40,23 @@
 	keeper     *config.Keeper
 	dispatcher *dispatch.Dispatcher
 	engines    *upstream.EngineClient
-	servers    []*http.Server
-	stopping   atomic.Bool
+	claims     *claim.Claims
+	authority  *authority.Authority
+	localDrain *authority.LocalDrain
+	// authorityDone is closed when the order lease has been given back.
+	authorityDone chan struct{}
+	servers       []*http.Server
+	stopping      atomic.Bool
+	cluster       cluster
 	// Addresses are the bound addresses of the listeners, by purpose.
 	Addresses Addresses
+	// PeerTransport carries the exchange with peers; set it before Start.
+	PeerTransport peer.Transport
 }
 
 // Addresses are the bound listen addresses of a daemon.
 type Addresses struct {
-	Callers, Operators, Admin string
+	Callers, Operators, Admin, Peers string
 }
 
 // New provisions a daemon without starting anything.
@@ -57,8 +66,12 @@
 	d.dispatcher = dispatch.New(sched.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
 	}, d.cancelAt)
-	store := platform.NewClient(s.Platform, &http.Client{Timeout: platformTimeout})
-	d.keeper = config.NewKeeper(store, d.putInForce)
+	store := d.newStore()
+	d.cluster.store = store
+	d.claims = claim.New(store, s.Instance)
+	d.claims.Recorded = d.metrics.Claimed
+	d.authority = d.newAuthority(store)
+	d.keeper = d.newKeeper(store)
 	return d
 }
 
@@ -73,7 +86,8 @@
 
 func (d *Daemon) putInForce(index *declare.Index) {
 	d.dispatcher.Step(sched.Configure{Version: index.Version, Declaration: index.Declaration})
-	d.log.Info("configuration in force", zap.Int64("version", index.Version))
+	d.configureCluster(index)
+	d.authority.Configure(index)
 }
 
 func (d *Daemon) cancelAt(id fleet.RequestID, target fleet.UpstreamID) {
@@ -101,22 +115,23 @@
 func (d *Daemon) Start(ctx context.Context) error {
 	calls := caller.NewServer(caller.Options{
 		Index: d.keeper.Index, Requests: d.dispatcher, Engines: d.engines,
-		Services: upstream.NewServiceClient(), Observer: d.metrics, Log: d.log,
+		Services: upstream.NewServiceClient(), Claims: d.claims, Observer: d.metrics, Log: d.log,
 	})
 	var err error
 	if d.Addresses.Callers, err = d.listen("callers", d.settings.CallerListen, calls.Handler()); err != nil {
 		return err
 	}
-	operators := operator.NewHandler(d.keeper, d.settings.OperatorKeyHashes)
+	operators := operator.NewHandler(d.operatorOptions())
 	if d.Addresses.Operators, err = d.listen("operators", d.settings.OperatorListen, operators); err != nil {
 		return err
 	}
 	if d.Addresses.Admin, err = d.listen("admin", d.settings.AdminListen, d.adminHandler()); err != nil {
 		return err
 	}
-	go d.keeper.Run(ctx)
+	go d.keeper.Run(ctx, d.watchesConfiguration)
+	d.startAuthority(ctx)
 	go d.dispatcher.Run(context.WithoutCancel(ctx))
-	return nil
+	return d.startCluster(context.WithoutCancel(ctx))
 }
 
 func (d *Daemon) listen(purpose, address string, handler http.Handler) (string, error) {
@@ -134,6 +149,7 @@
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.metrics.Handler())
+	mux.HandleFunc("/orders", d.serveOrders)
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		switch {
@@ -150,6 +166,8 @@
 // work is accepted and running answers are finished.
 func (d *Daemon) Stop() error {
 	d.stopping.Store(true)
+	d.leaveCluster()
+	defer d.stopCluster()
 	time.Sleep(d.settings.BalancerDelay)
 	d.dispatcher.Step(sched.Drain{})
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainLimit)
@@ -159,6 +177,11 @@
 			return errors.Wrap(err, "drain")
 		}
 	}
+	d.claims.Wait()
+	select {
+	case <-d.authorityDone:
+	case <-ctx.Done():
+	}
 	d.log.Info("stopped")
 	return nil
 }
--- a/mixshift/baseline.go
+++ b/mixshift/baseline.go
@@ -22,6 +22,7 @@
 type baselineEngine struct {
 	declare.Upstream
 	available bool
+	held      bool
 	inFlight  int // tokens of work
 }
 
@@ -84,6 +85,8 @@
 		b.retry(ev.ID)
 	case sched.UpstreamState:
 		b.setState(ev)
+	case sched.Hold:
+		b.hold(ev)
 	}
 }
 
@@ -91,7 +94,7 @@
 	var out, other []*baselineEngine
 	for _, e := range b.engines {
 		switch {
-		case !e.available:
+		case !e.available || e.held:
 		case e.Role == role || e.Role == fleet.RoleMixed:
 			out = append(out, e)
 		default:
@@ -161,12 +164,20 @@
 func (b *baseline) setState(ev sched.UpstreamState) {
 	for _, e := range b.engines {
 		if e.ID == ev.Upstream {
-			e.available = ev.Available && !ev.Leaving && !ev.Draining
+			e.available = ev.Available && !ev.Leaving
 			e.Role = ev.Role
 		}
 	}
 }
 
+func (b *baseline) hold(ev sched.Hold) {
+	for _, e := range b.engines {
+		if e.ID == ev.Upstream {
+			e.held = ev.On
+		}
+	}
+}
+
 // thresholdPlanner changes a role when the waiting prefill work per prefill
 // engine crosses a bound, at most once per pause.
 type thresholdPlanner struct {
--- a/mixshift/control.go
+++ b/mixshift/control.go
@@ -77,17 +77,21 @@
 	}
 }
 
+// hold stops or resumes new work at an engine for a change of role.
+func (s *Sim) hold(e *engineState, on bool) {
+	s.broadcast(e, 0, sched.Hold{Upstream: e.ID, On: on})
+}
+
 // announce tells every instance that reaches an engine its state.
 func (s *Sim) announce(e *engineState, available, leaving bool) {
 	s.broadcast(e, 0, s.stateOf(e, available, leaving))
 }
 
-// stateOf is what instances are told about an engine; an engine that drains for
-// a change of role is not leaving.
+// stateOf is what instances are told about an engine.
 func (s *Sim) stateOf(e *engineState, available, leaving bool) sched.UpstreamState {
 	return sched.UpstreamState{
 		Upstream: e.ID, Incarnation: e.incarnationName(), Available: available, Role: e.Role(),
-		Leaving: leaving, Draining: s.change != nil && s.change.engine == e,
+		Leaving: leaving,
 	}
 }
 
@@ -109,6 +113,7 @@
 // crash takes an engine away; the requests on it fail.
 func (s *Sim) crash(e *engineState) {
 	if s.change != nil && s.change.engine == e {
+		s.hold(e, false)
 		s.change = nil
 	}
 	lost := e.Crash()
@@ -209,7 +214,7 @@
 	}
 	s.change = &roleChange{engine: e, to: to, since: s.now}
 	s.roleChanges++
-	s.announce(e, true, false)
+	s.hold(e, true)
 	s.after(drainPoll, s.awaitDrain)
 }
 
@@ -250,9 +255,8 @@
 }
 
 func (s *Sim) abandonChange() {
-	e := s.change.engine
+	s.hold(s.change.engine, false)
 	s.change = nil
-	s.announce(e, true, false)
 }
 
 func (s *Sim) endChange() {
@@ -261,5 +265,6 @@
 	}
 	e := s.change.engine
 	s.change = nil
+	s.hold(e, false)
 	s.announce(e, true, false)
 }
--- a/mixshift/planner.go
+++ b/mixshift/planner.go
@@ -29,7 +29,7 @@
 	for _, u := range scheduler.Status().Upstreams {
 		p.planner.Step(now, role.EngineState{
 			Group: u.Group, Upstream: u.ID, Role: u.Role, Speed: u.Speed, At: u.ReportedAt,
-			Available: u.Available && !u.Leaving && !u.Draining,
+			Available: u.Available && !u.Leaving && !u.Held,
 			Load:      math.Min(u.Backlog.Seconds()+u.Batch/maxSequencesForLoad, 1),
 		})
 	}
