Leave open what a declaration does not state

Cause: a group without a model or version made the holder order an engine to load nothing in place of what it had.

Change: Desired.Over keeps the engine's model or version where none is declared.

Measured: go test ./core/order ./authority ./dev pass.

--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -32,7 +32,6 @@
 	refused  *fleet.Refusal
 	replayed *claim.Answer
 	ran      bool
-	notSent  bool
 }
 
 // world is the platform's key and the upstream.
@@ -122,7 +121,6 @@
 		c.running = true
 		w.feed(c, claim.Lost{})
 	case 3:
-		c.notSent = true
 		w.feed(c, claim.NotSent{})
 	}
 }
--- a/core/order/engine.go
+++ b/core/order/engine.go
@@ -242,7 +242,7 @@
 func (e *Engine) Status() Status {
 	s := Status{Record: e.record, State: e.state, Replaced: e.replaced}
 	// The last state read is shown, also while the next one is being read.
-	wanted := e.state.Incarnation != "" && e.want != nil && *e.want != e.state.Current
+	wanted := e.state.Incarnation != "" && e.want != nil && e.want.Over(e.state.Current) != e.state.Current
 	s.Changing = e.record.Open() || wanted
 	if wanted && !e.record.Open() && !e.record.MayGiveAnother(e.config.ChecksFencing) {
 		s.BlockedBy = e.record.Attempts
@@ -260,7 +260,7 @@
 func (e *Engine) SetWant(d *Desired) { e.want = d }
 
 func (e *Engine) wanted() bool {
-	return e.observed && e.want != nil && *e.want != e.state.Current
+	return e.observed && e.want != nil && e.want.Over(e.state.Current) != e.state.Current
 }
 
 // Step applies one event and, when no call is pending, issues the next one.
@@ -605,7 +605,7 @@
 // begin chooses the next order and asks for the group's slot.
 func (e *Engine) begin() {
 	o := &Order{
-		Incarnation: e.state.Incarnation, From: e.state.Current, Desired: *e.want,
+		Incarnation: e.state.Incarnation, From: e.state.Current, Desired: e.want.Over(e.state.Current),
 		Sender: e.config.Self, Sequence: 1,
 	}
 	if e.record.Order != nil {
@@ -623,7 +623,7 @@
 func (e *Engine) drain(now fleet.Instant) {
 	o := e.record.Order
 	switch {
-	case e.want == nil || *e.want != o.Desired:
+	case e.want == nil || e.want.Over(o.From) != o.Desired:
 		e.finish(now, PhaseUndone)
 	case e.mustDrain():
 		if now >= e.drainStart+e.config.DrainLimit {
@@ -669,7 +669,7 @@
 	case e.state.InProgress != "":
 		e.observed = false
 		e.next = now + e.config.Poll
-	case len(e.record.Attempts) == 0 && (e.want == nil || *e.want != o.Desired):
+	case len(e.record.Attempts) == 0 && (e.want == nil || e.want.Over(o.From) != o.Desired):
 		// Nobody can send the order any more and the engine never took it.
 		e.finish(now, PhaseUndone)
 	case e.refused == o.ID && len(e.record.without(e.config.Self).Attempts) == 0 && now >= e.lateUntil:
--- a/core/order/explore_test.go
+++ b/core/order/explore_test.go
@@ -30,8 +30,6 @@
 	deadline    fleet.Instant
 }
 
-type lateWrite struct{ order.WriteRecord }
-
 // holder is one instance. Its clock stands still while it is frozen.
 type holder struct {
 	machine *order.Engine
@@ -56,7 +54,7 @@
 	record   order.Record
 	revision int64
 	late     []sent
-	writes   []lateWrite
+	writes   []order.WriteRecord
 	slot     order.Slot
 	markOn   bool
 	mark     int64
@@ -172,7 +170,7 @@
 		platform(c.Call, order.RecordRead{Call: c.Call, Record: w.record, Revision: w.revision})
 	case order.WriteRecord:
 		if w.down || fault == 2 {
-			w.writes = append(w.writes, lateWrite{c})
+			w.writes = append(w.writes, c)
 		} else if !w.swap(c) {
 			w.step(h, order.Failed{Call: c.Call})
 			return nil
@@ -373,7 +371,7 @@
 		}
 		if len(w.writes) > 0 {
 			i := pick(len(w.writes))
-			w.swap(w.writes[i].WriteRecord)
+			w.swap(w.writes[i])
 			w.writes = slices.Delete(slices.Clone(w.writes), i, i+1)
 		}
 	case 23:
--- a/core/order/record.go
+++ b/core/order/record.go
@@ -21,6 +21,19 @@
 	Role    fleet.Role      `json:"role"`
 }
 
+// Over returns the desired state for an engine in the state current: what d
+// leaves open is kept. A declaration without a model leaves the weights open,
+// one without a version accepts the version that is loaded.
+func (d Desired) Over(current Desired) Desired {
+	if d.Model == "" {
+		d.Model, d.Adapter, d.Version = current.Model, current.Adapter, current.Version
+	}
+	if d.Version == "" && d.Model == current.Model {
+		d.Version = current.Version
+	}
+	return d
+}
+
 // LoadsWeights tells whether going from d to next reads from the weight store.
 func (d Desired) LoadsWeights(next Desired) bool {
 	return d.Model != next.Model || d.Version != next.Version || d.Adapter != next.Adapter
--- a/core/order/slot_test.go
+++ b/core/order/slot_test.go
@@ -42,3 +42,14 @@
 		t.Error("a load beside a change of role")
 	}
 }
+
+// TestDesiredOver guards against loading weights that nobody declared.
+func TestDesiredOver(t *testing.T) {
+	current := order.Desired{Model: "m", Adapter: "a", Version: "3"}
+	if (order.Desired{}).Over(current) != current || (order.Desired{Model: "m", Adapter: "a"}).Over(current) != current {
+		t.Error("an open field is not kept")
+	}
+	if next := (order.Desired{Model: "n"}).Over(current); next != (order.Desired{Model: "n"}) {
+		t.Errorf("got %+v", next)
+	}
+}
