Count an instance's absence only while it is looked at

Cause: an instance that had been seen long ago was confirmed to be gone at the first look that did not show it. An outcome refused by a busy platform was written three times within milliseconds and then given up.

Change: absence counts from the first of an unbroken series of looks; a refused outcome is written again after 500 ms.

Measured: go test -race ./authority ./claim pass.

--- a/authority/authority.go
+++ b/authority/authority.go
@@ -98,6 +98,9 @@
 	Options
 	clock  clock
 	active sync.WaitGroup
+	// absent is since when an instance has been missing from the platform's
+	// list; only watchGone uses it.
+	absent map[fleet.InstanceID]fleet.Instant
 
 	mu      sync.Mutex
 	lease   *lease.Machine
@@ -106,7 +109,6 @@
 	engines map[fleet.UpstreamID]*engine
 	index   *declare.Index
 	roles   map[fleet.UpstreamID]fleet.Role
-	listed  map[fleet.InstanceID]fleet.Instant
 	// competing is set once this instance may compete for the lease; the
 	// machines are created then, because they carry the process's identity.
 	competing bool
@@ -138,7 +140,7 @@
 		}),
 		engines: map[fleet.UpstreamID]*engine{},
 		roles:   map[fleet.UpstreamID]fleet.Role{},
-		listed:  map[fleet.InstanceID]fleet.Instant{},
+		absent:  map[fleet.InstanceID]fleet.Instant{},
 	}
 }
 
--- a/authority/gone.go
+++ b/authority/gone.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/order"
+	"github.com/bramleywick/bramleywick/platform"
 )
 
 // recordPrefix is the common prefix of the engines' order keys.
@@ -42,21 +44,41 @@
 	defer a.active.Done()
 	for ctx.Err() == nil {
 		pause(ctx, a.Times.Observe)
-		if len(a.attempts()) == 0 {
+		attempts := a.attempts()
+		if len(attempts) == 0 {
+			// An absence counts only while it is looked at.
+			a.absent = map[fleet.InstanceID]fleet.Instant{}
 			continue
 		}
 		list, err := a.Store.Instances(ctx)
 		if err != nil || len(list) == 0 {
 			continue
 		}
-		now := a.clock.now()
-		a.mu.Lock()
-		for _, i := range list {
-			a.listed[fleet.InstanceID(i.ID)] = now
+		gone := a.missing(attempts, list)
+		a.tellGone(context.WithoutCancel(ctx), gone)
+	}
+}
+
+// missing returns the processes whose instance has been absent at every look
+// for LateLimit.
+func (a *Authority) missing(attempts []order.Process, list []platform.InstanceInfo) (gone []order.Process) {
+	for _, i := range list {
+		delete(a.absent, fleet.InstanceID(i.ID))
+	}
+	now := a.clock.now()
+	for _, p := range attempts {
+		if slices.ContainsFunc(list, func(i platform.InstanceInfo) bool { return i.ID == string(p.Instance) }) {
+			continue
+		}
+		since, known := a.absent[p.Instance]
+		if !known {
+			a.absent[p.Instance] = now
+		}
+		if known && p.Listed && now-since >= a.Times.LateLimit {
+			gone = append(gone, p)
 		}
-		a.mu.Unlock()
-		a.tellGone(context.WithoutCancel(ctx), now)
 	}
+	return gone
 }
 
 // attempts returns the processes of other instances that may still send.
@@ -74,21 +96,9 @@
 	return list
 }
 
-func (a *Authority) tellGone(ctx context.Context, now fleet.Instant) {
-	attempts := a.attempts()
+func (a *Authority) tellGone(ctx context.Context, gone []order.Process) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var gone []order.Process
-	for _, p := range attempts {
-		seen, known := a.listed[p.Instance]
-		if !known {
-			// Absence is counted from the first look.
-			a.listed[p.Instance] = now
-		}
-		if known && p.Listed && now-seen >= a.Times.LateLimit {
-			gone = append(gone, p)
-		}
-	}
 	for _, e := range a.engines {
 		a.stepEngine(ctx, e, order.Gone{Processes: gone})
 	}
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -28,6 +28,9 @@
 	// recordWait is how long a caller waits for its outcome to be stored; the
 	// answer is not held back longer by a platform that has become slow.
 	recordWait = time.Second
+	// recordRetry is the wait before an outcome is written again to a platform
+	// that refused the write.
+	recordRetry = 500 * time.Millisecond
 	// leasePeriod is how long new claims are put under the same lease. One
 	// lease per instance and period replaces a delete per claim.
 	leasePeriod = 10 * time.Minute
@@ -228,7 +231,11 @@
 				}
 				return
 			}
-			r.step(r.call(r.next))
+			ev := r.call(r.next)
+			if _, refused := ev.(claim.Unavailable); refused {
+				time.Sleep(recordRetry)
+			}
+			r.step(ev)
 		}
 	}()
 	select {
