Let a replaced holder withdraw when its mark is refused

Cause: a holder that did not know the fate of its last write tried without end to lift a mark that a later holder had replaced, and never withdrew its attempt, so the later holder gave no other order until the instance was gone.

Change: a refused mark makes a holder without authority read the record again.

--- a/core/order/engine.go
+++ b/core/order/engine.go
@@ -460,6 +460,9 @@
 		e.known = false
 	case TakeSlot:
 		e.slotTaken = nil
+	case Mark:
+		// A later holder's mark may have been seen; the record tells.
+		e.known = e.known && e.authority.Valid(now)
 	case ReadState, Send:
 		e.connected, e.observed = false, false
 	}
