Bound what two processes under one name cause

Cause: two processes under one instance's name outbid each other's incarnation, and a peer that gave out no handle was greeted again, both without a pause. The new test did not end before the change: messages were exchanged without time passing.

Change: an incarnation is renewed at most every 30 s, a session opened at most once a second; a metric counts the renewals.

Result: the test sends fewer than 1,080 messages in a minute; go test -race ./peer ./daemon ./core/... passes.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -45,6 +45,8 @@
 	// retryBad the failed one is a candidate again.
 	badAfter = 2
 	retryBad = 10 * time.Second
+	// renewPause is the time between two renewals of the incarnation.
+	renewPause = 30 * time.Second
 	// fetchPause is the time between two requests for a configuration.
 	fetchPause = time.Second
 	// maxDispatches and maxDispatchAge bound what is kept for a silent peer:
@@ -94,13 +96,15 @@
 	reports  map[fleet.UpstreamID]*stampedReport
 	marks    map[membership.Mark]uint64
 	// stamp numbers the changes of reports and marks.
-	stamp   uint64
-	pushes  uint64
-	owners  [slots]fleet.InstanceID
-	planAt  fleet.Instant
-	roundAt fleet.Instant
-	fetchAt fleet.Instant
-	mesh    bool
+	stamp     uint64
+	pushes    uint64
+	owners    [slots]fleet.InstanceID
+	planAt    fleet.Instant
+	roundAt   fleet.Instant
+	fetchAt   fleet.Instant
+	renewedAt fleet.Instant
+	renewals  uint64
+	mesh      bool
 	// asks is how many more peers are asked for the instances they know.
 	asks    int
 	dropped uint64
@@ -193,6 +197,10 @@
 // Dropped counts the items that bounds of memory made the exchange forget.
 func (e *Exchange) Dropped() uint64 { return e.dropped }
 
+// Renewals counts how often a peer remembered a later process under this
+// instance's name. More than one means that two processes use the name.
+func (e *Exchange) Renewals() uint64 { return e.renewals }
+
 // Failing counts the peers that did not answer the last push.
 func (e *Exchange) Failing() int {
 	n := 0
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -306,6 +306,28 @@
 	})
 }
 
+// TestTwoProcessesOneName guards against a flood between two processes that
+// run under one instance's name, such as a paused one and its replacement.
+func TestTwoProcessesOneName(t *testing.T) {
+	Convey("With two processes under one name", t, func() {
+		w := newWorld("a1", "a2", "a3")
+		w.nodes["a3"].profile.ID = "a1"
+		w.start("a3")
+		sent := 0
+		for end := w.now + time.Minute; w.now < end; {
+			w.advance(50 * time.Millisecond)
+			for len(w.calls) > 0 && sent < 10_000 {
+				sent++
+				c := w.take(0)
+				w.finish(c, w.serve(c))
+			}
+		}
+		// Three instances, two peers each, at most three pushes a second.
+		So(sent, ShouldBeLessThan, 3*2*3*60)
+		So(w.nodes["a1"].Renewals()+w.nodes["a3"].Renewals(), ShouldBeBetweenOrEqual, 1, 6)
+	})
+}
+
 // TestMarkPushedAtOnce guards against a departure that waits for the regular
 // push, or that a peer with another configuration does not understand.
 func TestMarkPushedAtOnce(t *testing.T) {
--- a/core/exchange/session.go
+++ b/core/exchange/session.go
@@ -36,6 +36,8 @@
 	due         fleet.Instant
 	failures    int
 	failedAt    fleet.Instant
+	// helloAt is when the profile was sent last.
+	helloAt fleet.Instant
 	// stamp is the last change of reports and marks that the peer confirmed,
 	// sent the last one in the outstanding push.
 	stamp, sent uint64
@@ -122,6 +124,7 @@
 func (e *Exchange) send(now fleet.Instant, s *session) {
 	f := e.frame()
 	if !s.open {
+		s.helloAt = now
 		f.profile = &e.config.Self
 		f.askPeers = e.asks > 0
 		e.asks = max(e.asks-1, 0)
@@ -193,14 +196,17 @@
 	e.hearReply(s, a)
 	switch {
 	case a.welcome != nil && a.welcome.known > e.config.Incarnation:
-		e.renew(now, a.welcome.known+1)
+		e.renew(now, s, a.welcome.known+1)
 		return
+	case a.welcome != nil && a.welcome.handle == 0:
+		// The peer takes this instance for itself, or remembers no more
+		// senders.
+		s.fail(now)
 	case a.welcome != nil:
 		s.start(a)
 		s.due = now
 	case a.unknown || !s.open:
-		s.open = false
-		s.due = now
+		s.reopen(now)
 	case a.refused:
 		s.due = now
 	case a.applied >= s.sequence:
@@ -210,6 +216,13 @@
 	e.sendDue(now, s)
 }
 
+// reopen sends the profile again, at most once a second: a peer that keeps
+// forgetting the handle must not be asked without pause.
+func (s *session) reopen(now fleet.Instant) {
+	s.open = false
+	s.due = max(now, s.helloAt+Period)
+}
+
 // start opens the session, or continues it when the peer is still the same
 // process.
 func (s *session) start(a *reply) {
@@ -238,13 +251,22 @@
 }
 
 // renew takes a higher incarnation than the one a peer remembers: the clock
-// went back between two starts. Everything starts anew under it.
-func (e *Exchange) renew(now fleet.Instant, incarnation uint64) {
+// went back between two starts, or another process runs under this name. Two
+// such processes would outbid each other without end, so there is a pause
+// between two renewals. Everything starts anew under the new incarnation.
+func (e *Exchange) renew(now fleet.Instant, s *session, incarnation uint64) {
+	if e.renewals > 0 && now-e.renewedAt < renewPause {
+		s.fail(now)
+		return
+	}
+	e.renewals++
+	e.renewedAt = now
 	e.config.Incarnation = incarnation
 	for _, s := range e.order {
 		// Batches that may have been counted under the old incarnation are
 		// dropped: they must not be counted again.
-		s.open, s.frozen, s.stamp, s.due = false, false, 0, now
+		s.open, s.frozen, s.stamp = false, false, 0
+		s.due = now + e.jitter(Period/10)
 		clear(s.spelt)
 	}
 }
--- a/daemon/membership_metrics.go
+++ b/daemon/membership_metrics.go
@@ -15,6 +15,7 @@
 	versionDesc   = prometheus.NewDesc("bramleywick_config_version", "Configuration version in force.", nil, nil)
 	pushFailures  = prometheus.NewDesc("bramleywick_push_failures_total", "Pushes to peers without an answer.", nil, nil)
 	refusedDesc   = prometheus.NewDesc("bramleywick_peer_messages_refused_total", "Malformed messages of peers.", nil, nil)
+	renewalsDesc  = prometheus.NewDesc("bramleywick_name_conflicts_total", "Times that peers knew a later process under this instance's name.", nil, nil)
 	droppedDesc   = prometheus.NewDesc("bramleywick_exchange_dropped_total", "Service items dropped at a bound of memory.", nil, nil)
 )
 
@@ -24,7 +25,7 @@
 // Describe implements prometheus.Collector.
 func (c membershipCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		instancesDesc, upstreamsDesc, polledDesc, failingDesc, versionDesc, pushFailures, refusedDesc, droppedDesc,
+		instancesDesc, upstreamsDesc, polledDesc, failingDesc, versionDesc, pushFailures, refusedDesc, renewalsDesc, droppedDesc,
 	} {
 		ch <- d
 	}
@@ -61,5 +62,6 @@
 	ch <- prometheus.MustNewConstMetric(versionDesc, prometheus.GaugeValue, float64(stats.ConfigVersion))
 	ch <- prometheus.MustNewConstMetric(pushFailures, prometheus.CounterValue, float64(stats.PushFailures))
 	ch <- prometheus.MustNewConstMetric(refusedDesc, prometheus.CounterValue, float64(stats.MessagesRefused))
+	ch <- prometheus.MustNewConstMetric(renewalsDesc, prometheus.CounterValue, float64(stats.Renewals))
 	ch <- prometheus.MustNewConstMetric(droppedDesc, prometheus.CounterValue, float64(stats.ItemsDropped))
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -103,6 +103,8 @@
 	// ItemsDropped counts service items that a bound of memory made the
 	// exchange forget.
 	ItemsDropped uint64
+	// Renewals counts how often another process used this instance's name.
+	Renewals uint64
 }
 
 // Stats returns the present counts.
@@ -112,6 +114,7 @@
 	return Stats{
 		PeersFailing: n.exchange.Failing(), ConfigVersion: n.version, PushFailures: n.failures,
 		MessagesRefused: n.refused, ItemsDropped: n.exchange.Dropped(),
+		Renewals: n.exchange.Renewals(),
 	}
 }
 
