--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -86,7 +86,7 @@
 			Member: memberName(rand.IntN(benchMembers)), Group: "language-models", Cost: rand.Float64() * 9,
 		})
 		out.Dispatches = append(out.Dispatches, sched.PeerDispatch{
-			Upstream: upstreamName("dc-0", rand.IntN(benchUpstreams)), At: l.now(),
+			Upstream: fleet.UpstreamID(fmt.Sprint("dc-0-engine-", rand.IntN(benchUpstreams))), At: l.now(),
 			PromptTokens: rand.IntN(40_000), OutputTokens: rand.IntN(2_000),
 		})
 	}
@@ -111,10 +111,6 @@
 
 func memberName(i int) fleet.MemberID { return fleet.MemberID(fmt.Sprintf("member-team-%04d", i)) }
 
-func upstreamName(dc string, i int) fleet.UpstreamID {
-	return fleet.UpstreamID(fmt.Sprintf("%s-engine-%02d", dc, i))
-}
-
 func benchDeclaration(dcs int) *declare.Declaration {
 	d := &declare.Declaration{Groups: []declare.Group{{Name: "language-models"}}}
 	for i := range benchMembers {
@@ -124,7 +120,7 @@
 		name := fmt.Sprintf("dc-%d", dc)
 		for i := range benchUpstreams {
 			d.Upstreams = append(d.Upstreams, declare.Upstream{
-				ID: upstreamName(name, i), DataCentre: fleet.DataCentre(name), Address: fmt.Sprintf("192.0.2.%d:%d", dc, i),
+				ID: fleet.UpstreamID(fmt.Sprint(name, "-engine-", i)), DataCentre: fleet.DataCentre(name), Address: fmt.Sprintf("192.0.2.%d:%d", dc, i),
 			})
 		}
 	}
@@ -201,13 +197,12 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		l := &load{requests: at.requests}
 		p := membership.Profile{
 			ID: fleet.InstanceID(fmt.Sprintf("%s-entry-%02d", at.dc, i)), DataCentre: fleet.DataCentre(at.dc),
 			Region: at.region, Address: listener.Addr().String(),
 		}
 		rows = append(rows, membership.Row{ID: string(p.ID), Address: p.Address, DataCentre: p.DataCentre})
-		loads, profiles, listeners = append(loads, l), append(profiles, p), append(listeners, listener)
+		loads, profiles, listeners = append(loads, &load{requests: at.requests}), append(profiles, p), append(listeners, listener)
 	}
 	declaration := benchDeclaration(dcs)
 	for i, l := range loads {
@@ -246,17 +241,17 @@
 	defer stop()
 	loads := startFleet(ctx, b, peers, dcs)
 	time.Sleep(benchWarmUp)
-	sent, received, most := make([]int64, peers), make([]int64, peers), int64(0)
-	for i, l := range loads[:peers] {
-		sent[i], received[i] = l.traffic.sent.Load(), l.traffic.received.Load()
+	for _, l := range loads {
+		l.traffic.sent.Store(0)
+		l.traffic.received.Store(0)
 	}
 	cpu, start := cpuTime(), time.Now()
 	time.Sleep(benchTime)
 	seconds := time.Since(start).Seconds()
 	cpu = cpuTime() - cpu
-	var out, in int64
-	for i, l := range loads[:peers] {
-		o, n := l.traffic.sent.Load()-sent[i], l.traffic.received.Load()-received[i]
+	var out, in, most int64
+	for _, l := range loads[:peers] {
+		o, n := l.traffic.sent.Load(), l.traffic.received.Load()
 		out, in, most = out+o, in+n, max(most, o+n)
 	}
 	runtime.GC()
