--- /dev/null
+++ b/core/retry/eject.go
@@ -0,0 +1,181 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// EjectConfig fixes the parameters of an ejector.
+type EjectConfig struct {
+	// Failures in a row after which an upstream is ejected.
+	Failures int
+	// BaseTime is the length of the first ejection; it doubles with each
+	// ejection that follows before full reinstatement, up to MaxTime.
+	BaseTime, MaxTime time.Duration
+	// FullLimit is the number of requests in flight at which a returning
+	// upstream counts as reinstated.
+	FullLimit int
+	// MaxShare is the largest share of a group that may be ejected: when most
+	// of a group fails, the cause is seldom the single upstream.
+	MaxShare float64
+}
+
+// DefaultEjectConfig ejects after three failures in a row, because one engine
+// crash breaks many streams at once.
+var DefaultEjectConfig = EjectConfig{
+	Failures: 3, BaseTime: time.Second, MaxTime: 30 * time.Second, FullLimit: 16, MaxShare: 0.5,
+}
+
+type health struct {
+	group    fleet.GroupName
+	failures int // in a row
+	inFlight int
+	ejected  bool
+	until    fleet.Instant
+	times    int // ejections since full reinstatement
+	// limit bounds the requests in flight during reinstatement; 0 means no
+	// bound. Each answer doubles it.
+	limit     int
+	available bool // as last reported by Changes
+}
+
+// Change tells that an upstream may or may not receive new work.
+type Change struct {
+	Upstream  fleet.UpstreamID
+	Available bool
+}
+
+// Ejector tracks failures per upstream. Not safe for concurrent use.
+type Ejector struct {
+	config EjectConfig
+	states map[fleet.UpstreamID]*health
+}
+
+// NewEjector returns an ejector that knows no upstream.
+func NewEjector(config EjectConfig) *Ejector {
+	return &Ejector{config: config, states: map[fleet.UpstreamID]*health{}}
+}
+
+// Configure sets the known upstreams and their groups. The state of upstreams
+// that stay is kept.
+func (e *Ejector) Configure(groups map[fleet.UpstreamID]fleet.GroupName) {
+	for id := range e.states {
+		if _, ok := groups[id]; !ok {
+			delete(e.states, id)
+		}
+	}
+	for id, group := range groups {
+		if h, ok := e.states[id]; ok {
+			h.group = group
+			continue
+		}
+		e.states[id] = &health{group: group, available: true}
+	}
+}
+
+// Sent counts an attempt at an upstream.
+func (e *Ejector) Sent(id fleet.UpstreamID) {
+	if h, ok := e.states[id]; ok {
+		h.inFlight++
+	}
+}
+
+// Left ends an attempt that says nothing about the upstream's health, such as
+// one whose caller has left.
+func (e *Ejector) Left(id fleet.UpstreamID) {
+	if h, ok := e.states[id]; ok && h.inFlight > 0 {
+		h.inFlight--
+	}
+}
+
+// Succeeded ends an attempt that was answered.
+func (e *Ejector) Succeeded(id fleet.UpstreamID) {
+	h, ok := e.states[id]
+	if !ok {
+		return
+	}
+	e.Left(id)
+	if h.ejected {
+		return // an answer from before the ejection
+	}
+	h.failures = 0
+	if h.limit == 0 {
+		return
+	}
+	h.limit *= 2
+	if h.limit >= e.config.FullLimit {
+		h.limit, h.times = 0, 0
+	}
+}
+
+// Failed ends an attempt that the upstream failed.
+func (e *Ejector) Failed(id fleet.UpstreamID, now fleet.Instant) {
+	if _, ok := e.states[id]; ok {
+		e.Left(id)
+		e.Trouble(id, now)
+	}
+}
+
+// Trouble counts a failure in an attempt that goes on, such as a broken stream
+// that is resumed.
+func (e *Ejector) Trouble(id fleet.UpstreamID, now fleet.Instant) {
+	h, ok := e.states[id]
+	if !ok || h.ejected {
+		return
+	}
+	h.failures++
+	returning := h.limit > 0
+	if (returning || h.failures >= e.config.Failures) && e.mayEject(h.group) {
+		h.ejected = true
+		h.until = now + e.length(h.times)
+		h.times++
+	}
+}
+
+func (e *Ejector) mayEject(group fleet.GroupName) bool {
+	known, out := 0, 0
+	for _, h := range e.states {
+		if h.group != group {
+			continue
+		}
+		known++
+		if h.ejected {
+			out++
+		}
+	}
+	return float64(out+1) <= e.config.MaxShare*float64(known)
+}
+
+func (e *Ejector) length(times int) time.Duration {
+	length := e.config.BaseTime
+	for range times {
+		length = min(2*length, e.config.MaxTime)
+	}
+	return length
+}
+
+// Changes ends ejections that are over and returns the upstreams whose
+// availability differs from the last call.
+func (e *Ejector) Changes(now fleet.Instant) []Change {
+	var out []Change
+	for id, h := range e.states {
+		if h.ejected && now >= h.until {
+			// Streams from before the ejection may run on for long; they do
+			// not delay the first new request.
+			h.ejected, h.failures, h.limit = false, 0, h.inFlight+1
+		}
+		available := !h.ejected && (h.limit == 0 || h.inFlight < h.limit)
+		if available != h.available {
+			h.available = available
+			out = append(out, Change{Upstream: id, Available: available})
+		}
+	}
+	return out
+}
+
+// Available tells whether an upstream may receive new work.
+func (e *Ejector) Available(id fleet.UpstreamID) bool {
+	h, ok := e.states[id]
+	return !ok || h.available
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,110 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// TestDecide guards against a second run of a call that may not be repeated,
+// and against retries without bound.
+func TestDecide(t *testing.T) {
+	Convey("Failed attempts", t, func() {
+		good := Attempt{Group: "g", Number: 1, Repeatable: true, Remaining: time.Second}
+		for _, c := range []struct {
+			name   string
+			change func(*Attempt)
+			want   Denial
+		}{
+			{"repeatable", func(*Attempt) {}, ""},
+			{"not repeatable, may have run", func(a *Attempt) { a.Repeatable = false }, DenyNotRepeatable},
+			{"not repeatable, never sent", func(a *Attempt) { a.Repeatable, a.NeverSent = false, true }, ""},
+			{"final", func(a *Attempt) { a.Final = true }, DenyFinal},
+			{"too many", func(a *Attempt) { a.Number = DefaultConfig.MaxAttempts }, DenyAttempts},
+			{"no time left", func(a *Attempt) { a.Remaining = time.Millisecond }, DenyDeadline},
+		} {
+			Convey(c.name, func() {
+				a := good
+				c.change(&a)
+				So(NewPolicy(DefaultConfig, 1).Decide(a).Denial, ShouldEqual, c.want)
+			})
+		}
+		Convey("the budget of a group runs out, recovers, and is the group's own", func() {
+			p := NewPolicy(DefaultConfig, 1)
+			for range int(DefaultConfig.BudgetBurst) {
+				So(p.Decide(good).Allowed(), ShouldBeTrue)
+			}
+			So(p.Decide(good).Denial, ShouldEqual, DenyBudget)
+			other := good
+			other.Group = "h"
+			So(p.Decide(other).Allowed(), ShouldBeTrue)
+			for range 11 {
+				p.Request("g")
+			}
+			So(p.Decide(good).Allowed(), ShouldBeTrue)
+			So(p.Decide(good).Denial, ShouldEqual, DenyBudget)
+		})
+		Convey("delays differ, grow and stay within their bound", func() {
+			p := NewPolicy(DefaultConfig, 1)
+			So(p.delay(1), ShouldNotEqual, p.delay(1))
+			for n := 1; n < 12; n++ {
+				So(p.delay(n), ShouldBeBetweenOrEqual, DefaultConfig.BaseDelay/2, DefaultConfig.MaxDelay)
+			}
+		})
+	})
+}
+
+// TestEjector guards against work for a failing upstream, against ejecting a
+// whole group, and against a rush of work at the return.
+func TestEjector(t *testing.T) {
+	groups := map[fleet.UpstreamID]fleet.GroupName{"a": "g", "b": "g", "c": "g", "d": "g"}
+	Convey("With four upstreams of one group", t, func() {
+		e := NewEjector(DefaultEjectConfig)
+		e.Configure(groups)
+		eject := func(id fleet.UpstreamID, now fleet.Instant) {
+			for range DefaultEjectConfig.Failures {
+				e.Sent(id)
+				e.Failed(id, now)
+			}
+		}
+		Convey("answers between failures keep an upstream", func() {
+			for range 10 {
+				e.Sent("a")
+				e.Failed("a", 0)
+				e.Sent("a")
+				e.Succeeded("a")
+			}
+			So(e.Changes(0), ShouldBeEmpty)
+		})
+		Convey("at most half of the group is ejected", func() {
+			for id := range groups {
+				eject(id, 0)
+			}
+			So(len(e.Changes(0)), ShouldEqual, 2)
+		})
+		Convey("an upstream returns gradually", func() {
+			eject("a", 0)
+			So(e.Changes(0), ShouldResemble, []Change{{"a", false}})
+			So(e.Changes(DefaultEjectConfig.BaseTime-1), ShouldBeEmpty)
+			now := DefaultEjectConfig.BaseTime
+			So(e.Changes(now), ShouldResemble, []Change{{"a", true}})
+			e.Sent("a")
+			So(e.Changes(now), ShouldResemble, []Change{{"a", false}})
+			e.Succeeded("a")
+			So(e.Changes(now), ShouldResemble, []Change{{"a", true}})
+			e.Sent("a")
+			So(e.Changes(now), ShouldBeEmpty)
+			e.Sent("a")
+			So(e.Changes(now), ShouldResemble, []Change{{"a", false}})
+
+			Convey("one failure ejects it again, for longer", func() {
+				e.Failed("a", now)
+				So(e.Changes(now+DefaultEjectConfig.BaseTime), ShouldBeEmpty)
+				So(e.Changes(now+2*DefaultEjectConfig.BaseTime), ShouldResemble, []Change{{"a", true}})
+			})
+		})
+	})
+}
