--- a/caller/completions.go
+++ b/caller/completions.go
@@ -1,232 +1,94 @@
 package caller
 
 import (
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
-	"strings"
 
-	"github.com/labstack/echo/v4"
-
-	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/sched"
-	"github.com/bramleywick/bramleywick/dispatch"
 	"github.com/bramleywick/bramleywick/upstream"
 )
 
-const (
-	maxRequestBytes  = 8 << 20
-	defaultMaxTokens = 256
-)
-
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
+func (s *Server) completions(k *call) *fleet.Refusal { return s.complete(k, false) }
 
-type completionBody struct {
-	Model     fleet.ModelName `json:"model"`
-	Prompt    string          `json:"prompt"`
-	Messages  []message       `json:"messages"`
-	MaxTokens int             `json:"max_tokens"`
-	Stream    bool            `json:"stream"`
-}
-
-func (b *completionBody) text() string {
-	if len(b.Messages) == 0 {
-		return b.Prompt
-	}
-	var text strings.Builder
-	for _, m := range b.Messages {
-		text.WriteString(m.Role + ": " + m.Content + "\n")
-	}
-	return text.String()
-}
-
-// answerFormat shapes chunks for one of the two completion interfaces.
-type answerFormat struct {
-	object string
-	choice func(text string, finish *string) any
-}
-
-var (
-	textFormat = answerFormat{object: "text_completion", choice: func(text string, finish *string) any {
-		return map[string]any{"index": 0, "text": text, "finish_reason": finish}
-	}}
-	chatChunkFormat = answerFormat{object: "chat.completion.chunk", choice: func(text string, finish *string) any {
-		return map[string]any{"index": 0, "delta": message{Role: "assistant", Content: text}, "finish_reason": finish}
-	}}
-	chatFormat = answerFormat{object: "chat.completion", choice: func(text string, finish *string) any {
-		return map[string]any{"index": 0, "message": message{Role: "assistant", Content: text}, "finish_reason": finish}
-	}}
-)
+func (s *Server) chatCompletions(k *call) *fleet.Refusal { return s.complete(k, true) }
 
-func (s *Server) completions(c echo.Context) error { return s.complete(c, textFormat, textFormat) }
-
-func (s *Server) chatCompletions(c echo.Context) error {
-	return s.complete(c, chatChunkFormat, chatFormat)
-}
-
-func (s *Server) complete(c echo.Context, streamed, whole answerFormat) error {
-	id := newRequestID()
-	index, member, refusal := s.identify(c)
+func (s *Server) complete(k *call, chat bool) *fleet.Refusal {
+	raw, release, refusal := s.gate.readBody(k.c)
+	defer release()
 	if refusal != nil {
-		return s.refuse(c, id, refusal)
+		return refusal
 	}
-	var body completionBody
-	raw := http.MaxBytesReader(c.Response(), c.Request().Body, maxRequestBytes)
-	if err := json.NewDecoder(raw).Decode(&body); err != nil {
-		return s.refuse(c, id, fleet.Refuse(fleet.ReasonBadRequest, "the body is not a completion request: %v", err))
-	}
-	if body.MaxTokens <= 0 {
-		body.MaxTokens = defaultMaxTokens
+	body, refusal := parseCompletion(raw, chat)
+	if refusal != nil {
+		return refusal
 	}
-	kind, refusal := engineKind(index, member, fleet.KindName(c.Request().Header.Get("X-Kind")))
+	wanted := fleet.KindName(k.c.Request().Header.Get("X-Kind"))
+	kind, refusal := engineKind(k.index, k.member, wanted, body.Model)
 	if refusal != nil {
-		return s.refuse(c, id, refusal)
+		return refusal
+	}
+	k.setKind(kind)
+	model := k.index.Group(kind.Group).Model
+	prompt := body.promptText(chat)
+	if refusal := body.checkSize(kind, prompt, s.Limits); refusal != nil {
+		return refusal
 	}
-	prompt := body.text()
-	ticket, refusal := s.Requests.Submit(c.Request().Context(), sched.Request{
-		ID: id, Member: member.ID, Kind: kind.Name,
-		PromptTokens: len(prompt) / bytesPerToken, MaxOutputTokens: body.MaxTokens,
+	ctx, cancel := k.deadline()
+	defer cancel()
+	k.ticket, refusal = s.Requests.Submit(ctx, sched.Request{
+		ID: k.id, Member: k.member.ID, Kind: kind.Name,
+		PromptTokens: promptTokens(prompt), MaxOutputTokens: body.MaxTokens,
+		Blocks: promptBlocks(k.member.ID, model, prompt),
 	})
 	if refusal != nil {
-		return s.refuse(c, id, refusal)
+		return refusal
 	}
-	in := upstream.CompletionRequest{RequestID: id, Model: body.Model, Prompt: prompt, MaxTokens: body.MaxTokens}
-	if body.Stream {
-		return s.answer(c, ticket, in, index, &sseWriter{c: c, id: id, format: streamed})
-	}
-	return s.answer(c, ticket, in, index, &wholeWriter{c: c, id: id, format: whole})
+	a := newAnswer(ctx, k, upstream.CompletionRequest{
+		RequestID: k.id, Model: model, Prompt: prompt, MaxTokens: body.MaxTokens, Sampling: body.Sampling,
+	})
+	a.out = k.writer(a, body, chat, model)
+	return a.run()
 }
 
-// bytesPerToken is the initial estimate of a prompt's length.
-const bytesPerToken = 4
-
-// engineKind returns the wanted kind, or the member's first kind that engines
-// serve.
-func engineKind(index *declare.Index, member *declare.Member, wanted fleet.KindName) (*declare.Kind, *fleet.Refusal) {
-	for _, name := range member.Kinds {
-		kind := index.Kind(name)
-		group := index.Group(kind.Group)
-		if name == wanted || wanted == "" && group.Type == declare.GroupEngine {
-			return kind, nil
+// writer returns the writer for the shape of answer that the caller asked for.
+func (k *call) writer(a *answer, body *completionBody, chat bool, model fleet.ModelName) answerWriter {
+	pacer := newPacer(k.c, k.s.Limits.WriteTimeout)
+	if !body.Stream {
+		shape := textShape
+		if chat {
+			shape = chatShape
 		}
+		a.keep = true
+		return &wholeWriter{k: k, pacer: pacer, shape: shape, head: shape.head(k.id, model), text: &a.text}
 	}
-	return nil, fleet.Refuse(fleet.ReasonKindNotGranted, "kind %q is not granted", wanted)
-}
-
-// answerWriter sends an answer to the caller in one of two shapes.
-type answerWriter interface {
-	chunk(text string) error
-	end(finish string, usage fleet.Usage) error
-	begun() bool
-}
-
-func (s *Server) answer(c echo.Context, t *dispatch.Ticket, in upstream.CompletionRequest, index *declare.Index, w answerWriter) error {
-	ctx := c.Request().Context()
-	address := index.Upstream(t.Choice.Target).Address
-	stream, err := s.Engines.Complete(ctx, address, in)
-	if err != nil {
-		t.Fail()
-		return s.refuse(c, in.RequestID, &fleet.Refusal{Reason: fleet.ReasonUpstreamFailed, Outcome: fleet.OutcomeUnknown, Detail: err.Error()})
+	shape := textShape
+	if chat {
+		shape = chatChunkShape
 	}
-	defer func() { _ = stream.Close() }()
-	first := true
-	for {
-		chunk, err := stream.Next()
-		if err == io.EOF {
-			t.Fail()
-			return nil
-		}
-		if err != nil {
-			t.Cancel()
-			return err
-		}
-		if first {
-			t.FirstToken()
-			first = false
-		}
-		if chunk.Finish != "" {
-			usage := fleet.Usage{}
-			if chunk.Usage != nil {
-				usage = *chunk.Usage
-			}
-			t.Finish(usage)
-			return w.end(chunk.Finish, usage)
-		}
-		t.Tokens(chunk.Tokens)
-		if err := w.chunk(chunk.Text); err != nil {
-			t.Cancel()
-			return err
-		}
+	k.events = &sseWriter{
+		k: k, pacer: pacer, shape: shape, head: shape.head(k.id, model),
+		withUsage: body.StreamOptions.IncludeUsage,
 	}
+	return k.events
 }
 
-// sseWriter streams server-sent events.
-type sseWriter struct {
-	c      echo.Context
-	id     fleet.RequestID
-	format answerFormat
-	open   bool
-}
-
-func (w *sseWriter) begun() bool { return w.open }
-
-func (w *sseWriter) send(text string, finish *string) error {
-	if !w.open {
-		w.open = true
-		w.c.Response().Header().Set("Content-Type", "text/event-stream")
-		w.c.Response().WriteHeader(http.StatusOK)
-	}
-	raw, err := json.Marshal(map[string]any{
-		"id": w.id, "object": w.format.object, "choices": []any{w.format.choice(text, finish)},
-	})
-	if err != nil {
-		return err
-	}
-	if _, err := fmt.Fprintf(w.c.Response(), "data: %s\n\n", raw); err != nil {
-		return err
+// models lists the models of the groups that the member's kinds use.
+func (s *Server) models(k *call) *fleet.Refusal {
+	type model struct {
+		ID      fleet.ModelName `json:"id"`
+		Object  string          `json:"object"`
+		Created int64           `json:"created"`
+		OwnedBy string          `json:"owned_by"`
 	}
-	w.c.Response().Flush()
-	return nil
-}
-
-func (w *sseWriter) chunk(text string) error { return w.send(text, nil) }
-
-func (w *sseWriter) end(finish string, _ fleet.Usage) error {
-	if err := w.send("", &finish); err != nil {
-		return err
+	list := []model{}
+	seen := map[fleet.ModelName]bool{}
+	for _, name := range k.member.Kinds {
+		id := k.index.Group(k.index.Kind(name).Group).Model
+		if id != "" && !seen[id] {
+			seen[id] = true
+			list = append(list, model{ID: id, Object: "model", OwnedBy: "bramleywick"})
+		}
 	}
-	_, err := io.WriteString(w.c.Response(), "data: [DONE]\n\n")
-	return err
-}
-
-// wholeWriter collects the answer and sends it as one JSON document.
-type wholeWriter struct {
-	c      echo.Context
-	id     fleet.RequestID
-	format answerFormat
-	text   strings.Builder
-}
-
-func (w *wholeWriter) begun() bool { return false }
-
-func (w *wholeWriter) chunk(text string) error {
-	w.text.WriteString(text)
+	_ = k.c.JSON(http.StatusOK, map[string]any{"object": "list", "data": list})
 	return nil
 }
-
-func (w *wholeWriter) end(finish string, usage fleet.Usage) error {
-	return w.c.JSON(http.StatusOK, map[string]any{
-		"id": w.id, "object": w.format.object,
-		"choices": []any{w.format.choice(w.text.String(), &finish)},
-		"usage": map[string]int{
-			"prompt_tokens":     usage.PromptTokens,
-			"completion_tokens": usage.OutputTokens,
-			"total_tokens":      usage.PromptTokens + usage.OutputTokens,
-		},
-	})
-}
--- /dev/null
+++ b/caller/format.go
@@ -0,0 +1,157 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// answerWriter sends an answer to the caller in one of two shapes.
+type answerWriter interface {
+	chunk(text string) error
+	end(finish string, usage fleet.Usage) error
+}
+
+// answerShape names the fields around the text of a completion interface.
+type answerShape struct {
+	object      string
+	open, close string // the JSON between "choices":[{"index":0, and the text, and after it
+}
+
+var (
+	textShape      = answerShape{"text_completion", `"text":`, ``}
+	chatChunkShape = answerShape{"chat.completion.chunk", `"delta":{"role":"assistant","content":`, `}`}
+	chatShape      = answerShape{"chat.completion", `"message":{"role":"assistant","content":`, `}`}
+)
+
+// head returns the JSON of an answer up to its text.
+func (f answerShape) head(id fleet.RequestID, model fleet.ModelName) string {
+	var name []byte
+	name = appendJSONString(name, string(model))
+	return fmt.Sprintf(`{"id":"%s","object":"%s","created":%d,"model":%s,"choices":[{"index":0,%s`,
+		id, f.object, time.Now().Unix(), name, f.open)
+}
+
+// appendJSONString appends s as a JSON string. Plain ASCII text, the common
+// case, is copied without the JSON encoder.
+func appendJSONString(dst []byte, s string) []byte {
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; c < ' ' || c >= utf8.RuneSelf || c == '"' || c == '\\' {
+			raw, _ := json.Marshal(s) // a string always encodes
+			return append(dst, raw...)
+		}
+	}
+	dst = append(dst, '"')
+	dst = append(dst, s...)
+	return append(dst, '"')
+}
+
+func appendUsage(dst []byte, u fleet.Usage) []byte {
+	return fmt.Appendf(dst, `{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d,"prompt_tokens_details":{"cached_tokens":%d}}`,
+		u.PromptTokens, u.OutputTokens, u.PromptTokens+u.OutputTokens, u.CachedTokens)
+}
+
+// sseWriter streams server-sent events.
+type sseWriter struct {
+	k     *call
+	pacer *pacer
+	shape answerShape
+	head  string
+	// withUsage asks for an event with the usage before the end.
+	withUsage bool
+	buffer    []byte
+}
+
+func (w *sseWriter) begin() {
+	if w.k.c.Response().Committed {
+		return
+	}
+	header := w.k.c.Response().Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	w.k.c.Response().WriteHeader(http.StatusOK)
+}
+
+func (w *sseWriter) event(text string, finish string) {
+	w.buffer = append(w.buffer, "data: "...)
+	w.buffer = append(w.buffer, w.head...)
+	w.buffer = appendJSONString(w.buffer, text)
+	w.buffer = append(w.buffer, w.shape.close...)
+	w.buffer = append(w.buffer, `,"finish_reason":`...)
+	if finish == "" {
+		w.buffer = append(w.buffer, "null"...)
+	} else {
+		w.buffer = appendJSONString(w.buffer, finish)
+	}
+	w.buffer = append(w.buffer, "}]}\n\n"...)
+}
+
+func (w *sseWriter) flush() error {
+	w.begin()
+	w.pacer.extend()
+	_, err := w.k.c.Response().Write(w.buffer)
+	w.buffer = w.buffer[:0]
+	if err != nil {
+		return err
+	}
+	return w.pacer.control.Flush()
+}
+
+func (w *sseWriter) chunk(text string) error {
+	w.event(text, "")
+	return w.flush()
+}
+
+func (w *sseWriter) end(finish string, usage fleet.Usage) error {
+	w.event("", finish)
+	if w.withUsage {
+		w.buffer = append(w.buffer, "data: "...)
+		w.buffer = append(w.buffer, w.head[:strings.Index(w.head, `"choices":[`)]...)
+		w.buffer = append(w.buffer, `"choices":[],"usage":`...)
+		w.buffer = appendUsage(w.buffer, usage)
+		w.buffer = append(w.buffer, "}\n\n"...)
+	}
+	w.buffer = append(w.buffer, "data: [DONE]\n\n"...)
+	return w.flush()
+}
+
+// fail ends a stream that has begun with an error event.
+func (w *sseWriter) fail(body []byte) error {
+	w.buffer = append(w.buffer[:0], "event: error\ndata: "...)
+	w.buffer = append(w.buffer, body...)
+	w.buffer = append(w.buffer, "\n\n"...)
+	return w.flush()
+}
+
+// wholeWriter sends the answer as one JSON document. The text is collected by
+// the answer that uses the writer.
+type wholeWriter struct {
+	k     *call
+	pacer *pacer
+	shape answerShape
+	head  string
+	text  *strings.Builder
+}
+
+func (w *wholeWriter) chunk(string) error { return nil }
+
+func (w *wholeWriter) end(finish string, usage fleet.Usage) error {
+	body := make([]byte, 0, len(w.head)+w.text.Len()+256)
+	body = append(body, w.head...)
+	body = appendJSONString(body, w.text.String())
+	body = append(body, w.shape.close...)
+	body = append(body, `,"finish_reason":`...)
+	body = appendJSONString(body, finish)
+	body = append(body, `}],"usage":`...)
+	body = appendUsage(body, usage)
+	body = append(body, '}')
+	w.k.c.Response().Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.pacer.extend()
+	return w.k.c.JSONBlob(http.StatusOK, body)
+}
--- /dev/null
+++ b/caller/refuse.go
@@ -0,0 +1,103 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// errorBody is the JSON answer to a refused request.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Reason    fleet.Reason    `json:"reason"`
+	Outcome   fleet.Outcome   `json:"outcome"`
+	Message   string          `json:"message"`
+	RequestID fleet.RequestID `json:"request_id,omitempty"`
+}
+
+var statusOf = map[fleet.Reason]int{
+	fleet.ReasonBadRequest:         http.StatusBadRequest,
+	fleet.ReasonUnknownKey:         http.StatusUnauthorized,
+	fleet.ReasonKindNotGranted:     http.StatusForbidden,
+	fleet.ReasonTooLarge:           http.StatusRequestEntityTooLarge,
+	fleet.ReasonShareUsedUp:        http.StatusTooManyRequests,
+	fleet.ReasonQueueFull:          http.StatusTooManyRequests,
+	fleet.ReasonDeadlineUnmeetable: http.StatusServiceUnavailable,
+	fleet.ReasonNoUpstream:         http.StatusServiceUnavailable,
+	fleet.ReasonConfigUnknown:      http.StatusServiceUnavailable,
+	fleet.ReasonDraining:           http.StatusServiceUnavailable,
+	fleet.ReasonClaimNotPossible:   http.StatusServiceUnavailable,
+	fleet.ReasonUpstreamFailed:     http.StatusBadGateway,
+	fleet.ReasonOutcomeUnknown:     http.StatusBadGateway,
+}
+
+// defaultRetryAfter is suggested with reasons that pass with time, when the
+// scheduler gives no estimate.
+var defaultRetryAfter = map[fleet.Reason]time.Duration{
+	fleet.ReasonShareUsedUp:        time.Second,
+	fleet.ReasonQueueFull:          time.Second,
+	fleet.ReasonDeadlineUnmeetable: 2 * time.Second,
+	fleet.ReasonNoUpstream:         2 * time.Second,
+	fleet.ReasonConfigUnknown:      2 * time.Second,
+	fleet.ReasonDraining:           time.Second,
+	fleet.ReasonClaimNotPossible:   2 * time.Second,
+}
+
+// retryAfter returns the header's value in whole seconds, rounded up, or "".
+// An attempt that may have run gets none: repeating it is the caller's choice.
+func retryAfter(r *fleet.Refusal) string {
+	wait := r.RetryAfter
+	if wait == 0 {
+		wait = defaultRetryAfter[r.Reason]
+	}
+	if wait == 0 || r.Outcome != fleet.OutcomeNotRun {
+		return ""
+	}
+	return strconv.Itoa(int((wait + time.Second - 1) / time.Second))
+}
+
+// refuse counts, logs and answers a request that gets no complete answer.
+func (s *Server) refuse(k *call, r *fleet.Refusal) error {
+	s.Observer.Refused(r.Reason)
+	k.log().Info("request refused", zap.String("reason", string(r.Reason)),
+		zap.String("outcome", string(r.Outcome)), zap.String("detail", r.Detail))
+	if r.Reason == fleet.ReasonCallerGone {
+		// Ends a connection that may still be open, as with a slow reader.
+		panic(http.ErrAbortHandler)
+	}
+	body, err := json.Marshal(errorBody{Error: errorDetail{
+		Reason: r.Reason, Outcome: r.Outcome, Message: r.Detail, RequestID: k.id,
+	}})
+	if err != nil {
+		return err
+	}
+	if k.c.Response().Committed {
+		return s.refuseBegun(k, body)
+	}
+	if wait := retryAfter(r); wait != "" {
+		k.c.Response().Header().Set("Retry-After", wait)
+	}
+	status, ok := statusOf[r.Reason]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	newPacer(k.c, s.Limits.WriteTimeout).extend()
+	return k.c.JSONBlob(status, body)
+}
+
+// refuseBegun ends an answer that has begun: a stream with an error event, any
+// other answer by breaking the connection, so that it cannot be taken as whole.
+func (s *Server) refuseBegun(k *call, body []byte) error {
+	if k.events == nil {
+		panic(http.ErrAbortHandler)
+	}
+	return k.events.fail(body)
+}
--- /dev/null
+++ b/caller/retrier.go
@@ -0,0 +1,51 @@
+package caller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/retry"
+)
+
+// retrier shares one retry policy among all requests of an instance.
+type retrier struct {
+	mu     sync.Mutex
+	policy *retry.Policy
+}
+
+func newRetrier(seed uint64) *retrier {
+	return &retrier{policy: retry.NewPolicy(retry.DefaultConfig, seed)}
+}
+
+func (r *retrier) request(group fleet.GroupName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.policy.Request(group)
+}
+
+func (r *retrier) decide(a retry.Attempt) retry.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.policy.Decide(a)
+}
+
+// remaining is the time until the context's deadline.
+func remaining(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return time.Hour
+	}
+	return time.Until(deadline)
+}
+
+// pause waits unless ctx ends first.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -8,26 +8,36 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/retry"
 	"github.com/bramleywick/bramleywick/core/sched"
 	"github.com/bramleywick/bramleywick/dispatch"
 	"github.com/bramleywick/bramleywick/upstream"
 )
 
+// requestIDHeader carries the request id to callers and services.
+const requestIDHeader = "X-Request-Id"
+
 // Requests is the part of the dispatcher that the server needs.
 type Requests interface {
 	Submit(ctx context.Context, r sched.Request) (*dispatch.Ticket, *fleet.Refusal)
 }
 
-// Observer counts refusals and retries.
+// Observer counts refusals and retries and times answers.
 type Observer interface {
 	Refused(reason fleet.Reason)
-	Retried(reason string)
+	Retried(reason retry.Reason)
+	// FirstToken is the time from a request's arrival to its first token.
+	FirstToken(kind fleet.KindName, d time.Duration)
+	// TokenGap is the time between two chunks of an answer.
+	TokenGap(kind fleet.KindName, d time.Duration)
 }
 
 // Options are the parts that a server works with.
@@ -39,90 +49,152 @@
 	Services *upstream.ServiceClient
 	Observer Observer
 	Log      *zap.Logger
+	// Limits are DefaultLimits when zero.
+	Limits Limits
+	// Seed makes retry delays differ between instances.
+	Seed uint64
 }
 
 // Server answers callers.
 type Server struct {
 	Options
-	echo *echo.Echo
+	echo    *echo.Echo
+	gate    gate
+	retrier *retrier
+	open    registry
+	leaving atomic.Bool
 }
 
 // NewServer returns a server with all routes in place.
 func NewServer(o Options) *Server {
-	s := &Server{Options: o, echo: echo.New()}
+	if o.Limits == (Limits{}) {
+		o.Limits = DefaultLimits
+	}
+	s := &Server{Options: o, echo: echo.New(), retrier: newRetrier(o.Seed)}
+	s.gate.limits = o.Limits
 	s.echo.HideBanner = true
 	s.echo.HidePort = true
-	s.echo.POST("/v1/completions", s.completions)
-	s.echo.POST("/v1/chat/completions", s.chatCompletions)
-	s.echo.GET("/v1/models", s.models)
-	s.echo.Any("/*", s.service)
+	s.echo.POST("/v1/completions", s.handle(s.completions))
+	s.echo.POST("/v1/chat/completions", s.handle(s.chatCompletions))
+	s.echo.GET("/v1/models", s.handle(s.models))
+	s.echo.Any("/*", s.handle(s.service))
 	return s
 }
 
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler { return s.echo }
 
-// identify authenticates the caller and resolves the kind. An empty wanted
-// kind gives the member's first kind.
-func (s *Server) identify(c echo.Context) (*declare.Index, *declare.Member, *fleet.Refusal) {
-	index := s.Index()
-	if index == nil {
-		return nil, nil, fleet.Refuse(fleet.ReasonConfigUnknown, "no configuration is in force yet")
+// Leave asks callers to close their connections after the current request. It
+// is called at the start of a planned stop, so that no request arrives on a
+// connection that the stop then closes.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// call is one request of a caller.
+type call struct {
+	s      *Server
+	c      echo.Context
+	id     fleet.RequestID
+	start  time.Time
+	index  *declare.Index
+	member *declare.Member
+	kind   *declare.Kind
+	ticket *dispatch.Ticket
+	// events is the writer of a streamed answer.
+	events *sseWriter
+}
+
+// handle wraps a handler with what every request needs: an id, the limit of
+// open requests, authentication and the answer to a refusal.
+func (s *Server) handle(serve func(*call) *fleet.Refusal) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		k := &call{s: s, c: c, id: newRequestID(), start: time.Now()}
+		c.Response().Header().Set(requestIDHeader, string(k.id))
+		if s.leaving.Load() {
+			c.Response().Header().Set("Connection", "close")
+		}
+		if refusal := s.gate.enter(); refusal != nil {
+			return s.refuse(k, refusal)
+		}
+		defer s.gate.leave()
+		s.open.add(k.id, k.start)
+		defer s.open.remove(k.id)
+		refusal := k.identify()
+		if refusal == nil {
+			refusal = serve(k)
+		}
+		if refusal != nil {
+			return s.refuse(k, refusal)
+		}
+		return nil
+	}
+}
+
+// identify authenticates the caller.
+func (k *call) identify() *fleet.Refusal {
+	k.index = k.s.Index()
+	if k.index == nil {
+		return fleet.Refuse(fleet.ReasonConfigUnknown, "no configuration is in force yet")
 	}
-	key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+	key, ok := strings.CutPrefix(k.c.Request().Header.Get("Authorization"), "Bearer ")
 	if !ok {
-		return nil, nil, fleet.Refuse(fleet.ReasonUnknownKey, "the Authorization header has no bearer key")
+		return fleet.Refuse(fleet.ReasonUnknownKey, "the Authorization header has no bearer key")
 	}
-	member := index.MemberByKey(key)
-	if member == nil {
-		return nil, nil, fleet.Refuse(fleet.ReasonUnknownKey, "the key is not known")
+	k.member = k.index.MemberByKey(key)
+	if k.member == nil {
+		return fleet.Refuse(fleet.ReasonUnknownKey, "the key is not known")
 	}
-	return index, member, nil
+	return nil
 }
 
-func newRequestID() fleet.RequestID {
-	var raw [12]byte
-	_, _ = rand.Read(raw[:])
-	return fleet.RequestID(hex.EncodeToString(raw[:]))
+// setKind fixes the request's kind and notes it for the stop's log.
+func (k *call) setKind(kind *declare.Kind) {
+	k.kind = kind
+	k.s.open.describe(k.id, k.member.ID, kind.Name)
+	k.s.retrier.request(kind.Group)
 }
 
-// errorBody is the JSON answer to a refused request.
-type errorBody struct {
-	Error errorDetail `json:"error"`
+// deadline returns a context that ends at the kind's deadline or when the
+// caller leaves.
+func (k *call) deadline() (context.Context, context.CancelFunc) {
+	limit := k.kind.Deadline
+	if limit <= 0 {
+		limit = k.s.Limits.MaxWait
+	}
+	return context.WithDeadline(k.c.Request().Context(), k.start.Add(limit))
 }
 
-type errorDetail struct {
-	Reason    fleet.Reason    `json:"reason"`
-	Outcome   fleet.Outcome   `json:"outcome"`
-	Message   string          `json:"message"`
-	RequestID fleet.RequestID `json:"request_id,omitempty"`
+// address returns an upstream's address, or "" when the configuration no
+// longer declares it.
+func (k *call) address(id fleet.UpstreamID) string {
+	for _, index := range []*declare.Index{k.index, k.s.Index()} {
+		if index == nil {
+			continue
+		}
+		if u := index.Upstream(id); u != nil {
+			return u.Address
+		}
+	}
+	return ""
 }
 
-var statusOf = map[fleet.Reason]int{
-	fleet.ReasonBadRequest:         http.StatusBadRequest,
-	fleet.ReasonUnknownKey:         http.StatusUnauthorized,
-	fleet.ReasonKindNotGranted:     http.StatusForbidden,
-	fleet.ReasonTooLarge:           http.StatusRequestEntityTooLarge,
-	fleet.ReasonShareUsedUp:        http.StatusTooManyRequests,
-	fleet.ReasonQueueFull:          http.StatusTooManyRequests,
-	fleet.ReasonDeadlineUnmeetable: http.StatusServiceUnavailable,
-	fleet.ReasonNoUpstream:         http.StatusServiceUnavailable,
-	fleet.ReasonConfigUnknown:      http.StatusServiceUnavailable,
-	fleet.ReasonDraining:           http.StatusServiceUnavailable,
-	fleet.ReasonClaimNotPossible:   http.StatusServiceUnavailable,
-	fleet.ReasonUpstreamFailed:     http.StatusBadGateway,
-	fleet.ReasonOutcomeUnknown:     http.StatusBadGateway,
+// log returns a logger with the request's fields.
+func (k *call) log() *zap.Logger {
+	fields := []zap.Field{zap.String("request_id", string(k.id))}
+	if k.member != nil {
+		fields = append(fields, zap.String("member", string(k.member.ID)))
+	}
+	if k.kind != nil {
+		fields = append(fields, zap.String("kind", string(k.kind.Name)))
+	}
+	if k.ticket != nil {
+		fields = append(fields, zap.String("upstream", string(k.ticket.Choice.Target)))
+	}
+	return k.s.Log.With(fields...)
 }
 
-func (s *Server) refuse(c echo.Context, id fleet.RequestID, r *fleet.Refusal) error {
-	s.Observer.Refused(r.Reason)
-	s.Log.Info("request refused", zap.String("request_id", string(id)),
-		zap.String("reason", string(r.Reason)), zap.String("outcome", string(r.Outcome)))
-	status, ok := statusOf[r.Reason]
-	if !ok {
-		status = http.StatusInternalServerError
-	}
-	return c.JSON(status, errorBody{Error: errorDetail{
-		Reason: r.Reason, Outcome: r.Outcome, Message: r.Detail, RequestID: id,
-	}})
+// newRequestID returns 96 random bits in hex.
+func newRequestID() fleet.RequestID {
+	var raw [12]byte
+	_, _ = rand.Read(raw[:])
+	return fleet.RequestID(hex.EncodeToString(raw[:]))
 }
--- a/caller/service.go
+++ b/caller/service.go
@@ -1,65 +1,206 @@
 package caller
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"strings"
 
-	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/retry"
 	"github.com/bramleywick/bramleywick/core/sched"
+	"github.com/bramleywick/bramleywick/upstream"
 )
 
+// memberHeader tells a service which member calls; callers cannot set it.
+const memberHeader = "X-Member"
+
+// forwarded are the caller's headers that a service sees.
+var forwarded = []string{"Accept", "Accept-Language", "Content-Type", "Idempotency-Key", "If-Match", "If-None-Match"}
+
 // service forwards a call on a declared route to a plain service.
-func (s *Server) service(c echo.Context) error {
-	id := newRequestID()
-	index, member, refusal := s.identify(c)
-	if refusal != nil {
-		return s.refuse(c, id, refusal)
+func (s *Server) service(k *call) *fleet.Refusal {
+	path := k.c.Request().URL.Path
+	if !cleanPath(path) {
+		return fleet.Refuse(fleet.ReasonBadRequest, "the path has empty, . or .. elements")
 	}
-	path := c.Request().URL.Path
-	route := index.Route(path)
-	if route == nil || !member.Grants(route.Kind) {
-		return s.refuse(c, id, fleet.Refuse(fleet.ReasonKindNotGranted, "no granted route matches the path"))
+	route := k.index.Route(path)
+	if route == nil || !k.member.Grants(route.Kind) {
+		return fleet.Refuse(fleet.ReasonKindNotGranted, "no granted route matches the path")
 	}
-	ctx := c.Request().Context()
-	ticket, refusal := s.Requests.Submit(ctx, sched.Request{ID: id, Member: member.ID, Kind: route.Kind})
+	k.setKind(k.index.Kind(route.Kind))
+	body, release, refusal := s.gate.readBody(k.c)
+	defer release()
 	if refusal != nil {
-		return s.refuse(c, id, refusal)
-	}
-	address := index.Upstream(ticket.Choice.Target).Address
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxRequestBytes)
-	resp, err := s.Services.Call(ctx, address, c.Request().Method, c.Request().URL.RequestURI(), c.Request().Header.Get("Content-Type"), body)
-	if err != nil {
-		ticket.Fail()
-		return s.refuse(c, id, &fleet.Refusal{Reason: fleet.ReasonOutcomeUnknown, Outcome: fleet.OutcomeUnknown, Detail: err.Error()})
-	}
-	defer func() { _ = resp.Body.Close() }()
-	ticket.Finish(fleet.Usage{})
-	c.Response().Header().Set("Content-Type", resp.Header.Get("Content-Type"))
-	c.Response().WriteHeader(resp.StatusCode)
-	_, err = io.Copy(c.Response(), resp.Body)
-	return err
+		return refusal
+	}
+	ctx, cancel := k.deadline()
+	defer cancel()
+	answer, refusal := k.callService(ctx, body)
+	if refusal != nil {
+		return refusal
+	}
+	defer answer.Close()
+	return k.relay(ctx, answer)
 }
 
-// models lists the models of the groups that the member's kinds use.
-func (s *Server) models(c echo.Context) error {
-	index, member, refusal := s.identify(c)
+// cleanPath tells that a service cannot read the path as one outside its route.
+func cleanPath(path string) bool {
+	for _, element := range strings.Split(strings.TrimSuffix(strings.TrimPrefix(path, "/"), "/"), "/") {
+		if path != "/" && (element == "" || element == "." || element == "..") {
+			return false
+		}
+	}
+	return true
+}
+
+// callService sends the call. A kind that is not repeatable is sent again only
+// when it certainly was not sent before (invariant 6).
+func (k *call) callService(ctx context.Context, body []byte) (*upstream.Answer, *fleet.Refusal) {
+	var refusal *fleet.Refusal
+	k.ticket, refusal = k.s.Requests.Submit(ctx, sched.Request{ID: k.id, Member: k.member.ID, Kind: k.kind.Name})
 	if refusal != nil {
-		return s.refuse(c, "", refusal)
-	}
-	type model struct {
-		ID     fleet.ModelName `json:"id"`
-		Object string          `json:"object"`
-	}
-	list := []model{}
-	seen := map[fleet.ModelName]bool{}
-	for _, name := range member.Kinds {
-		id := index.Group(index.Kind(name).Group).Model
-		if id != "" && !seen[id] {
-			seen[id] = true
-			list = append(list, model{ID: id, Object: "model"})
+		return nil, refusal
+	}
+	mayHaveRun := false
+	for failures := 1; ; failures++ {
+		answer, err := k.s.Services.Call(ctx, k.address(k.ticket.Choice.Target), k.serviceCall(body))
+		mayHaveRun = mayHaveRun || !neverSent(err)
+		failed := serviceFailure(answer, err)
+		if failed == nil {
+			return answer, nil
+		}
+		decision := k.decide(ctx, failed, failures, mayHaveRun)
+		if !decision.Allowed() && answer != nil {
+			return answer, nil // the service's own error is passed on
 		}
+		if answer != nil {
+			answer.Close()
+		}
+		if !decision.Allowed() {
+			return nil, k.serviceFailed(failed, mayHaveRun)
+		}
+		k.s.Observer.Retried(failed.Reason)
+		k.log().Info("call repeated", zap.String("step", string(failed.Step)), zap.String("reason", string(failed.Reason)))
+		pause(ctx, decision.Delay)
+		ticket, refusal := k.ticket.Retry(ctx)
+		if refusal != nil {
+			return nil, afterAttempt(refusal, mayHaveRun)
+		}
+		k.ticket = ticket
+	}
+}
+
+// neverSent tells that an attempt certainly did not reach the service.
+func neverSent(err error) bool {
+	var failed *upstream.Error
+	return errors.As(err, &failed) && failed.NeverSent
+}
+
+// serviceFailure returns what allows another attempt, or nil for an answer to
+// pass on.
+func serviceFailure(answer *upstream.Answer, err error) *upstream.Error {
+	var failed *upstream.Error
+	if errors.As(err, &failed) {
+		return failed
+	}
+	switch answer.Status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return &upstream.Error{Step: upstream.StepCall, Reason: retry.ReasonStatus, Status: answer.Status}
+	}
+	return nil
+}
+
+func (k *call) decide(ctx context.Context, failed *upstream.Error, failures int, mayHaveRun bool) retry.Decision {
+	if ctx.Err() != nil {
+		return retry.Decision{Denial: retry.DenyDeadline}
 	}
-	return c.JSON(http.StatusOK, map[string]any{"object": "list", "data": list})
+	k.ticket.Blame(k.ticket.Choice.Target)
+	return k.s.retrier.decide(retry.Attempt{
+		Group: k.kind.Group, Number: failures, NeverSent: !mayHaveRun, Final: failed.Final(),
+		Repeatable: k.kind.Repeatable, Remaining: remaining(ctx),
+	})
+}
+
+// serviceFailed ends a call without an answer.
+func (k *call) serviceFailed(failed *upstream.Error, mayHaveRun bool) *fleet.Refusal {
+	if k.c.Request().Context().Err() != nil {
+		k.ticket.Cancel()
+		return afterAttempt(fleet.Refuse(fleet.ReasonCallerGone, "the caller left before the answer"), mayHaveRun)
+	}
+	k.ticket.Fail()
+	reason := fleet.ReasonUpstreamFailed
+	if mayHaveRun {
+		reason = fleet.ReasonOutcomeUnknown
+	}
+	return afterAttempt(fleet.Refuse(reason, "%s", failed.Error()), mayHaveRun)
+}
+
+// afterAttempt corrects the outcome of a refusal (invariant 5).
+func afterAttempt(r *fleet.Refusal, mayHaveRun bool) *fleet.Refusal {
+	out := *r
+	if mayHaveRun && out.Outcome == fleet.OutcomeNotRun {
+		out.Outcome = fleet.OutcomeUnknown
+	}
+	return &out
+}
+
+func (k *call) serviceCall(body []byte) upstream.Call {
+	r := k.c.Request()
+	header := http.Header{}
+	for _, name := range forwarded {
+		if values := r.Header.Values(name); len(values) > 0 {
+			header[name] = values
+		}
+	}
+	header.Set(requestIDHeader, string(k.id))
+	header.Set(memberHeader, string(k.member.ID))
+	return upstream.Call{Method: r.Method, Path: r.URL.RequestURI(), Header: header, Body: body}
+}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Connection": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, requestIDHeader: true,
+}
+
+// relayBytes is the size of the pieces in which an answer is passed on.
+const relayBytes = 16 << 10
+
+// relay passes the service's answer on as it arrives.
+func (k *call) relay(ctx context.Context, answer *upstream.Answer) *fleet.Refusal {
+	for name, values := range answer.Header {
+		if !hopHeaders[name] {
+			k.c.Response().Header()[name] = values
+		}
+	}
+	k.c.Response().WriteHeader(answer.Status)
+	_, err := io.CopyBuffer(&pacedWriter{w: k.c.Response(), pacer: newPacer(k.c, k.s.Limits.WriteTimeout)}, answer, make([]byte, relayBytes))
+	var failed *upstream.Error
+	switch {
+	case err == nil:
+		k.ticket.Finish(fleet.Usage{})
+		return nil
+	case errors.As(err, &failed) && ctx.Err() == nil:
+		k.ticket.Blame(k.ticket.Choice.Target)
+		k.ticket.Fail()
+		return &fleet.Refusal{Reason: fleet.ReasonOutcomeUnknown, Outcome: fleet.OutcomeUnknown, Detail: failed.Error()}
+	}
+	k.ticket.Cancel()
+	return &fleet.Refusal{Reason: fleet.ReasonCallerGone, Outcome: fleet.OutcomeUnknown, Detail: "the caller left before the end of the answer"}
+}
+
+// pacedWriter extends the write deadline with each piece.
+type pacedWriter struct {
+	w     io.Writer
+	pacer *pacer
+}
+
+// Write implements io.Writer.
+func (p *pacedWriter) Write(b []byte) (int, error) {
+	p.pacer.extend()
+	return p.w.Write(b)
 }
--- a/core/retry/eject.go
+++ b/core/retry/eject.go
@@ -50,6 +50,9 @@
 type Ejector struct {
 	config EjectConfig
 	states map[fleet.UpstreamID]*health
+	// active tells that an upstream is ejected or returning. It keeps Changes
+	// cheap, which is called for every event.
+	active bool
 }
 
 // NewEjector returns an ejector that knows no upstream.
@@ -81,24 +84,20 @@
 	}
 }
 
-// Left ends an attempt that says nothing about the upstream's health, such as
-// one whose caller has left.
+// Left ends an attempt, whatever its result.
 func (e *Ejector) Left(id fleet.UpstreamID) {
 	if h, ok := e.states[id]; ok && h.inFlight > 0 {
 		h.inFlight--
 	}
 }
 
-// Succeeded ends an attempt that was answered.
-func (e *Ejector) Succeeded(id fleet.UpstreamID) {
+// Good counts a sign of health, such as the first token of an answer. Each one
+// doubles the bound of a returning upstream.
+func (e *Ejector) Good(id fleet.UpstreamID) {
 	h, ok := e.states[id]
-	if !ok {
+	if !ok || h.ejected {
 		return
 	}
-	e.Left(id)
-	if h.ejected {
-		return // an answer from before the ejection
-	}
 	h.failures = 0
 	if h.limit == 0 {
 		return
@@ -109,16 +108,8 @@
 	}
 }
 
-// Failed ends an attempt that the upstream failed.
-func (e *Ejector) Failed(id fleet.UpstreamID, now fleet.Instant) {
-	if _, ok := e.states[id]; ok {
-		e.Left(id)
-		e.Trouble(id, now)
-	}
-}
-
-// Trouble counts a failure in an attempt that goes on, such as a broken stream
-// that is resumed.
+// Trouble counts a failure. It does not end the attempt, because a broken
+// stream may be resumed.
 func (e *Ejector) Trouble(id fleet.UpstreamID, now fleet.Instant) {
 	h, ok := e.states[id]
 	if !ok || h.ejected {
@@ -127,7 +118,7 @@
 	h.failures++
 	returning := h.limit > 0
 	if (returning || h.failures >= e.config.Failures) && e.mayEject(h.group) {
-		h.ejected = true
+		h.ejected, e.active = true, true
 		h.until = now + e.length(h.times)
 		h.times++
 	}
@@ -158,6 +149,10 @@
 // Changes ends ejections that are over and returns the upstreams whose
 // availability differs from the last call.
 func (e *Ejector) Changes(now fleet.Instant) []Change {
+	if !e.active {
+		return nil
+	}
+	e.active = false
 	var out []Change
 	for id, h := range e.states {
 		if h.ejected && now >= h.until {
@@ -170,12 +165,20 @@
 			h.available = available
 			out = append(out, Change{Upstream: id, Available: available})
 		}
+		if h.ejected || h.limit > 0 {
+			e.active = true
+		}
 	}
 	return out
 }
 
-// Available tells whether an upstream may receive new work.
-func (e *Ejector) Available(id fleet.UpstreamID) bool {
-	h, ok := e.states[id]
-	return !ok || h.available
+// Ejected counts the upstreams that are ejected.
+func (e *Ejector) Ejected() int {
+	n := 0
+	for _, h := range e.states {
+		if h.ejected {
+			n++
+		}
+	}
+	return n
 }
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -67,15 +67,14 @@
 		eject := func(id fleet.UpstreamID, now fleet.Instant) {
 			for range DefaultEjectConfig.Failures {
 				e.Sent(id)
-				e.Failed(id, now)
+				e.Trouble(id, now)
+				e.Left(id)
 			}
 		}
 		Convey("answers between failures keep an upstream", func() {
 			for range 10 {
-				e.Sent("a")
-				e.Failed("a", 0)
-				e.Sent("a")
-				e.Succeeded("a")
+				e.Trouble("a", 0)
+				e.Good("a")
 			}
 			So(e.Changes(0), ShouldBeEmpty)
 		})
@@ -93,7 +92,8 @@
 			So(e.Changes(now), ShouldResemble, []Change{{"a", true}})
 			e.Sent("a")
 			So(e.Changes(now), ShouldResemble, []Change{{"a", false}})
-			e.Succeeded("a")
+			e.Good("a")
+			e.Left("a")
 			So(e.Changes(now), ShouldResemble, []Change{{"a", true}})
 			e.Sent("a")
 			So(e.Changes(now), ShouldBeEmpty)
@@ -101,7 +101,8 @@
 			So(e.Changes(now), ShouldResemble, []Change{{"a", false}})
 
 			Convey("one failure ejects it again, for longer", func() {
-				e.Failed("a", now)
+				e.Trouble("a", now)
+				So(e.Ejected(), ShouldEqual, 1)
 				So(e.Changes(now+DefaultEjectConfig.BaseTime), ShouldBeEmpty)
 				So(e.Changes(now+2*DefaultEjectConfig.BaseTime), ShouldResemble, []Change{{"a", true}})
 			})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	mu      sync.Mutex
 	sched   *sched.Scheduler
 	waiting map[fleet.RequestID]chan sched.Command
+	health  *health
 	cancel  func(fleet.RequestID, fleet.UpstreamID)
 }
 
@@ -30,6 +31,7 @@
 		start:   time.Now(),
 		sched:   sched.New(config),
 		waiting: map[fleet.RequestID]chan sched.Command{},
+		health:  newHealth(),
 		cancel:  cancel,
 	}
 }
@@ -54,11 +56,20 @@
 // Step applies one event and delivers the resulting commands.
 func (d *Dispatcher) Step(ev sched.Event) {
 	d.mu.Lock()
-	d.sched.Step(d.Now(), ev)
+	now := d.Now()
+	d.sched.Step(now, d.health.observe(ev))
 	commands := d.sched.Ready()
 	for _, c := range commands {
 		d.deliver(c)
 	}
+	for _, change := range d.health.changes(now) {
+		d.sched.Step(now, change)
+	}
+	late := d.sched.Ready()
+	for _, c := range late {
+		d.deliver(c)
+	}
+	commands = append(commands, late...)
 	d.mu.Unlock()
 	for _, c := range commands {
 		if c, ok := c.(sched.CancelAt); ok && d.cancel != nil {
@@ -72,6 +83,7 @@
 	switch c := c.(type) {
 	case sched.Dispatch:
 		id = c.ID
+		d.health.ejector.Sent(c.Choice.Target)
 	case sched.Refuse:
 		id = c.ID
 	default:
@@ -84,75 +96,6 @@
 	}
 }
 
-// Ticket is one request that the scheduler has accepted.
-type Ticket struct {
-	id       fleet.RequestID
-	d        *Dispatcher
-	commands chan sched.Command
-	Choice   sched.Choice
-}
-
-// Submit enters a request and waits for its first choice or its refusal.
-func (d *Dispatcher) Submit(ctx context.Context, r sched.Request) (*Ticket, *fleet.Refusal) {
-	t := &Ticket{id: r.ID, d: d, commands: make(chan sched.Command, 1)}
-	d.mu.Lock()
-	d.waiting[r.ID] = t.commands
-	d.mu.Unlock()
-	d.Step(sched.Submit{Request: r})
-	return t.wait(ctx)
-}
-
-func (t *Ticket) wait(ctx context.Context) (*Ticket, *fleet.Refusal) {
-	select {
-	case c := <-t.commands:
-		if refuse, ok := c.(sched.Refuse); ok {
-			t.forget()
-			return nil, refuse.Refusal
-		}
-		t.Choice = c.(sched.Dispatch).Choice
-		return t, nil
-	case <-ctx.Done():
-		t.Cancel()
-		return nil, fleet.Refuse(fleet.ReasonCallerGone, "the caller left while the request was queued")
-	}
-}
-
-// FirstToken reports that the answer began.
-func (t *Ticket) FirstToken() { t.d.Step(sched.FirstToken{ID: t.id}) }
-
-// Tokens reports n more tokens of the answer.
-func (t *Ticket) Tokens(n int) { t.d.Step(sched.Tokens{ID: t.id, N: n}) }
-
-// Finish ends the request with the engine's usage.
-func (t *Ticket) Finish(usage fleet.Usage) {
-	t.d.Step(sched.Finished{ID: t.id, Usage: usage})
-	t.forget()
-}
-
-// Retry reports that the attempt failed and waits for another choice.
-func (t *Ticket) Retry(ctx context.Context) (*Ticket, *fleet.Refusal) {
-	t.d.Step(sched.Failed{ID: t.id, Upstream: t.Choice.Target, Retry: true})
-	return t.wait(ctx)
-}
-
-// Fail ends the request after an attempt that must not be repeated.
-func (t *Ticket) Fail() {
-	t.d.Step(sched.Failed{ID: t.id, Upstream: t.Choice.Target})
-	t.forget()
-}
-
-// Cancel ends the request because its caller has left.
-func (t *Ticket) Cancel() {
-	t.d.Step(sched.Cancel{ID: t.id})
-	t.forget()
-}
-
-func (t *Ticket) forget() {
-	t.d.mu.Lock()
-	delete(t.d.waiting, t.id)
-	t.d.mu.Unlock()
-}
-
 // TakeShared returns and clears what peers must learn about recent work.
 func (d *Dispatcher) TakeShared() sched.Shared {
 	d.mu.Lock()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -3,21 +3,33 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/retry"
 )
 
 // Metrics counts what an instance does.
 type Metrics struct {
-	registry *prometheus.Registry
-	refused  *prometheus.CounterVec
-	retried  *prometheus.CounterVec
+	registry    *prometheus.Registry
+	refused     *prometheus.CounterVec
+	retried     *prometheus.CounterVec
+	interrupted prometheus.Counter
+	firstToken  *prometheus.HistogramVec
+	tokenGap    *prometheus.HistogramVec
 }
 
-// New returns collectors with every refusal reason at zero.
+// firstTokenBuckets and tokenGapBuckets are in seconds. Each has a bound at
+// the target of the two-year size: 1 s and 74 ms.
+var (
+	firstTokenBuckets = []float64{0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 1.5, 2.5, 5, 10, 30, 60}
+	tokenGapBuckets   = []float64{0.005, 0.01, 0.02, 0.03, 0.045, 0.06, 0.074, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 10}
+)
+
+// New returns collectors with every refusal and retry reason at zero.
 func New() *Metrics {
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
@@ -28,10 +40,22 @@
 			Name: "bramleywick_retried_total", Help: "Attempts repeated, by reason.",
 		}, []string{"reason"}),
 	}
-	m.registry.MustRegister(m.refused, m.retried)
+	m.interrupted = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "bramleywick_interrupted_total", Help: "Requests interrupted by a forced stop.",
+	})
+	m.firstToken = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "bramleywick_first_token_seconds", Help: "Time from arrival to the first token, by kind.", Buckets: firstTokenBuckets,
+	}, []string{"kind"})
+	m.tokenGap = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "bramleywick_token_gap_seconds", Help: "Time between two chunks of an answer, by kind.", Buckets: tokenGapBuckets,
+	}, []string{"kind"})
+	m.registry.MustRegister(m.refused, m.retried, m.interrupted, m.firstToken, m.tokenGap)
 	for _, r := range fleet.Reasons() {
 		m.refused.WithLabelValues(string(r))
 	}
+	for _, r := range retry.Reasons() {
+		m.retried.WithLabelValues(string(r))
+	}
 	return m
 }
 
@@ -39,7 +63,20 @@
 func (m *Metrics) Refused(reason fleet.Reason) { m.refused.WithLabelValues(string(reason)).Inc() }
 
 // Retried counts one repeated attempt.
-func (m *Metrics) Retried(reason string) { m.retried.WithLabelValues(reason).Inc() }
+func (m *Metrics) Retried(reason retry.Reason) { m.retried.WithLabelValues(string(reason)).Inc() }
+
+// Interrupted counts requests that a forced stop has interrupted.
+func (m *Metrics) Interrupted(n int) { m.interrupted.Add(float64(n)) }
+
+// FirstToken observes the time from a request's arrival to its first token.
+func (m *Metrics) FirstToken(kind fleet.KindName, d time.Duration) {
+	m.firstToken.WithLabelValues(string(kind)).Observe(d.Seconds())
+}
+
+// TokenGap observes the time between two chunks of an answer.
+func (m *Metrics) TokenGap(kind fleet.KindName, d time.Duration) {
+	m.tokenGap.WithLabelValues(string(kind)).Observe(d.Seconds())
+}
 
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -3,10 +3,13 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,20 +32,45 @@
 	config  Config
 	running atomic.Int64
 	reports atomic.Int64
+	starts  atomic.Int64
+
+	mu      sync.Mutex
+	fault   Fault
+	hits    int
+	exports int
+	cancels map[fleet.RequestID]context.CancelFunc
+	gone    []fleet.RequestID // cancelled by DELETE
 }
 
 // New returns an engine with the given behaviour.
-func New(config Config) *Server { return &Server{config: config} }
+func New(config Config) *Server {
+	return &Server{config: config, cancels: map[fleet.RequestID]context.CancelFunc{}}
+}
 
 // Handler returns the engine's HTTP interface.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", s.complete)
-	mux.HandleFunc("DELETE /v1/requests/{id}", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST /v1/prefill", s.prefill)
+	mux.HandleFunc("DELETE /v1/requests/{id}", s.cancel)
 	mux.HandleFunc("GET /v1/load", s.load)
+	mux.HandleFunc("PUT /dev/fault", s.faults)
 	return mux
 }
 
+// Running returns the number of answers in progress.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
+// Starts returns how many completions have reached the engine.
+func (s *Server) Starts() int { return int(s.starts.Load()) }
+
+// Cancelled returns the requests that were cancelled by DELETE.
+func (s *Server) Cancelled() []fleet.RequestID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.gone)
+}
+
 // Answer returns the tokens that the engine generates for a prompt.
 func Answer(prompt string, maxTokens int) []string {
 	words := strings.Fields(prompt)
@@ -59,37 +87,95 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	s.starts.Add(1)
+	fault := s.takeFault(func(m FaultMode) bool {
+		return m != FaultPrefill && (m != FaultNoKV || in.KVFrom != nil)
+	})
+	switch fault.Mode {
+	case FaultStatus:
+		http.Error(w, "switched fault", fault.Status)
+		return
+	case FaultNoKV:
+		http.Error(w, "switched fault", upstream.StatusKVMissing)
+		return
+	case FaultResetFirst:
+		reset(w)
+		return
+	}
+	ctx, stop := s.track(r.Context(), in.RequestID)
+	defer stop()
+	s.stream(&faultyWriter{w: w, r: r.WithContext(ctx), fault: fault}, in)
+}
+
+// track counts a running answer and lets DELETE cancel it.
+func (s *Server) track(ctx context.Context, id fleet.RequestID) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	s.cancels[id] = cancel
+	s.mu.Unlock()
 	s.running.Add(1)
-	defer s.running.Add(-1)
-	w.Header().Set("Content-Type", "text/event-stream")
-	if !s.wait(r, s.config.FirstToken) {
+	return ctx, func() {
+		cancel()
+		s.running.Add(-1)
+		s.mu.Lock()
+		delete(s.cancels, id)
+		s.mu.Unlock()
+	}
+}
+
+// stream sends the answer from ResumeFrom on. After a prefix the next chunk
+// continues the prefix; without one the chunks before ResumeFrom are skipped.
+func (s *Server) stream(f *faultyWriter, in upstream.CompletionRequest) {
+	f.w.Header().Set("Content-Type", "text/event-stream")
+	if !s.wait(f.r, s.config.FirstToken) {
 		return
 	}
 	tokens := Answer(in.Prompt, in.MaxTokens)
-	for i, token := range tokens {
-		seq := int64(i + 1)
-		if seq < in.ResumeFrom {
-			continue
+	seq := max(in.ResumeFrom, 1)
+	from := min(int(seq-1), len(tokens))
+	if in.Prefix != "" {
+		from = min(len(strings.Fields(in.Prefix)), len(tokens))
+	}
+	for _, token := range tokens[from:] {
+		if !f.send(upstream.Chunk{RequestID: in.RequestID, Seq: seq, Text: token, Tokens: 1}) {
+			return
 		}
-		send(w, upstream.Chunk{RequestID: in.RequestID, Seq: seq, Text: token, Tokens: 1})
-		if !s.wait(r, s.config.TokenGap) {
+		seq++
+		if !s.wait(f.r, s.config.TokenGap) {
 			return
 		}
 	}
 	usage := &fleet.Usage{PromptTokens: len(strings.Fields(in.Prompt)), OutputTokens: len(tokens)}
-	send(w, upstream.Chunk{RequestID: in.RequestID, Seq: int64(len(tokens)) + 1, Finish: "stop", Usage: usage})
+	f.send(upstream.Chunk{RequestID: in.RequestID, Seq: seq, Finish: "stop", Usage: usage})
 }
 
-// wait sleeps and reports whether the caller is still there.
-func (s *Server) wait(r *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return r.Context().Err() == nil
+func (s *Server) prefill(w http.ResponseWriter, r *http.Request) {
+	var in upstream.PrefillRequest
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
 	}
-	select {
-	case <-time.After(d):
-		return true
-	case <-r.Context().Done():
-		return false
+	if fault := s.takeFault(func(m FaultMode) bool { return m == FaultPrefill }); fault.Mode != "" {
+		http.Error(w, "switched fault", fault.Status)
+		return
+	}
+	if !s.wait(r, s.config.FirstToken) {
+		return
+	}
+	s.mu.Lock()
+	s.exports++
+	handle := upstream.KVHandle{Address: r.Host, ID: fmt.Sprintf("kv-%d", s.exports)}
+	s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(handle)
+}
+
+func (s *Server) cancel(_ http.ResponseWriter, r *http.Request) {
+	id := fleet.RequestID(r.PathValue("id"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = append(s.gone, id)
+	if cancel, ok := s.cancels[id]; ok {
+		cancel()
 	}
 }
 
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -14,8 +14,10 @@
 
 // Server is one stand-in service. The zero value is ready to use.
 type Server struct {
-	mu   sync.Mutex
-	runs map[string]int
+	mu    sync.Mutex
+	runs  map[string]int
+	fault Fault
+	hits  int
 }
 
 // Runs returns how often a call with this path and body ran.
@@ -33,7 +35,20 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		fault := s.takeFault()
+		if fault.ResetBefore {
+			reset(w)
+			return
+		}
+		if fault.Status != 0 {
+			http.Error(w, "switched fault", fault.Status)
+			return
+		}
 		runs := s.record(r.URL.Path, string(body))
+		if fault.ResetAfter {
+			reset(w)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"path": r.URL.Path, "runs": runs})
 	})
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -1,92 +1,169 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
-	"strings"
+	"net/url"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/retry"
 )
 
-// maxChunkBytes bounds one server-sent event of an engine.
-const maxChunkBytes = 64 << 10
+const (
+	// maxHandleBytes bounds the answer to a prefill.
+	maxHandleBytes = 16 << 10
+	// drainBytes is how much of an answer without use is read so that its
+	// connection can be used again.
+	drainBytes = 4 << 10
+	// finishTimeout is how long the end of a stream is awaited after its last
+	// chunk; a new connection costs less than a longer wait.
+	finishTimeout = 50 * time.Millisecond
+)
+
+// DefaultStallTimeout is the longest silence of an engine. It exceeds the
+// prefill of the longest prompts, during which an engine sends nothing.
+const DefaultStallTimeout = 30 * time.Second
 
 // EngineClient calls the HTTP interface of engines. Safe for concurrent use.
 type EngineClient struct {
 	http *http.Client
+	// StallTimeout is the longest silence of an engine, before the first chunk
+	// and between chunks. It is set before first use.
+	StallTimeout time.Duration
 }
 
 // NewEngineClient returns a client that uses transport's connections.
 func NewEngineClient(transport http.RoundTripper) *EngineClient {
-	return &EngineClient{http: &http.Client{Transport: transport}}
+	return &EngineClient{http: newHTTPClient(transport), StallTimeout: DefaultStallTimeout}
 }
 
-// Stream is one open answer of an engine.
+// Stream is one open answer of an engine. Not safe for concurrent use.
 type Stream struct {
 	address string
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	dog     *watchdog
 	body    io.ReadCloser
-	scanner *bufio.Scanner
+	events  *eventReader
 }
 
-// Complete starts an answer at the engine at address (host:port).
+// Complete starts an answer at the engine at address (host:port). Errors are
+// of type *Error.
 func (c *EngineClient) Complete(ctx context.Context, address string, in CompletionRequest) (*Stream, error) {
 	raw, err := json.Marshal(in)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode completion request")
+		return nil, &Error{Step: StepComplete, Peer: address, NeverSent: true, Reason: retry.ReasonNotSent, cause: err}
 	}
-	url := "http://" + address + "/v1/completions"
-	// Hiding the reader's type leaves GetBody unset, so that the HTTP library
-	// cannot resend the request on its own.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(raw)))
+	s := &Stream{address: address}
+	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	s.dog = newWatchdog(c.StallTimeout, s.cancel)
+	resp, err := c.post(s.ctx, StepComplete, address, "/v1/completions", raw)
+	s.dog.stop()
 	if err != nil {
-		return nil, errors.Wrapf(err, "complete at engine %s", address)
+		s.cancel(nil)
+		return nil, err
+	}
+	s.body = resp.Body
+	s.events = newEventReader(resp.Body)
+	return s, nil
+}
+
+// Next returns the next chunk as it arrives, in the engine's order. Errors are
+// of type *Error; a stream without end chunk gives ErrEnded.
+func (s *Stream) Next() (Chunk, error) {
+	if !s.events.buffered() {
+		s.dog.start()
+		defer s.dog.stop()
+	}
+	data, err := s.events.next()
+	if err == io.EOF {
+		err = ErrEnded
 	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, errors.Wrapf(err, "complete at engine %s", address)
+		return Chunk{}, transportError(s.ctx, StepStream, s.address, false, err)
 	}
-	if resp.StatusCode != http.StatusOK {
-		_ = resp.Body.Close()
-		return nil, errors.Errorf("complete at engine %s: status %d", address, resp.StatusCode)
+	chunk, err := decodeChunk(data)
+	if err != nil {
+		return Chunk{}, transportError(s.ctx, StepStream, s.address, false, err)
 	}
-	scanner := bufio.NewScanner(resp.Body)
-	scanner.Buffer(make([]byte, 0, 4<<10), maxChunkBytes)
-	return &Stream{address: address, body: resp.Body, scanner: scanner}, nil
+	return chunk, nil
 }
 
-// Next returns the next chunk, or io.EOF after the stream has ended.
-func (s *Stream) Next() (Chunk, error) {
-	for s.scanner.Scan() {
-		data, ok := strings.CutPrefix(s.scanner.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		var chunk Chunk
-		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-			return Chunk{}, errors.Wrapf(err, "decode chunk from engine %s", s.address)
-		}
-		return chunk, nil
+// Finish ends a stream whose last chunk has been read and keeps its connection
+// for the next request if the engine ends the stream in time.
+func (s *Stream) Finish() {
+	s.dog.timer.Reset(finishTimeout)
+	_, _ = io.CopyN(io.Discard, s.body, drainBytes)
+	s.Close()
+}
+
+// Close ends the stream; the engine sees the connection close.
+func (s *Stream) Close() {
+	s.dog.stop()
+	s.cancel(nil)
+	_ = s.body.Close()
+}
+
+// Prefill computes a prompt's KV cache at the engine at address and returns
+// where it can be imported from. Errors are of type *Error.
+func (c *EngineClient) Prefill(ctx context.Context, address string, in PrefillRequest) (*KVHandle, error) {
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return nil, &Error{Step: StepPrefill, Peer: address, NeverSent: true, Reason: retry.ReasonNotSent, cause: err}
 	}
-	if err := s.scanner.Err(); err != nil {
-		return Chunk{}, errors.Wrapf(err, "read stream from engine %s", s.address)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer newWatchdog(c.StallTimeout, cancel).stop()
+	resp, err := c.post(ctx, StepPrefill, address, "/v1/prefill", raw)
+	if err != nil {
+		return nil, err
 	}
-	return Chunk{}, io.EOF
+	defer func() { _ = resp.Body.Close() }()
+	handle, err := decodeHandle(resp.Body)
+	if err != nil {
+		return nil, transportError(ctx, StepPrefill, address, false, err)
+	}
+	return handle, nil
 }
 
-// Close ends the stream; the engine sees the connection close.
-func (s *Stream) Close() error { return s.body.Close() }
+func decodeHandle(r io.Reader) (*KVHandle, error) {
+	var handle KVHandle
+	if err := json.NewDecoder(io.LimitReader(r, maxHandleBytes)).Decode(&handle); err != nil || handle.ID == "" {
+		return nil, errDecode
+	}
+	return &handle, nil
+}
+
+// post sends one request once and checks the status.
+func (c *EngineClient) post(ctx context.Context, step Step, address, path string, raw []byte) (*http.Response, error) {
+	var sent attempt
+	req, err := newRequest(sent.trace(ctx), http.MethodPost, "http://"+address+path, bytes.NewReader(raw), len(raw))
+	if err != nil {
+		return nil, transportError(ctx, step, address, true, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, transportError(ctx, step, address, !sent.connected.Load(), err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.CopyN(io.Discard, resp.Body, drainBytes)
+		_ = resp.Body.Close()
+		return nil, statusError(step, address, resp.StatusCode)
+	}
+	return resp, nil
+}
 
 // Cancel asks the engine to stop a request.
 func (c *EngineClient) Cancel(ctx context.Context, address string, id fleet.RequestID) error {
-	url := "http://" + address + "/v1/requests/" + string(id)
-	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, url, nil)
+	target := "http://" + address + "/v1/requests/" + url.PathEscape(string(id))
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
 	if err != nil {
 		return errors.Wrapf(err, "cancel at engine %s", address)
 	}
@@ -94,5 +171,6 @@
 	if err != nil {
 		return errors.Wrapf(err, "cancel at engine %s", address)
 	}
+	_, _ = io.CopyN(io.Discard, resp.Body, drainBytes)
 	return resp.Body.Close()
 }
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -1,43 +1,96 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
-
-	"github.com/pkg/errors"
+	"time"
 )
 
+// maxServiceAnswerBytes bounds the answer of a plain service. The answer is
+// passed on as it arrives and never held as a whole.
+const maxServiceAnswerBytes = 64 << 20
+
 // ServiceClient calls plain services. It never sends a call twice: every call
 // uses a fresh connection, because the HTTP library resends a request whose
 // reused connection turns out to be closed.
 type ServiceClient struct {
 	http *http.Client
+	// StallTimeout is the longest silence of a service. It is set before first
+	// use.
+	StallTimeout time.Duration
 }
 
 // NewServiceClient returns a client without connection reuse.
 func NewServiceClient() *ServiceClient {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
+	transport := NewTransport()
 	transport.DisableKeepAlives = true
-	return &ServiceClient{http: &http.Client{
-		Transport: transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		},
-	}}
+	return &ServiceClient{http: newHTTPClient(transport), StallTimeout: DefaultStallTimeout}
+}
+
+// Call is one call of a plain service.
+type Call struct {
+	Method string
+	// Path includes the query.
+	Path   string
+	Header http.Header
+	Body   []byte
 }
 
-// Call sends one request to the service at address (host:port). The caller
-// closes the response's body.
-func (c *ServiceClient) Call(ctx context.Context, address, method, path, contentType string, body io.Reader) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, io.NopCloser(body))
+// Answer is a service's answer; its body is read once and closed.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	address string
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	dog     *watchdog
+	body    io.ReadCloser
+	left    int64
+}
+
+// Call sends one request to the service at address (host:port), once. Errors
+// are of type *Error.
+func (c *ServiceClient) Call(ctx context.Context, address string, in Call) (*Answer, error) {
+	a := &Answer{address: address, left: maxServiceAnswerBytes}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.dog = newWatchdog(c.StallTimeout, a.cancel)
+	defer a.dog.stop()
+	var sent attempt
+	req, err := newRequest(sent.trace(a.ctx), in.Method, "http://"+address+in.Path, bytes.NewReader(in.Body), len(in.Body))
 	if err != nil {
-		return nil, errors.Wrapf(err, "call service %s", address)
-	}
-	if contentType != "" {
-		req.Header.Set("Content-Type", contentType)
+		a.cancel(nil)
+		return nil, transportError(ctx, StepCall, address, true, err)
 	}
+	req.Header = in.Header
 	resp, err := c.http.Do(req)
-	return resp, errors.Wrapf(err, "call service %s", address)
+	if err != nil {
+		failed := transportError(a.ctx, StepCall, address, !sent.connected.Load(), err)
+		a.cancel(nil)
+		return nil, failed
+	}
+	a.Status, a.Header, a.body = resp.StatusCode, resp.Header, resp.Body
+	return a, nil
+}
+
+// Read implements io.Reader. Errors other than io.EOF are of type *Error.
+func (a *Answer) Read(p []byte) (int, error) {
+	if a.left <= 0 {
+		return 0, transportError(a.ctx, StepCall, a.address, false, ErrTooLarge)
+	}
+	a.dog.start()
+	n, err := a.body.Read(p[:min(int64(len(p)), a.left)])
+	a.dog.stop()
+	a.left -= int64(n)
+	if err != nil && err != io.EOF {
+		err = transportError(a.ctx, StepCall, a.address, false, err)
+	}
+	return n, err
+}
+
+// Close ends the call.
+func (a *Answer) Close() {
+	a.cancel(nil)
+	_ = a.body.Close()
 }
--- /dev/null
+++ b/upstream/sse.go
@@ -0,0 +1,68 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+)
+
+// maxChunkBytes bounds one server-sent event of an engine.
+const maxChunkBytes = 64 << 10
+
+var dataField = []byte("data:")
+
+// eventReader reads the data fields of server-sent events. Each field must be
+// one JSON document on one line.
+type eventReader struct {
+	in *bufio.Reader
+	// long holds a line that does not fit the reader's buffer.
+	long []byte
+}
+
+func newEventReader(r io.Reader) *eventReader { return &eventReader{in: bufio.NewReader(r)} }
+
+// buffered tells that data is at hand, so that next may not need to wait.
+func (r *eventReader) buffered() bool { return r.in.Buffered() > 0 }
+
+// next returns the next data field; it is valid until the next call.
+func (r *eventReader) next() ([]byte, error) {
+	for {
+		line, err := r.line()
+		if err != nil {
+			return nil, err
+		}
+		if data, ok := bytes.CutPrefix(line, dataField); ok {
+			return bytes.TrimSpace(data), nil
+		}
+	}
+}
+
+func (r *eventReader) line() ([]byte, error) {
+	line, err := r.in.ReadSlice('\n')
+	if err != bufio.ErrBufferFull {
+		return line, err
+	}
+	r.long = r.long[:0]
+	for err == bufio.ErrBufferFull {
+		r.long = append(r.long, line...)
+		if len(r.long) > maxChunkBytes {
+			return nil, ErrTooLarge
+		}
+		line, err = r.in.ReadSlice('\n')
+	}
+	if len(r.long)+len(line) > maxChunkBytes {
+		return nil, ErrTooLarge
+	}
+	r.long = append(r.long, line...)
+	return r.long, err
+}
+
+// decodeChunk decodes one event of an engine.
+func decodeChunk(data []byte) (Chunk, error) {
+	var c Chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Chunk{}, errDecode
+	}
+	return c, nil
+}
--- a/upstream/wire.go
+++ b/upstream/wire.go
@@ -1,14 +1,21 @@
 // Package upstream holds the clients of engines and plain services.
 package upstream
 
-import "github.com/bramleywick/bramleywick/core/fleet"
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/stream"
+)
 
 // CompletionRequest is the body of POST /v1/completions at an engine.
 type CompletionRequest struct {
 	RequestID fleet.RequestID `json:"request_id"`
 	Model     fleet.ModelName `json:"model,omitempty"`
 	Prompt    string          `json:"prompt"`
-	MaxTokens int             `json:"max_tokens"`
+	// MaxTokens bounds the whole answer, including Prefix.
+	MaxTokens int `json:"max_tokens"`
 	// Priority orders waiting requests at the engine; higher goes first.
 	Priority int `json:"priority,omitempty"`
 	// ResumeFrom is the sequence number of the first chunk that is missing.
@@ -18,6 +25,15 @@
 	Prefix string `json:"prefix,omitempty"`
 	// KVFrom locates the prompt's KV cache at the engine that prefilled it.
 	KVFrom *KVHandle `json:"kv_from,omitempty"`
+	Sampling
+}
+
+// Sampling holds the caller's sampling fields, passed to the engine as they are.
+type Sampling struct {
+	Temperature json.RawMessage `json:"temperature,omitempty"`
+	TopP        json.RawMessage `json:"top_p,omitempty"`
+	Stop        json.RawMessage `json:"stop,omitempty"`
+	Seed        json.RawMessage `json:"seed,omitempty"`
 }
 
 // KVHandle locates exported KV cache.
@@ -26,19 +42,21 @@
 	ID      string `json:"id"`
 }
 
-// Chunk is one server-sent event of an engine's answer. Sequence numbers start
-// at 1 and increase by 1.
-type Chunk struct {
+// PrefillRequest is the body of POST /v1/prefill at an engine.
+type PrefillRequest struct {
 	RequestID fleet.RequestID `json:"request_id"`
-	Seq       int64           `json:"seq"`
-	Text      string          `json:"text,omitempty"`
-	// Tokens is the number of tokens in Text.
-	Tokens int `json:"tokens,omitempty"`
-	// Finish is "stop" or "length" on the last chunk.
-	Finish string       `json:"finish,omitempty"`
-	Usage  *fleet.Usage `json:"usage,omitempty"`
+	Model     fleet.ModelName `json:"model,omitempty"`
+	Prompt    string          `json:"prompt"`
+	Priority  int             `json:"priority,omitempty"`
 }
 
+// Chunk is one server-sent event of an engine's answer.
+type Chunk = stream.Chunk
+
+// StatusKVMissing is an engine's answer to a completion whose KV cache it
+// could not import; it has generated nothing.
+const StatusKVMissing = http.StatusFailedDependency
+
 // Load is the body of GET /v1/load at an engine or a plain service.
 type Load struct {
 	Incarnation         fleet.Incarnation `json:"incarnation"`
