Cover faults of engines, services and callers by contract tests

The retry, resume and limit code had no tests, and the stall timeout did not run while the event reader held the blank line after an event.

The stall timeout now runs during each read from the upstream. Parsers of outside bytes have fuzz targets.

--- a/caller/completions.go
+++ b/caller/completions.go
@@ -52,21 +52,20 @@
 
 // writer returns the writer for the shape of answer that the caller asked for.
 func (k *call) writer(a *answer, body *completionBody, chat bool, model fleet.ModelName) answerWriter {
-	pacer := newPacer(k.c, k.s.Limits.WriteTimeout)
 	if !body.Stream {
 		shape := textShape
 		if chat {
 			shape = chatShape
 		}
 		a.keep = true
-		return &wholeWriter{k: k, pacer: pacer, shape: shape, head: shape.head(k.id, model), text: &a.text}
+		return &wholeWriter{k: k, shape: shape, head: shape.head(k.id, model), text: &a.text}
 	}
 	shape := textShape
 	if chat {
 		shape = chatChunkShape
 	}
 	k.events = &sseWriter{
-		k: k, pacer: pacer, shape: shape, head: shape.head(k.id, model),
+		k: k, shape: shape, head: shape.head(k.id, model),
 		withUsage: body.StreamOptions.IncludeUsage,
 	}
 	return k.events
--- a/caller/format.go
+++ b/caller/format.go
@@ -60,7 +60,6 @@
 // sseWriter streams server-sent events.
 type sseWriter struct {
 	k     *call
-	pacer *pacer
 	shape answerShape
 	head  string
 	// withUsage asks for an event with the usage before the end.
@@ -94,13 +93,13 @@
 
 func (w *sseWriter) flush() error {
 	w.begin()
-	w.pacer.extend()
+	w.k.pacer.extend()
 	_, err := w.k.c.Response().Write(w.buffer)
 	w.buffer = w.buffer[:0]
 	if err != nil {
 		return err
 	}
-	return w.pacer.control.Flush()
+	return w.k.pacer.control.Flush()
 }
 
 func (w *sseWriter) chunk(text string) error {
@@ -133,7 +132,6 @@
 // the answer that uses the writer.
 type wholeWriter struct {
 	k     *call
-	pacer *pacer
 	shape answerShape
 	head  string
 	text  *strings.Builder
@@ -152,6 +150,6 @@
 	body = appendUsage(body, usage)
 	body = append(body, '}')
 	w.k.c.Response().Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.pacer.extend()
+	w.k.pacer.extend()
 	return w.k.c.JSONBlob(http.StatusOK, body)
 }
--- /dev/null
+++ b/caller/harness_test.go
@@ -0,0 +1,179 @@
+package caller_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/caller"
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/retry"
+	"github.com/bramleywick/bramleywick/core/sched"
+	"github.com/bramleywick/bramleywick/dispatch"
+	"github.com/bramleywick/bramleywick/standin/engine"
+	"github.com/bramleywick/bramleywick/standin/service"
+	"github.com/bramleywick/bramleywick/upstream"
+)
+
+const testStall = 150 * time.Millisecond
+
+// counts is a caller.Observer.
+type counts struct {
+	mu      sync.Mutex
+	refused map[fleet.Reason]int
+	retried map[retry.Reason]int
+	first   int
+}
+
+func (c *counts) Refused(r fleet.Reason) { c.mu.Lock(); defer c.mu.Unlock(); c.refused[r]++ }
+func (c *counts) Retried(r retry.Reason) { c.mu.Lock(); defer c.mu.Unlock(); c.retried[r]++ }
+func (c *counts) FirstToken(fleet.KindName, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.first++
+}
+func (c *counts) TokenGap(fleet.KindName, time.Duration) {}
+
+func (c *counts) get(r fleet.Reason) int { c.mu.Lock(); defer c.mu.Unlock(); return c.refused[r] }
+
+// bench is a caller's server with two engines and two services behind it.
+type bench struct {
+	url      string
+	server   *caller.Server
+	counts   *counts
+	engines  [2]*engine.Server
+	services [2]*service.Server
+	queue    *dispatch.Dispatcher
+}
+
+type benchOptions struct {
+	limits   caller.Limits
+	requests func(*dispatch.Dispatcher) caller.Requests
+	engine   engine.Config
+	// dead replaces the first upstream of each group by a closed port.
+	dead bool
+}
+
+// closedPort returns an address at which nothing listens.
+func closedPort() string {
+	s := httptest.NewServer(nil)
+	defer s.Close()
+	return s.Listener.Addr().String()
+}
+
+func newBench(t testing.TB, o benchOptions) *bench {
+	b := &bench{counts: &counts{refused: map[fleet.Reason]int{}, retried: map[retry.Reason]int{}}}
+	serve := func(h http.Handler) string {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.CloseClientConnections)
+		return s.Listener.Addr().String()
+	}
+	d := &declare.Declaration{
+		Members: []declare.Member{
+			{ID: "shea", Share: 1, KeyHashes: []string{declare.HashKey("key")}, Kinds: []fleet.KindName{"ledger", "once", "lookup", "payout"}},
+			{ID: "polegar", Share: 1, KeyHashes: []string{declare.HashKey("other")}, Kinds: []fleet.KindName{"ledger"}},
+		},
+		Kinds: []declare.Kind{
+			{Name: "ledger", Group: "language", Deadline: 5 * time.Second, MaxPromptTokens: 1000, MaxOutputTokens: 100000, Repeatable: true},
+			{Name: "once", Group: "language", Deadline: 5 * time.Second},
+			{Name: "lookup", Group: "accounts", Deadline: 5 * time.Second, Repeatable: true},
+			{Name: "payout", Group: "accounts", Deadline: 5 * time.Second},
+		},
+		Groups: []declare.Group{
+			{Name: "language", Type: declare.GroupEngine, Model: "ledger-7b"},
+			{Name: "accounts", Type: declare.GroupService},
+		},
+		Routes: []declare.Route{{Path: "/balance", Kind: "lookup"}, {Path: "/payout", Kind: "payout"}},
+	}
+	for i := range b.engines {
+		b.engines[i] = engine.New(o.engine)
+		b.services[i] = &service.Server{}
+		engineAddress, serviceAddress := serve(b.engines[i].Handler()), serve(b.services[i].Handler())
+		if o.dead && i == 0 {
+			engineAddress, serviceAddress = closedPort(), closedPort()
+		}
+		name := fleet.UpstreamID([]string{"1", "2"}[i])
+		d.Upstreams = append(d.Upstreams,
+			declare.Upstream{ID: "engine-" + name, Group: "language", Address: engineAddress},
+			declare.Upstream{ID: "service-" + name, Group: "accounts", Address: serviceAddress})
+	}
+	engines := upstream.NewEngineClient(upstream.NewTransport())
+	engines.StallTimeout = testStall
+	services := upstream.NewServiceClient()
+	services.StallTimeout = testStall
+	index := declare.NewIndex(1, d)
+	b.queue = dispatch.New(sched.Config{Instance: "i", Seed: 1}, func(id fleet.RequestID, at fleet.UpstreamID) {
+		go func() { _ = engines.Cancel(context.Background(), index.Upstream(at).Address, id) }()
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go b.queue.Run(ctx)
+	b.queue.Step(sched.Configure{Version: 1, Declaration: d})
+	var requests caller.Requests = b.queue
+	if o.requests != nil {
+		requests = o.requests(b.queue)
+	}
+	b.server = caller.NewServer(caller.Options{
+		Index: func() *declare.Index { return index }, Requests: requests, Engines: engines,
+		Services: services, Observer: b.counts, Log: zap.NewNop(), Limits: o.limits, Seed: 1,
+	})
+	b.url = "http://" + serve(b.server.Handler())
+	return b
+}
+
+// reply is what a caller received.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (b *bench) send(method, path, kind, body string) reply {
+	req, err := http.NewRequest(method, b.url+path, strings.NewReader(body))
+	So(err, ShouldBeNil)
+	req.Header.Set("Authorization", "Bearer key")
+	if kind != "" {
+		req.Header.Set("X-Kind", kind)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err}
+}
+
+// soon waits for a condition that other goroutines bring about.
+func soon(condition func() bool) bool {
+	for range 200 {
+		if condition() {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+// answerText joins the text of a streamed answer.
+func answerText(body string) string {
+	var text strings.Builder
+	for _, line := range strings.Split(body, "\n") {
+		_, after, ok := strings.Cut(line, `"text":"`)
+		if ok {
+			before, _, _ := strings.Cut(after, `"`)
+			text.WriteString(before)
+		}
+	}
+	return text.String()
+}
--- a/caller/limits.go
+++ b/caller/limits.go
@@ -147,6 +147,3 @@
 	p.set = now
 	_ = p.control.SetWriteDeadline(now.Add(p.timeout))
 }
-
-// stop removes the deadline, so that the connection can serve another request.
-func (p *pacer) stop() { _ = p.control.SetWriteDeadline(time.Time{}) }
--- /dev/null
+++ b/caller/parse_test.go
@@ -0,0 +1,58 @@
+package caller
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestPromptBlocks guards against cache hits across members, and against
+// hashes that do not cover the whole text before them.
+func TestPromptBlocks(t *testing.T) {
+	Convey("Block hashes", t, func() {
+		text := strings.Repeat("ledger ", 4000)
+		blocks := promptBlocks("shea", "m", text)
+		So(blocks, ShouldHaveLength, len(text)/blockBytes)
+		So(promptBlocks("shea", "m", text), ShouldResemble, blocks)
+		So(promptBlocks("polegar", "m", text)[0], ShouldNotEqual, blocks[0])
+		So(promptBlocks("shea", "n", text)[0], ShouldNotEqual, blocks[0])
+		So(promptBlocks("shea", "m", "L"+text[1:])[2], ShouldNotEqual, blocks[2])
+		So(promptBlocks("shea", "m", text[:2*blockBytes+5]), ShouldResemble, blocks[:2])
+		So(promptBlocks("shea", "m", "short"), ShouldBeEmpty)
+	})
+}
+
+// FuzzParseCompletion guards against a crash on a caller's body and against
+// limits that a parsed body can evade.
+func FuzzParseCompletion(f *testing.F) {
+	f.Add([]byte(`{"prompt":"a","max_tokens":3}`), false)
+	f.Add([]byte(`{"messages":[{"role":"user","content":[{"type":"text","text":"a"}]}]}`), true)
+	f.Add([]byte(`{"prompt":["a","b"],"max_completion_tokens":-1}`), false)
+	f.Fuzz(func(t *testing.T, raw []byte, chat bool) {
+		body, refusal := parseCompletion(raw, chat)
+		if refusal != nil {
+			return
+		}
+		if body.MaxTokens < 0 || body.N > 1 || body.promptText(chat) == "" {
+			t.Fatalf("accepted %+v", body)
+		}
+	})
+}
+
+// FuzzJSONString guards against a chunk that breaks the event around it.
+func FuzzJSONString(f *testing.F) {
+	f.Add("plain")
+	f.Add("line\nbreak \"quoted\" \\ ü \u2028 \xff")
+	f.Fuzz(func(t *testing.T, text string) {
+		raw := appendJSONString(nil, text)
+		var back string
+		if err := json.Unmarshal(raw, &back); err != nil || back != strings.ToValidUTF8(text, "\ufffd") && strings.ToValidUTF8(text, "") == text {
+			t.Fatalf("%q became %s", text, raw)
+		}
+		if strings.ContainsAny(string(raw), "\n\r") {
+			t.Fatalf("line break in %s", raw)
+		}
+	})
+}
--- a/caller/refuse.go
+++ b/caller/refuse.go
@@ -89,7 +89,7 @@
 	if !ok {
 		status = http.StatusInternalServerError
 	}
-	newPacer(k.c, s.Limits.WriteTimeout).extend()
+	k.pacer.extend()
 	return k.c.JSONBlob(status, body)
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -99,6 +99,7 @@
 	member *declare.Member
 	kind   *declare.Kind
 	ticket *dispatch.Ticket
+	pacer  *pacer
 	// events is the writer of a streamed answer.
 	events *sseWriter
 }
@@ -107,7 +108,9 @@
 // open requests, authentication and the answer to a refusal.
 func (s *Server) handle(serve func(*call) *fleet.Refusal) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		k := &call{s: s, c: c, id: newRequestID(), start: time.Now()}
+		k := &call{s: s, c: c, id: newRequestID(), start: time.Now(), pacer: newPacer(c, s.Limits.WriteTimeout)}
+		// Replaces the deadline that an earlier request on the connection has left.
+		k.pacer.extend()
 		c.Response().Header().Set(requestIDHeader, string(k.id))
 		if s.leaving.Load() {
 			c.Response().Header().Set("Connection", "close")
--- a/caller/service.go
+++ b/caller/service.go
@@ -178,7 +178,7 @@
 		}
 	}
 	k.c.Response().WriteHeader(answer.Status)
-	_, err := io.CopyBuffer(&pacedWriter{w: k.c.Response(), pacer: newPacer(k.c, k.s.Limits.WriteTimeout)}, answer, make([]byte, relayBytes))
+	_, err := io.CopyBuffer(&pacedWriter{w: k.c.Response(), pacer: k.pacer}, answer, make([]byte, relayBytes))
 	var failed *upstream.Error
 	switch {
 	case err == nil:
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -70,17 +70,13 @@
 		return nil, err
 	}
 	s.body = resp.Body
-	s.events = newEventReader(resp.Body)
+	s.events = newEventReader(&watchedReader{dog: s.dog, in: resp.Body})
 	return s, nil
 }
 
 // Next returns the next chunk as it arrives, in the engine's order. Errors are
 // of type *Error; a stream without end chunk gives ErrEnded.
 func (s *Stream) Next() (Chunk, error) {
-	if !s.events.buffered() {
-		s.dog.start()
-		defer s.dog.stop()
-	}
 	data, err := s.events.next()
 	if err == io.EOF {
 		err = ErrEnded
--- /dev/null
+++ b/upstream/fuzz_test.go
@@ -0,0 +1,42 @@
+package upstream
+
+import (
+	"bytes"
+	"io"
+	"testing"
+)
+
+// FuzzEvents guards against a crash and unbounded memory on an engine's bytes.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("data: {\"seq\":1}\n\n: comment\ndata:{\"seq\":2,\"finish\":\"stop\"}\r\n\n"))
+	f.Add([]byte("data: [DONE]\n"))
+	f.Add(append(bytes.Repeat([]byte("x"), 5000), "\ndata: {}\n"...))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r := newEventReader(bytes.NewReader(raw))
+		for {
+			data, err := r.next()
+			if err != nil {
+				if err != io.EOF && err != ErrTooLarge {
+					t.Fatal(err)
+				}
+				return
+			}
+			if len(data) > maxChunkBytes || cap(r.long) > 4*maxChunkBytes {
+				t.Fatalf("event of %d bytes, buffer of %d", len(data), cap(r.long))
+			}
+			_, _ = decodeChunk(data)
+		}
+	})
+}
+
+// FuzzHandle guards against a crash on an engine's answer to a prefill.
+func FuzzHandle(f *testing.F) {
+	f.Add([]byte(`{"address":"127.0.0.1:1","id":"kv-1"}`))
+	f.Add([]byte(`{"id":""}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		handle, err := decodeHandle(bytes.NewReader(raw))
+		if err == nil && handle.ID == "" {
+			t.Fatal("accepted a handle without id")
+		}
+	})
+}
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -46,7 +46,8 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	dog     *watchdog
-	body    io.ReadCloser
+	body    io.Reader
+	close   io.Closer
 	left    int64
 }
 
@@ -70,7 +71,8 @@
 		a.cancel(nil)
 		return nil, failed
 	}
-	a.Status, a.Header, a.body = resp.StatusCode, resp.Header, resp.Body
+	a.Status, a.Header, a.close = resp.StatusCode, resp.Header, resp.Body
+	a.body = &watchedReader{dog: a.dog, in: resp.Body}
 	return a, nil
 }
 
@@ -79,9 +81,7 @@
 	if a.left <= 0 {
 		return 0, transportError(a.ctx, StepCall, a.address, false, ErrTooLarge)
 	}
-	a.dog.start()
 	n, err := a.body.Read(p[:min(int64(len(p)), a.left)])
-	a.dog.stop()
 	a.left -= int64(n)
 	if err != nil && err != io.EOF {
 		err = transportError(a.ctx, StepCall, a.address, false, err)
@@ -92,5 +92,5 @@
 // Close ends the call.
 func (a *Answer) Close() {
 	a.cancel(nil)
-	_ = a.body.Close()
+	_ = a.close.Close()
 }
--- a/upstream/sse.go
+++ b/upstream/sse.go
@@ -22,9 +22,6 @@
 
 func newEventReader(r io.Reader) *eventReader { return &eventReader{in: bufio.NewReader(r)} }
 
-// buffered tells that data is at hand, so that next may not need to wait.
-func (r *eventReader) buffered() bool { return r.in.Buffered() > 0 }
-
 // next returns the next data field; it is valid until the next call.
 func (r *eventReader) next() ([]byte, error) {
 	for {
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -82,3 +82,16 @@
 
 func (w *watchdog) start() { w.timer.Reset(w.limit) }
 func (w *watchdog) stop()  { w.timer.Stop() }
+
+// watchedReader runs the watchdog during each read.
+type watchedReader struct {
+	dog *watchdog
+	in  io.Reader
+}
+
+// Read implements io.Reader.
+func (r *watchedReader) Read(p []byte) (int, error) {
+	r.dog.start()
+	defer r.dog.stop()
+	return r.in.Read(p)
+}
