--- a/caller/answer.go
+++ b/caller/answer.go
@@ -96,12 +96,8 @@
 		return err
 	}
 	a.mayHaveRun = true
-	if err := a.pump(s, address); err != nil {
-		s.Close()
-		return err
-	}
-	s.Finish()
-	return nil
+	defer s.Close()
+	return a.pump(s, address)
 }
 
 // prefill runs the first step of a split path. After a failure the decode
--- a/caller/completions.go
+++ b/caller/completions.go
@@ -13,41 +13,62 @@
 func (s *Server) chatCompletions(k *call) *fleet.Refusal { return s.complete(k, true) }
 
 func (s *Server) complete(k *call, chat bool) *fleet.Refusal {
-	raw, release, refusal := s.gate.readBody(k.c)
+	a, release, cancel, refusal := s.prepare(k, chat)
 	defer release()
 	if refusal != nil {
 		return refusal
 	}
+	defer cancel()
+	return a.run()
+}
+
+// prepare reads and checks a completion request and waits for the scheduler's
+// choice. release frees the body's reservation; cancel ends the deadline and is
+// set when there is no refusal.
+func (s *Server) prepare(k *call, chat bool) (a *answer, release, cancel func(), refusal *fleet.Refusal) {
+	raw, release, refusal := s.gate.readBody(k.c)
+	if refusal != nil {
+		return nil, release, nil, refusal
+	}
 	body, refusal := parseCompletion(raw, chat)
 	if refusal != nil {
-		return refusal
+		return nil, release, nil, refusal
+	}
+	request, in, refusal := k.describe(body, chat)
+	if refusal != nil {
+		return nil, release, nil, refusal
+	}
+	ctx, cancel := k.deadline()
+	k.ticket, refusal = s.Requests.Submit(ctx, request)
+	if refusal != nil {
+		cancel()
+		return nil, release, nil, refusal
 	}
+	a = newAnswer(ctx, k, in)
+	a.out = k.writer(a, body, chat, in.Model)
+	return a, release, cancel, nil
+}
+
+// describe resolves the kind of a completion request and applies its limits.
+func (k *call) describe(body *completionBody, chat bool) (sched.Request, upstream.CompletionRequest, *fleet.Refusal) {
 	wanted := fleet.KindName(k.c.Request().Header.Get("X-Kind"))
 	kind, refusal := engineKind(k.index, k.member, wanted, body.Model)
 	if refusal != nil {
-		return refusal
+		return sched.Request{}, upstream.CompletionRequest{}, refusal
 	}
 	k.setKind(kind)
-	model := k.index.Group(kind.Group).Model
 	prompt := body.promptText(chat)
-	if refusal := body.checkSize(kind, prompt, s.Limits); refusal != nil {
-		return refusal
+	if refusal := body.checkSize(kind, prompt, k.s.Limits); refusal != nil {
+		return sched.Request{}, upstream.CompletionRequest{}, refusal
 	}
-	ctx, cancel := k.deadline()
-	defer cancel()
-	k.ticket, refusal = s.Requests.Submit(ctx, sched.Request{
-		ID: k.id, Member: k.member.ID, Kind: kind.Name,
-		PromptTokens: promptTokens(prompt), MaxOutputTokens: body.MaxTokens,
-		Blocks: promptBlocks(k.member.ID, model, prompt),
-	})
-	if refusal != nil {
-		return refusal
-	}
-	a := newAnswer(ctx, k, upstream.CompletionRequest{
-		RequestID: k.id, Model: model, Prompt: prompt, MaxTokens: body.MaxTokens, Sampling: body.Sampling,
-	})
-	a.out = k.writer(a, body, chat, model)
-	return a.run()
+	model := k.index.Group(kind.Group).Model
+	return sched.Request{
+			ID: k.id, Member: k.member.ID, Kind: kind.Name,
+			PromptTokens: promptTokens(prompt), MaxOutputTokens: body.MaxTokens,
+			Blocks: promptBlocks(k.member.ID, model, prompt),
+		}, upstream.CompletionRequest{
+			RequestID: k.id, Model: model, Prompt: prompt, MaxTokens: body.MaxTokens, Sampling: body.Sampling,
+		}, nil
 }
 
 // writer returns the writer for the shape of answer that the caller asked for.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -53,7 +53,7 @@
 // New provisions a daemon without starting anything.
 func New(s *settings.Settings, log *zap.Logger) *Daemon {
 	d := &Daemon{settings: s, log: log, metrics: metrics.New()}
-	d.engines = upstream.NewEngineClient(&http.Transport{MaxIdleConnsPerHost: 64})
+	d.engines = upstream.NewEngineClient(upstream.NewTransport())
 	d.dispatcher = dispatch.New(sched.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
 	}, d.cancelAt)
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -18,12 +17,6 @@
 const (
 	// maxHandleBytes bounds the answer to a prefill.
 	maxHandleBytes = 16 << 10
-	// drainBytes is how much of an answer without use is read so that its
-	// connection can be used again.
-	drainBytes = 4 << 10
-	// finishTimeout is how long the end of a stream is awaited after its last
-	// chunk; a new connection costs less than a longer wait.
-	finishTimeout = 50 * time.Millisecond
 )
 
 // DefaultStallTimeout is the longest silence of an engine. It exceeds the
@@ -32,15 +25,15 @@
 
 // EngineClient calls the HTTP interface of engines. Safe for concurrent use.
 type EngineClient struct {
-	http *http.Client
+	transport http.RoundTripper
 	// StallTimeout is the longest silence of an engine, before the first chunk
 	// and between chunks. It is set before first use.
 	StallTimeout time.Duration
 }
 
-// NewEngineClient returns a client that uses transport's connections.
+// NewEngineClient returns a client; transport must not send a request twice.
 func NewEngineClient(transport http.RoundTripper) *EngineClient {
-	return &EngineClient{http: newHTTPClient(transport), StallTimeout: DefaultStallTimeout}
+	return &EngineClient{transport: transport, StallTimeout: DefaultStallTimeout}
 }
 
 // Stream is one open answer of an engine. Not safe for concurrent use.
@@ -64,11 +57,12 @@
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	s.dog = newWatchdog(c.StallTimeout, s.cancel)
 	resp, err := c.post(s.ctx, StepComplete, address, "/v1/completions", raw)
-	s.dog.stop()
 	if err != nil {
+		s.dog.close()
 		s.cancel(nil)
 		return nil, err
 	}
+	s.dog.stop()
 	s.body = resp.Body
 	s.events = newEventReader(&watchedReader{dog: s.dog, in: resp.Body})
 	return s, nil
@@ -91,17 +85,9 @@
 	return chunk, nil
 }
 
-// Finish ends a stream whose last chunk has been read and keeps its connection
-// for the next request if the engine ends the stream in time.
-func (s *Stream) Finish() {
-	s.dog.timer.Reset(finishTimeout)
-	_, _ = io.CopyN(io.Discard, s.body, drainBytes)
-	s.Close()
-}
-
 // Close ends the stream; the engine sees the connection close.
 func (s *Stream) Close() {
-	s.dog.stop()
+	s.dog.close()
 	s.cancel(nil)
 	_ = s.body.Close()
 }
@@ -115,7 +101,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer newWatchdog(c.StallTimeout, cancel).stop()
+	defer newWatchdog(c.StallTimeout, cancel).close()
 	resp, err := c.post(ctx, StepPrefill, address, "/v1/prefill", raw)
 	if err != nil {
 		return nil, err
@@ -138,18 +124,16 @@
 
 // post sends one request once and checks the status.
 func (c *EngineClient) post(ctx context.Context, step Step, address, path string, raw []byte) (*http.Response, error) {
-	var sent attempt
-	req, err := newRequest(sent.trace(ctx), http.MethodPost, "http://"+address+path, bytes.NewReader(raw), len(raw))
+	req, err := newRequest(ctx, http.MethodPost, "http://"+address+path, raw)
 	if err != nil {
 		return nil, transportError(ctx, step, address, true, err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		return nil, transportError(ctx, step, address, !sent.connected.Load(), err)
+		return nil, transportError(ctx, step, address, neverSent(err), err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		_, _ = io.CopyN(io.Discard, resp.Body, drainBytes)
 		_ = resp.Body.Close()
 		return nil, statusError(step, address, resp.StatusCode)
 	}
@@ -163,10 +147,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "cancel at engine %s", address)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return errors.Wrapf(err, "cancel at engine %s", address)
 	}
-	_, _ = io.CopyN(io.Discard, resp.Body, drainBytes)
 	return resp.Body.Close()
 }
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -12,21 +11,18 @@
 // passed on as it arrives and never held as a whole.
 const maxServiceAnswerBytes = 64 << 20
 
-// ServiceClient calls plain services. It never sends a call twice: every call
-// uses a fresh connection, because the HTTP library resends a request whose
-// reused connection turns out to be closed.
+// ServiceClient calls plain services and never sends a call twice. Safe for
+// concurrent use.
 type ServiceClient struct {
-	http *http.Client
+	transport Transport
 	// StallTimeout is the longest silence of a service. It is set before first
 	// use.
 	StallTimeout time.Duration
 }
 
-// NewServiceClient returns a client without connection reuse.
+// NewServiceClient returns a client.
 func NewServiceClient() *ServiceClient {
-	transport := NewTransport()
-	transport.DisableKeepAlives = true
-	return &ServiceClient{http: newHTTPClient(transport), StallTimeout: DefaultStallTimeout}
+	return &ServiceClient{StallTimeout: DefaultStallTimeout}
 }
 
 // Call is one call of a plain service.
@@ -57,20 +53,21 @@
 	a := &Answer{address: address, left: maxServiceAnswerBytes}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.dog = newWatchdog(c.StallTimeout, a.cancel)
-	defer a.dog.stop()
-	var sent attempt
-	req, err := newRequest(sent.trace(a.ctx), in.Method, "http://"+address+in.Path, bytes.NewReader(in.Body), len(in.Body))
+	req, err := newRequest(a.ctx, in.Method, "http://"+address+in.Path, in.Body)
 	if err != nil {
+		a.dog.close()
 		a.cancel(nil)
 		return nil, transportError(ctx, StepCall, address, true, err)
 	}
 	req.Header = in.Header
-	resp, err := c.http.Do(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		failed := transportError(a.ctx, StepCall, address, !sent.connected.Load(), err)
+		failed := transportError(a.ctx, StepCall, address, neverSent(err), err)
+		a.dog.close()
 		a.cancel(nil)
 		return nil, failed
 	}
+	a.dog.stop()
 	a.Status, a.Header, a.close = resp.StatusCode, resp.Header, resp.Body
 	a.body = &watchedReader{dog: a.dog, in: resp.Body}
 	return a, nil
@@ -91,6 +88,7 @@
 
 // Close ends the call.
 func (a *Answer) Close() {
+	a.dog.close()
 	a.cancel(nil)
 	_ = a.close.Close()
 }
--- a/upstream/sse.go
+++ b/upstream/sse.go
@@ -10,6 +10,9 @@
 // maxChunkBytes bounds one server-sent event of an engine.
 const maxChunkBytes = 64 << 10
 
+// eventBufferBytes is enough for the events of single tokens.
+const eventBufferBytes = 1 << 10
+
 var dataField = []byte("data:")
 
 // eventReader reads the data fields of server-sent events. Each field must be
@@ -20,7 +23,9 @@
 	long []byte
 }
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{in: bufio.NewReader(r)} }
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{in: bufio.NewReaderSize(r, eventBufferBytes)}
+}
 
 // next returns the next data field; it is valid until the next call.
 func (r *eventReader) next() ([]byte, error) {
