Stop gracefully, serve TLS with certificate reload and expose profiles

A stop closed idle connections that callers were about to use, waited without naming what it broke off, and listeners had no TLS.

During the balancer's delay requests are served with Connection: close; then new work is refused and answers are finished. The drain limit or a second signal ends the wait: the interrupted requests are counted and logged and the exit code is 1. Each listener takes [tls LISTENER] with certificate and key, read again when the files change. pprof is on the admin listener, and callers' connections are bounded.

--- a/cmd/bramleywickd/main.go
+++ b/cmd/bramleywickd/main.go
@@ -6,8 +6,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
@@ -18,11 +16,10 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	ctx, second := stopSignals()
 	root := &ffcli.Command{
 		ShortUsage:  "bramleywickd <subcommand>",
-		Subcommands: []*ffcli.Command{runCommand(), checkCommand(), devCommand()},
+		Subcommands: []*ffcli.Command{runCommand(second), checkCommand(), devCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
@@ -31,7 +28,7 @@
 	}
 }
 
-func runCommand() *ffcli.Command {
+func runCommand(second <-chan struct{}) *ffcli.Command {
 	flags := flag.NewFlagSet("run", flag.ContinueOnError)
 	path := flags.String("config", "", "settings file (INI)")
 	return &ffcli.Command{
@@ -46,7 +43,12 @@
 			if err != nil {
 				return errors.Wrap(err, "start logging")
 			}
-			return daemon.New(s, log).Run(ctx)
+			d := daemon.New(s, log)
+			go func() {
+				<-second
+				d.Interrupt()
+			}()
+			return d.Run(ctx)
 		},
 	}
 }
--- /dev/null
+++ b/daemon/admin.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"net/http"
+	"net/http/pprof"
+)
+
+// adminHandler serves metrics, health, readiness and profiles.
+func (d *Daemon) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", d.metrics.Handler())
+	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/readyz", d.readyz)
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case d.stopping.Load():
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	case d.keeper.Index() == nil:
+		http.Error(w, "no configuration is known yet", http.StatusServiceUnavailable)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,12 +4,11 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/caller"
@@ -26,7 +25,6 @@
 )
 
 const (
-	headerTimeout   = 10 * time.Second
 	platformTimeout = 30 * time.Second
 	cancelTimeout   = 2 * time.Second
 )
@@ -39,8 +37,15 @@
 	keeper     *config.Keeper
 	dispatcher *dispatch.Dispatcher
 	engines    *upstream.EngineClient
-	servers    []*http.Server
-	stopping   atomic.Bool
+	calls      *caller.Server
+	// callers serves callers; servers are the other listeners, which stay open
+	// until the callers' answers are finished.
+	callers  *http.Server
+	servers  []*http.Server
+	stopping atomic.Bool
+	// interrupt is closed to end a drain at once.
+	interrupt     chan struct{}
+	interruptOnce sync.Once
 	// Addresses are the bound addresses of the listeners, by purpose.
 	Addresses Addresses
 }
@@ -52,13 +57,23 @@
 
 // New provisions a daemon without starting anything.
 func New(s *settings.Settings, log *zap.Logger) *Daemon {
-	d := &Daemon{settings: s, log: log, metrics: metrics.New()}
+	d := &Daemon{settings: s, log: log, metrics: metrics.New(), interrupt: make(chan struct{})}
 	d.engines = upstream.NewEngineClient(upstream.NewTransport())
 	d.dispatcher = dispatch.New(sched.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
 	}, d.cancelAt)
 	store := platform.NewClient(s.Platform, &http.Client{Timeout: platformTimeout})
 	d.keeper = config.NewKeeper(store, d.putInForce)
+	d.calls = caller.NewServer(caller.Options{
+		Index: d.keeper.Index, Requests: d.dispatcher, Engines: d.engines,
+		Services: upstream.NewServiceClient(), Observer: d.metrics, Log: d.log, Seed: seedOf(s.Instance),
+	})
+	d.metrics.Gauge("bramleywick_open_requests", "Requests without a complete answer.", func() float64 {
+		return float64(len(d.calls.Open()))
+	})
+	d.metrics.Gauge("bramleywick_ejected_upstreams", "Upstreams that this instance has ejected.", func() float64 {
+		return float64(d.dispatcher.Ejected())
+	})
 	return d
 }
 
@@ -99,66 +114,18 @@
 
 // Start opens the listeners and starts the background work, which ends with ctx.
 func (d *Daemon) Start(ctx context.Context) error {
-	calls := caller.NewServer(caller.Options{
-		Index: d.keeper.Index, Requests: d.dispatcher, Engines: d.engines,
-		Services: upstream.NewServiceClient(), Observer: d.metrics, Log: d.log,
-	})
 	var err error
-	if d.Addresses.Callers, err = d.listen("callers", d.settings.CallerListen, calls.Handler()); err != nil {
+	if d.callers, d.Addresses.Callers, err = d.listen(settings.ListenerCallers, d.settings.CallerListen, d.calls.Handler()); err != nil {
 		return err
 	}
 	operators := operator.NewHandler(d.keeper, d.settings.OperatorKeyHashes)
-	if d.Addresses.Operators, err = d.listen("operators", d.settings.OperatorListen, operators); err != nil {
+	if d.Addresses.Operators, err = d.listenBeside(settings.ListenerOperators, d.settings.OperatorListen, operators); err != nil {
 		return err
 	}
-	if d.Addresses.Admin, err = d.listen("admin", d.settings.AdminListen, d.adminHandler()); err != nil {
+	if d.Addresses.Admin, err = d.listenBeside(settings.ListenerAdmin, d.settings.AdminListen, d.adminHandler()); err != nil {
 		return err
 	}
 	go d.keeper.Run(ctx)
 	go d.dispatcher.Run(context.WithoutCancel(ctx))
 	return nil
 }
-
-func (d *Daemon) listen(purpose, address string, handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return "", errors.Wrapf(err, "listen for %s on %s", purpose, address)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	d.servers = append(d.servers, server)
-	go func() { _ = server.Serve(listener) }()
-	d.log.Info("listening", zap.String("for", purpose), zap.String("address", listener.Addr().String()))
-	return listener.Addr().String(), nil
-}
-
-func (d *Daemon) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", d.metrics.Handler())
-	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		switch {
-		case d.stopping.Load():
-			http.Error(w, "stopping", http.StatusServiceUnavailable)
-		case d.keeper.Index() == nil:
-			http.Error(w, "no configuration is known yet", http.StatusServiceUnavailable)
-		}
-	})
-	return mux
-}
-
-// Stop drains: readiness goes off, the balancer's delay passes, then no new
-// work is accepted and running answers are finished.
-func (d *Daemon) Stop() error {
-	d.stopping.Store(true)
-	time.Sleep(d.settings.BalancerDelay)
-	d.dispatcher.Step(sched.Drain{})
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainLimit)
-	defer cancel()
-	for _, s := range d.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			return errors.Wrap(err, "drain")
-		}
-	}
-	d.log.Info("stopped")
-	return nil
-}
--- /dev/null
+++ b/daemon/drain_test.go
@@ -0,0 +1,199 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/daemon"
+	"github.com/bramleywick/bramleywick/dev"
+	"github.com/bramleywick/bramleywick/settings"
+	"github.com/bramleywick/bramleywick/standin/engine"
+	"github.com/bramleywick/bramleywick/standin/platform"
+)
+
+const declaration = `
+[member shea]
+key_sha256 = %s
+kinds = ledger
+[kind ledger]
+group = language
+repeatable = true
+[group language]
+type = engine
+model = m
+[upstream engine-1]
+group = language
+address = %s
+data_centre = a
+`
+
+// instance is a daemon with one engine behind it.
+type instance struct {
+	*daemon.Daemon
+	engine *engine.Server
+	logs   *observer.ObservedLogs
+	stop   context.CancelFunc
+	// done receives the result of Run.
+	done chan error
+}
+
+func start(t *testing.T, balancerDelay, drainLimit time.Duration) *instance {
+	outer, stopOuter := context.WithCancel(context.Background())
+	t.Cleanup(stopOuter)
+	core, logs := observer.New(zapcore.InfoLevel)
+	i := &instance{engine: engine.New(engine.Config{TokenGap: 5 * time.Millisecond}), logs: logs, done: make(chan error, 1)}
+	store, err := dev.Serve(outer, "127.0.0.1:0", platform.New().Handler())
+	So(err, ShouldBeNil)
+	address, err := dev.Serve(outer, "127.0.0.1:0", i.engine.Handler())
+	So(err, ShouldBeNil)
+	i.Daemon = daemon.New(&settings.Settings{
+		Instance: "i", DataCentre: "a", Platform: "http://" + store,
+		CallerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
+		OperatorKeyHashes: []string{declare.HashKey(dev.OperatorKey)},
+		BalancerDelay:     balancerDelay, DrainLimit: drainLimit, MaxConnections: 500,
+	}, zap.New(core))
+	var ctx context.Context
+	ctx, i.stop = context.WithCancel(outer)
+	So(i.Start(ctx), ShouldBeNil)
+	So(dev.Apply(outer, i.Addresses.Operators, fmt.Sprintf(declaration, declare.HashKey(dev.MemberKey), address)), ShouldBeNil)
+	go func() {
+		<-ctx.Done()
+		i.done <- i.Stop()
+	}()
+	return i
+}
+
+func (i *instance) ready() bool {
+	resp, err := http.Get("http://" + i.Addresses.Admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// ask sends one streamed request and tells whether the whole answer arrived.
+func (i *instance) ask(client *http.Client, tokens int) bool {
+	body := fmt.Sprintf(`{"prompt":"one two","max_tokens":%d,"stream":true}`, tokens)
+	req, _ := http.NewRequest(http.MethodPost, "http://"+i.Addresses.Callers+"/v1/completions", strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+dev.MemberKey)
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return err == nil && strings.HasSuffix(string(raw), "data: [DONE]\n\n")
+}
+
+// TestStopUnderLoad guards against a planned stop that interrupts a request
+// (invariant 8). The clients are like callers behind a load balancer: they send
+// until they see that the instance is not ready.
+func TestStopUnderLoad(t *testing.T) {
+	Convey("A stop under load interrupts nothing", t, func() {
+		i := start(t, 300*time.Millisecond, 10*time.Second)
+		var noticed atomic.Bool
+		var whole, broken, afterStop atomic.Int64
+		var clients sync.WaitGroup
+		for range 40 {
+			clients.Go(func() {
+				client := &http.Client{Transport: &http.Transport{}}
+				for !noticed.Load() {
+					late := !i.ready()
+					if i.ask(client, 60) {
+						whole.Add(1)
+					} else {
+						broken.Add(1)
+					}
+					if late {
+						afterStop.Add(1)
+						noticed.Store(true)
+					}
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		i.stop()
+		clients.Wait()
+		So(<-i.done, ShouldBeNil)
+		So(broken.Load(), ShouldEqual, 0)
+		So(whole.Load(), ShouldBeGreaterThan, 40)
+		So(afterStop.Load(), ShouldBeGreaterThan, 0)
+		So(i.logs.FilterMessage("request interrupted by the stop").Len(), ShouldEqual, 0)
+		So(i.logs.FilterMessage("stopped").Len(), ShouldEqual, 1)
+	})
+}
+
+// TestForcedStop guards against a drain without end, and against interrupted
+// requests that nobody is told of.
+func TestForcedStop(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		limit time.Duration
+		again bool
+	}{{"the drain limit passes", 100 * time.Millisecond, false}, {"a second signal arrives", time.Hour, true}} {
+		Convey("When "+c.name, t, func() {
+			i := start(t, 0, c.limit)
+			answered := make(chan bool, 1)
+			go func() { answered <- i.ask(http.DefaultClient, 10000) }()
+			for range 1000 {
+				if i.engine.Running() > 0 {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			So(i.engine.Running(), ShouldEqual, 1)
+			i.stop()
+			if c.again {
+				time.Sleep(50 * time.Millisecond)
+				i.Interrupt()
+			}
+			So(<-i.done, ShouldNotBeNil)
+			So(<-answered, ShouldBeFalse)
+			entries := i.logs.FilterMessage("request interrupted by the stop").All()
+			So(entries, ShouldHaveLength, 1)
+			So(entries[0].ContextMap()["member"], ShouldEqual, "shea")
+			So(entries[0].ContextMap()["kind"], ShouldEqual, "ledger")
+		})
+	}
+}
+
+// TestAdmin guards against a missing profile, counter or histogram.
+func TestAdmin(t *testing.T) {
+	Convey("The admin listener", t, func() {
+		i := start(t, 0, time.Second)
+		So(i.ask(http.DefaultClient, 3), ShouldBeTrue)
+		get := func(path string) string {
+			resp, err := http.Get("http://" + i.Addresses.Admin + path)
+			So(err, ShouldBeNil)
+			defer func() { _ = resp.Body.Close() }()
+			raw, _ := io.ReadAll(resp.Body)
+			return string(raw)
+		}
+		So(get("/debug/pprof/goroutine?debug=1"), ShouldContainSubstring, "goroutine profile")
+		metrics := get("/metrics")
+		for _, line := range []string{
+			`bramleywick_refused_total{reason="queue_full"} 0`, `bramleywick_retried_total{reason="stalled"} 0`,
+			`bramleywick_first_token_seconds_count{kind="ledger"} 1`, `bramleywick_token_gap_seconds_count{kind="ledger"} 2`,
+			"bramleywick_interrupted_total 0", "bramleywick_open_requests 0", "bramleywick_ejected_upstreams 0",
+		} {
+			So(metrics, ShouldContainSubstring, line)
+		}
+		for _, entry := range i.logs.All() {
+			So(fmt.Sprint(entry.Message, entry.ContextMap()), ShouldNotContainSubstring, dev.MemberKey)
+		}
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,8 +30,16 @@
 	BalancerDelay time.Duration
 	// DrainLimit bounds the wait for running answers at a planned stop.
 	DrainLimit time.Duration
+	// TLS holds the certificates of the listeners that use TLS.
+	TLS map[Listener]TLS
+	// MaxConnections bounds the open connections of callers.
+	MaxConnections int
 }
 
+// defaultMaxConnections allows each open request a connection and as many idle
+// ones.
+const defaultMaxConnections = 8192
+
 // Load reads and checks a settings file.
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
@@ -75,6 +83,9 @@
 		s.OperatorListen = dec.Address("operators", "127.0.0.1:8081")
 		s.PeerListen = dec.Address("peers", "127.0.0.1:8082")
 		s.AdminListen = dec.Address("admin", "127.0.0.1:8083")
+		s.MaxConnections = dec.Int("max_connections", defaultMaxConnections)
+	case "tls":
+		s.decodeTLS(name, section, dec, faults)
 	case "platform":
 		s.Platform = dec.Required("url", "a URL such as http://127.0.0.1:7000")
 	case "operators":
@@ -82,7 +93,7 @@
 	default:
 		*faults = append(*faults, inifile.Fault{
 			File: name, Line: section.Line, Message: "unknown section [" + section.Kind + "]",
-			Expected: "[instance], [listen], [platform] or [operators]",
+			Expected: "[instance], [listen], [tls LISTENER], [platform] or [operators]",
 		})
 		return
 	}
