--- a/caller/answer.go
+++ b/caller/answer.go
@@ -244,10 +244,13 @@
 
 // move asks for another engine, which continues after the text so far.
 func (a *answer) move() *fleet.Refusal {
-	if a.mayHaveRun {
-		a.cancelAt(a.k.ticket.Choice.Target)
-	}
+	left := a.k.ticket.Choice.Target
 	ticket, refusal := a.k.ticket.Retry(a.ctx)
+	// A late cancellation at an engine that is chosen again would hit the new
+	// attempt, which has the same request id.
+	if a.mayHaveRun && (refusal != nil || ticket.Choice.Target != left) {
+		a.cancelAt(left)
+	}
 	if refusal != nil {
 		return a.correct(refusal)
 	}
--- a/caller/refuse.go
+++ b/caller/refuse.go
@@ -49,6 +49,7 @@
 	fleet.ReasonConfigUnknown:      2 * time.Second,
 	fleet.ReasonDraining:           time.Second,
 	fleet.ReasonClaimNotPossible:   2 * time.Second,
+	fleet.ReasonUpstreamFailed:     time.Second,
 }
 
 // retryAfter returns the header's value in whole seconds, rounded up, or "".
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -99,34 +99,48 @@
 	return err == nil && strings.HasSuffix(string(raw), "data: [DONE]\n\n")
 }
 
+// Times of the load balancer in TestStopUnderLoad. The lag is longer than a
+// stream, so that requests arrive in it. The instance's delay must
+// cover a probe and the lag after it.
+const (
+	probePeriod   = 20 * time.Millisecond
+	balancerLag   = 300 * time.Millisecond
+	balancerDelay = 900 * time.Millisecond
+)
+
 // TestStopUnderLoad guards against a planned stop that interrupts a request
-// (invariant 8). The clients are like callers behind a load balancer: they send
-// until they see that the instance is not ready.
+// (invariant 8). The clients send through a load balancer that probes readiness
+// and goes on sending for a while after the first failed probe.
 func TestStopUnderLoad(t *testing.T) {
 	Convey("A stop under load interrupts nothing", t, func() {
-		i := start(t, 300*time.Millisecond, 10*time.Second)
-		var noticed atomic.Bool
+		i := start(t, balancerDelay, 10*time.Second)
+		var stopped, noticed atomic.Bool
 		var whole, broken, afterStop atomic.Int64
 		var clients sync.WaitGroup
 		for range 40 {
 			clients.Go(func() {
 				client := &http.Client{Transport: &http.Transport{}}
 				for !noticed.Load() {
-					late := !i.ready()
-					if i.ask(client, 60) {
-						whole.Add(1)
-					} else {
+					late := stopped.Load()
+					if !i.ask(client, 40) {
 						broken.Add(1)
+						continue
 					}
+					whole.Add(1)
 					if late {
 						afterStop.Add(1)
-						noticed.Store(true)
 					}
 				}
 			})
 		}
 		time.Sleep(500 * time.Millisecond)
 		i.stop()
+		stopped.Store(true)
+		for i.ready() {
+			time.Sleep(probePeriod)
+		}
+		time.Sleep(balancerLag)
+		noticed.Store(true)
 		clients.Wait()
 		So(<-i.done, ShouldBeNil)
 		So(broken.Load(), ShouldEqual, 0)
@@ -194,6 +208,7 @@
 		}
 		for _, entry := range i.logs.All() {
 			So(fmt.Sprint(entry.Message, entry.ContextMap()), ShouldNotContainSubstring, dev.MemberKey)
+			So(fmt.Sprint(entry.Message, entry.ContextMap()), ShouldNotContainSubstring, "one two")
 		}
 	})
 }
