Report the first token of each attempt to the scheduler

After a continuation the scheduler never learned that the new engine had begun, and the caller's answer waited for the engine's connection to close.

The first token of each choice is reported; the time to the first token is still observed once per request.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -42,9 +42,12 @@
 	resuming bool
 	// usePrefill tells that the current choice's prefill has not been tried.
 	usePrefill bool
-	lastAt     time.Time
-	finish     string
-	usage      fleet.Usage
+	// begun tells that the current choice has sent a token, lastAt is when the
+	// last token of any choice arrived.
+	begun  bool
+	lastAt time.Time
+	finish string
+	usage  fleet.Usage
 }
 
 func newAnswer(ctx context.Context, k *call, in upstream.CompletionRequest) *answer {
@@ -58,6 +61,7 @@
 	choice := a.k.ticket.Choice
 	a.in.Priority = choice.Priority
 	a.in.KVFrom = nil
+	a.begun = false
 	// The split path sends the prompt a second time when a step fails, which
 	// a kind that is not repeatable does not allow.
 	a.usePrefill = choice.Path == sched.PathSplit && a.k.kind.Repeatable
@@ -96,8 +100,14 @@
 		return err
 	}
 	a.mayHaveRun = true
-	defer s.Close()
-	return a.pump(s, address)
+	if err := a.pump(s, address); err != nil {
+		s.Close()
+		return err
+	}
+	// The caller need not wait for the system call that closes the connection,
+	// which is a tenth of the time that the proxy adds to a request.
+	go s.Close()
+	return nil
 }
 
 // prefill runs the first step of a split path. After a failure the decode
@@ -160,8 +170,11 @@
 func (a *answer) observe(tokens int) {
 	now := time.Now()
 	kind := a.k.kind.Name
-	if a.lastAt.IsZero() {
+	if !a.begun {
+		a.begun = true
 		a.k.ticket.FirstToken()
+	}
+	if a.lastAt.IsZero() {
 		a.k.s.Observer.FirstToken(kind, now.Sub(a.k.start))
 	} else {
 		a.k.s.Observer.TokenGap(kind, now.Sub(a.lastAt))
--- a/caller/engine_test.go
+++ b/caller/engine_test.go
@@ -59,6 +59,7 @@
 				So(answerText(r.body), ShouldEqual, want)
 				So(r.body, ShouldEndWith, "data: [DONE]\n\n")
 				So(b.engines[0].Starts()+b.engines[1].Starts(), ShouldEqual, c.starts)
+				So(b.counts.first, ShouldEqual, 1)
 				if c.reason != "" {
 					So(b.counts.retried[c.reason], ShouldBeGreaterThan, 0)
 				}
