State outcomes by what the request path knows

The outcome after an attempt now follows from whether any attempt may have reached an upstream, prefill included.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -117,6 +117,7 @@
 	handle, err := a.k.s.Engines.Prefill(a.ctx, a.k.address(choice.Prefill), upstream.PrefillRequest{
 		RequestID: a.k.id, Model: a.in.Model, Prompt: a.in.Prompt, Priority: a.in.Priority,
 	})
+	a.noteRun(err)
 	if err == nil {
 		a.in.KVFrom = handle
 		return
@@ -185,20 +186,19 @@
 
 // recover prepares the next attempt after a failure, or ends the request.
 func (a *answer) recover(err error) *fleet.Refusal {
+	a.noteRun(err)
 	var failed *upstream.Error
 	switch {
 	case a.k.c.Request().Context().Err() != nil, errors.Is(err, errCallerGone):
 		a.k.ticket.Cancel()
 		return a.refusal(fleet.ReasonCallerGone, "the caller left before the end of its answer")
 	case a.ctx.Err() != nil:
-		a.noteRun(err)
 		a.k.ticket.Cancel()
 		return a.refusal(fleet.ReasonDeadlineUnmeetable, "the deadline passed before the end of the answer")
 	case !errors.As(err, &failed):
 		a.k.ticket.Cancel()
 		return a.refusal(fleet.ReasonUpstreamFailed, "the answer cannot be passed on")
 	}
-	a.noteRun(err)
 	if failed.Reason == retry.ReasonKVImport && a.in.KVFrom != nil {
 		a.in.KVFrom = nil
 		a.repeats(failed.Reason, err)
@@ -311,15 +311,12 @@
 	return a.correct(fleet.Refuse(reason, "%s", detail))
 }
 
-// correct replaces "not run" where an attempt may have reached an engine
-// (invariant 5).
+// correct states the outcome that is known here: the scheduler cannot tell
+// whether an attempt has reached an engine (invariant 5).
 func (a *answer) correct(r *fleet.Refusal) *fleet.Refusal {
-	out := *r
-	switch {
-	case a.ran:
+	out := afterAttempt(r, a.mayHaveRun)
+	if a.ran {
 		out.Outcome = fleet.OutcomeRun
-	case a.mayHaveRun && r.Outcome == fleet.OutcomeNotRun:
-		out.Outcome = fleet.OutcomeUnknown
 	}
-	return &out
+	return out
 }
--- a/caller/service.go
+++ b/caller/service.go
@@ -140,10 +140,14 @@
 	return afterAttempt(fleet.Refuse(reason, "%s", failed.Error()), mayHaveRun)
 }
 
-// afterAttempt corrects the outcome of a refusal (invariant 5).
+// afterAttempt states the outcome of a refusal that follows an attempt, which
+// the scheduler cannot know (invariant 5).
 func afterAttempt(r *fleet.Refusal, mayHaveRun bool) *fleet.Refusal {
 	out := *r
-	if mayHaveRun && out.Outcome == fleet.OutcomeNotRun {
+	switch {
+	case !mayHaveRun:
+		out.Outcome = fleet.OutcomeNotRun
+	case out.Outcome == fleet.OutcomeNotRun:
 		out.Outcome = fleet.OutcomeUnknown
 	}
 	return &out
