Report tokens to the scheduler in groups of eight

Each chunk took the dispatcher's lock to report one token. Tokens are now reported in groups of eight, and the rest before an attempt or answer ends.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -18,6 +18,10 @@
 // cancelTimeout bounds the request that cancels abandoned work at an engine.
 const cancelTimeout = 2 * time.Second
 
+// reportTokens is how many tokens are reported to the scheduler at once. It
+// takes the dispatcher's lock once per report instead of once per token.
+const reportTokens = 8
+
 // errCallerGone is a caller that does not take its answer any more.
 var errCallerGone = errors.New("the caller does not take its answer")
 
@@ -46,8 +50,10 @@
 	// last token of any choice arrived.
 	begun  bool
 	lastAt time.Time
-	finish string
-	usage  fleet.Usage
+	// unreported counts tokens that the scheduler does not know of yet.
+	unreported int
+	finish     string
+	usage      fleet.Usage
 }
 
 func newAnswer(ctx context.Context, k *call, in upstream.CompletionRequest) *answer {
@@ -81,6 +87,7 @@
 }
 
 func (a *answer) finished() *fleet.Refusal {
+	a.report()
 	a.k.ticket.Finish(a.usage)
 	if err := a.out.end(a.finish, a.usage); err != nil {
 		return a.refusal(fleet.ReasonCallerGone, "the caller left before the end of its answer")
@@ -181,12 +188,24 @@
 		a.k.s.Observer.TokenGap(kind, now.Sub(a.lastAt))
 	}
 	a.lastAt = now
-	a.k.ticket.Tokens(tokens)
+	a.unreported += tokens
+	if a.unreported >= reportTokens {
+		a.report()
+	}
+}
+
+// report tells the scheduler about the tokens since the last report.
+func (a *answer) report() {
+	if a.unreported > 0 {
+		a.k.ticket.Tokens(a.unreported)
+		a.unreported = 0
+	}
 }
 
 // recover prepares the next attempt after a failure, or ends the request.
 func (a *answer) recover(err error) *fleet.Refusal {
 	a.noteRun(err)
+	a.report()
 	var failed *upstream.Error
 	switch {
 	case a.k.c.Request().Context().Err() != nil, errors.Is(err, errCallerGone):
--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -78,9 +78,13 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	if resp.StatusCode != http.StatusOK {
+		refusal, _ := io.ReadAll(resp.Body)
+		b.Fatalf("status %d: %s", resp.StatusCode, refusal)
+	}
 	in := bufio.NewReader(resp.Body)
-	if _, err := in.ReadSlice('\n'); err != nil || resp.StatusCode != http.StatusOK {
-		b.Fatalf("status %d: %v", resp.StatusCode, err)
+	if _, err := in.ReadSlice('\n'); err != nil {
+		b.Fatal(err)
 	}
 	return resp.Body, in
 }
