--- a/authority/authority_test.go
+++ b/authority/authority_test.go
@@ -138,7 +138,7 @@
 func (b *bed) start(name string, store platform.Store) (*authority.Authority, func()) {
 	a := authority.New(authority.Options{
 		Store: store, Instance: fleet.InstanceID(name), DataCentre: "d", Start: name + "-1",
-		Engines: upstream.NewEngineClient(nil), Times: times, Log: zap.NewNop(),
+		Engines: upstream.NewEngineClient(upstream.NewTransport()), Times: times, Log: zap.NewNop(),
 		Drains: authority.NewFleetDrains(b.peers.drains[name], fleet.InstanceID(name), store, b.peers.call),
 	})
 	a.Configure(declare.NewIndex(1, &declare.Declaration{
--- a/cmd/bramleywickd/process_test.go
+++ b/cmd/bramleywickd/process_test.go
@@ -147,6 +147,12 @@
 repeatable = false
 [kind word]
 group = language
+first_token = 1s
+token_gap = 74ms
+deadline = 60s
+max_prompt_tokens = 100000
+max_output_tokens = 4000
+repeatable = true
 [group accounts]
 type = service
 [group language]
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -18,8 +18,10 @@
 	// Delay is the time between running a call and answering it.
 	Delay time.Duration
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu    sync.Mutex
+	runs  map[string]int
+	fault Fault
+	hits  int
 }
 
 // Runs returns how often a call with this path and body ran.
@@ -45,7 +47,20 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		fault := s.takeFault()
+		if fault.ResetBefore {
+			reset(w)
+			return
+		}
+		if fault.Status != 0 {
+			http.Error(w, "switched fault", fault.Status)
+			return
+		}
 		runs := s.record(r.URL.Path, string(body))
+		if fault.ResetAfter {
+			reset(w)
+			return
+		}
 		time.Sleep(s.Delay)
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"path": r.URL.Path, "runs": runs})
--- a/upstream/orders.go
+++ b/upstream/orders.go
@@ -146,7 +146,7 @@
 		return errors.Wrap(ErrOrderNotSent, err.Error())
 	}
 	resp, err := c.http.Do(req)
-	if err != nil && NotSent(err) {
+	if err != nil && neverSent(err) {
 		return errors.Wrapf(ErrOrderNotSent, "order %s to engine %s: %v", in.ID, c.address, err)
 	}
 	if err != nil {
@@ -175,7 +175,7 @@
 	if err != nil {
 		return load, errors.Wrapf(err, "read load of engine %s", address)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return load, errors.Wrapf(err, "read load of engine %s", address)
 	}
