State a valid platform URL in the TLS fixture

Cause: settings now check the URL's form, and the fixture had none. Change: the fixture names an IP address with a port. Measured: go test -run TLS ./daemon passes.

--- a/daemon/certificate_test.go
+++ b/daemon/certificate_test.go
@@ -89,7 +89,7 @@
 		}
 	})
 	Convey("Settings name the files, and faults name the line", t, func() {
-		const base = "[instance]\nid = i\ndata_centre = a\n[listen]\n[platform]\nurl = u\n"
+		const base = "[instance]\nid = i\ndata_centre = a\n[listen]\n[platform]\nurl = http://127.0.0.1:7000\n"
 		s, err := settings.Parse("f", []byte(base+"[tls callers]\ncertificate = c\nkey = k\n"))
 		So(err, ShouldBeNil)
 		So(s.TLS[settings.ListenerCallers], ShouldResemble, settings.TLS{CertificateFile: "c", KeyFile: "k"})
