--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,12 +4,11 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/authority"
@@ -28,7 +27,6 @@
 )
 
 const (
-	headerTimeout = 10 * time.Second
 	cancelTimeout = 2 * time.Second
 )
 
@@ -45,9 +43,16 @@
 	localDrain *authority.LocalDrain
 	// authorityDone is closed when the order lease has been given back.
 	authorityDone chan struct{}
-	servers       []*http.Server
-	stopping      atomic.Bool
 	cluster       cluster
+	calls         *caller.Server
+	// callers serves callers; servers are the other listeners, which stay open
+	// until the callers' answers are finished.
+	callers  *http.Server
+	servers  []*http.Server
+	stopping atomic.Bool
+	// interrupt is closed to end a drain at once.
+	interrupt     chan struct{}
+	interruptOnce sync.Once
 	// Addresses are the bound addresses of the listeners, by purpose.
 	Addresses Addresses
 	// PeerTransport carries the exchange with peers; set it before Start.
@@ -61,8 +66,8 @@
 
 // New provisions a daemon without starting anything.
 func New(s *settings.Settings, log *zap.Logger) *Daemon {
-	d := &Daemon{settings: s, log: log, metrics: metrics.New()}
-	d.engines = upstream.NewEngineClient(&http.Transport{MaxIdleConnsPerHost: 64})
+	d := &Daemon{settings: s, log: log, metrics: metrics.New(), interrupt: make(chan struct{})}
+	d.engines = upstream.NewEngineClient(upstream.NewTransport())
 	d.dispatcher = dispatch.New(sched.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
 	}, d.cancelAt)
@@ -72,6 +77,16 @@
 	d.claims.Recorded = d.metrics.Claimed
 	d.authority = d.newAuthority(store)
 	d.keeper = d.newKeeper(store)
+	d.calls = caller.NewServer(caller.Options{
+		Index: d.keeper.Index, Requests: d.dispatcher, Engines: d.engines,
+		Services: upstream.NewServiceClient(), Claims: d.claims, Observer: d.metrics, Log: d.log, Seed: seedOf(s.Instance),
+	})
+	d.metrics.Gauge("bramleywick_open_requests", "Requests without a complete answer.", func() float64 {
+		return float64(len(d.calls.Open()))
+	})
+	d.metrics.Gauge("bramleywick_ejected_upstreams", "Upstreams that this instance has ejected.", func() float64 {
+		return float64(d.dispatcher.Ejected())
+	})
 	return d
 }
 
@@ -113,19 +128,15 @@
 
 // Start opens the listeners and starts the background work, which ends with ctx.
 func (d *Daemon) Start(ctx context.Context) error {
-	calls := caller.NewServer(caller.Options{
-		Index: d.keeper.Index, Requests: d.dispatcher, Engines: d.engines,
-		Services: upstream.NewServiceClient(), Claims: d.claims, Observer: d.metrics, Log: d.log,
-	})
 	var err error
-	if d.Addresses.Callers, err = d.listen("callers", d.settings.CallerListen, calls.Handler()); err != nil {
+	if d.callers, d.Addresses.Callers, err = d.listen(settings.ListenerCallers, d.settings.CallerListen, d.calls.Handler()); err != nil {
 		return err
 	}
 	operators := operator.NewHandler(d.operatorOptions())
-	if d.Addresses.Operators, err = d.listen("operators", d.settings.OperatorListen, operators); err != nil {
+	if d.Addresses.Operators, err = d.listenBeside(settings.ListenerOperators, d.settings.OperatorListen, operators); err != nil {
 		return err
 	}
-	if d.Addresses.Admin, err = d.listen("admin", d.settings.AdminListen, d.adminHandler()); err != nil {
+	if d.Addresses.Admin, err = d.listenBeside(settings.ListenerAdmin, d.settings.AdminListen, d.adminHandler()); err != nil {
 		return err
 	}
 	go d.keeper.Run(ctx, d.watchesConfiguration)
@@ -133,55 +144,3 @@
 	go d.dispatcher.Run(context.WithoutCancel(ctx))
 	return d.startCluster(context.WithoutCancel(ctx))
 }
-
-func (d *Daemon) listen(purpose, address string, handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return "", errors.Wrapf(err, "listen for %s on %s", purpose, address)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	d.servers = append(d.servers, server)
-	go func() { _ = server.Serve(listener) }()
-	d.log.Info("listening", zap.String("for", purpose), zap.String("address", listener.Addr().String()))
-	return listener.Addr().String(), nil
-}
-
-func (d *Daemon) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", d.metrics.Handler())
-	mux.HandleFunc("/orders", d.serveOrders)
-	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		switch {
-		case d.stopping.Load():
-			http.Error(w, "stopping", http.StatusServiceUnavailable)
-		case d.keeper.Index() == nil:
-			http.Error(w, "no configuration is known yet", http.StatusServiceUnavailable)
-		}
-	})
-	return mux
-}
-
-// Stop drains: readiness goes off, the balancer's delay passes, then no new
-// work is accepted and running answers are finished.
-func (d *Daemon) Stop() error {
-	d.stopping.Store(true)
-	d.leaveCluster()
-	defer d.stopCluster()
-	time.Sleep(d.settings.BalancerDelay)
-	d.dispatcher.Step(sched.Drain{})
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainLimit)
-	defer cancel()
-	for _, s := range d.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			return errors.Wrap(err, "drain")
-		}
-	}
-	d.claims.Wait()
-	select {
-	case <-d.authorityDone:
-	case <-ctx.Done():
-	}
-	d.log.Info("stopped")
-	return nil
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,8 +41,16 @@
 	BalancerDelay time.Duration
 	// DrainLimit bounds the wait for running answers at a planned stop.
 	DrainLimit time.Duration
+	// TLS holds the certificates of the listeners that use TLS.
+	TLS map[Listener]TLS
+	// MaxConnections bounds the open connections of callers.
+	MaxConnections int
 }
 
+// defaultMaxConnections allows each open request a connection and as many idle
+// ones.
+const defaultMaxConnections = 8192
+
 // Load reads and checks a settings file with overrides on top, which may be
 // nil. An empty path means that the overrides are all there is.
 func Load(path string, overrides Overrides) (*Settings, error) {
@@ -84,7 +92,7 @@
 func (s *Settings) decode(file string, section inifile.Section, faults *inifile.Faults) {
 	dec := inifile.NewDecoder(file, section, faults)
 	kind := section.Kind
-	if section.Name != "" {
+	if section.Name != "" && kind != "tls" {
 		kind += " " + section.Name
 	}
 	switch kind {
@@ -99,10 +107,13 @@
 		s.OperatorListen = dec.Address("operators", "127.0.0.1:8081")
 		s.PeerListen = dec.Address("peers", "127.0.0.1:8082")
 		s.AdminListen = dec.Address("admin", "127.0.0.1:8083")
+		s.MaxConnections = dec.Int("max_connections", defaultMaxConnections)
 		s.listeners(dec)
 	case "peers":
 		s.PeerSeeds = dec.Strings("seeds")
 		s.PeerAddress = dec.Address("address", "")
+	case "tls":
+		s.decodeTLS(file, section, dec, faults)
 	case "platform":
 		s.Platform = baseURL(dec, "url")
 		s.PlatformLimits = platform.Limits{
@@ -115,7 +126,7 @@
 	default:
 		*faults = append(*faults, inifile.Fault{
 			File: file, Line: section.Line, Message: "unknown section [" + kind + "]",
-			Expected: "[instance], [listen], [peers], [platform] or [operators]",
+			Expected: "[instance], [listen], [tls LISTENER], [peers], [platform] or [operators]",
 		})
 		return
 	}
