--- a/core/role/event.go
+++ b/core/role/event.go
@@ -31,7 +31,8 @@
 		// Available is false while the engine is withdrawn, leaving,
 		// unreachable or in a change.
 		Available bool
-		// Speed is the engine's learned speed when it works in its role.
+		// Speed is the engine's learned speed for work in its role: prefill
+		// as a prefill engine, decode as a decode engine.
 		Speed cost.Speed
 		// Load is the engine's utilisation, 0 to 1.
 		Load float64
@@ -45,6 +46,11 @@
 		Group fleet.GroupName
 		// PromptTokens excludes cached tokens.
 		PromptTokens, OutputTokens float64
+		// ContextTokens is the KV cache that the output tokens read: the sum
+		// over them of the tokens before each.
+		ContextTokens float64
+		// Requests arrived; Late of them were refused or missed a target.
+		Requests, Late float64
 	}
 	// Settled ends the change in progress of a group. Without it a change
 	// ends when the engine is available in its new role.
--- a/core/role/plan.go
+++ b/core/role/plan.go
@@ -1,8 +1,10 @@
 package role
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -25,8 +27,8 @@
 const (
 	defaultChangeTime        = 10 * time.Second
 	defaultDwell             = 5 * time.Minute
-	defaultMixedEfficiency   = 0.85
-	defaultOffRoleEfficiency = 0.7
+	defaultMixedEfficiency   = 0.8
+	defaultOffRoleEfficiency = 0.5
 
 	// evalPeriod is how often a division is evaluated.
 	evalPeriod = 2 * time.Second
@@ -37,7 +39,19 @@
 	settleLimit = 3 * time.Minute
 	// plannedUse is the utilisation up to which all demand is expected to be
 	// on time; the rest absorbs bursts.
-	plannedUse = 0.85
+	plannedUse = 0.9
+	// prefillUse is the part of a prefill engine's time that is planned for in
+	// relation to decode. Prefill waits in a queue, so it needs headroom for its
+	// first-token targets; decode keeps its token gap up to the whole batch.
+	prefillUse = 0.95
+	// minUse bounds the calibration of plannedUse by what is missed.
+	minUse = 0.4
+	// minLate is the part of the requests that miss a target from which a change
+	// is considered. Routing covers smaller mismatches by work outside the
+	// engines' roles, and the model's errors are of this order.
+	minLate = 0.5
+	// minRequests is how many requests of the short horizon calibrate.
+	minRequests = 20
 	// minGain is the least rise of the carried part of the demand for which a
 	// change is made; smaller ones are within the error of the estimates.
 	minGain = 0.03
@@ -57,7 +71,7 @@
 	minDwell          = 2 * time.Minute
 	maxDwell          = 30 * time.Minute
 	dwellGain         = 0.3
-	maxBatch          = 64.0
+	maxBatch          = 256.0
 	defaultTargetGap  = 74 * time.Millisecond
 	loadTieGain       = 0.9
 	minDemandSeconds  = 0.05
@@ -90,13 +104,18 @@
 
 type group struct {
 	Group
-	engines  []*engine // sorted by id
-	prompt   [numberOfHorizons]average
-	output   [numberOfHorizons]average
-	started  fleet.Instant
-	demandAt fleet.Instant
-	seen     bool
-	evalAt   fleet.Instant
+	engines []*engine // sorted by id
+	prompt  [numberOfHorizons]average
+	output  [numberOfHorizons]average
+	context average
+	// requests and late calibrate the model by what is missed in fact.
+	requests, late average
+	// meanContext is the tokens of KV cache that a sequence reads per step.
+	meanContext float64
+	started     fleet.Instant
+	demandAt    fleet.Instant
+	seen        bool
+	evalAt      fleet.Instant
 
 	pending   fleet.UpstreamID
 	pendingTo fleet.Role
@@ -205,28 +224,52 @@
 	if i == len(g.engines) || g.engines[i].Upstream != s.Upstream {
 		g.engines = append(g.engines, nil)
 		copy(g.engines[i+1:], g.engines[i:])
-		g.engines[i] = &engine{}
+		g.engines[i] = &engine{EngineState: EngineState{Upstream: s.Upstream, At: s.At}}
 	}
 	e := g.engines[i]
 	if s.At < e.At {
 		return
 	}
 	e.EngineState = s
-	gap := g.TargetGap.Seconds()
-	batch := math.Min((gap-s.Speed.Base)/math.Max(s.Speed.Slope, engineSecondFloor), maxBatch)
-	batch = math.Max(batch, 1)
-	e.prefillRate = 1 / math.Max(s.Speed.Prefill, engineSecondFloor)
-	e.decodeRate = batch / math.Max(s.Speed.Step(batch), engineSecondFloor)
+	g.setRates(e)
 	if g.pending == s.Upstream && s.Available && s.Role == g.pendingTo {
 		g.pending = pendingNothing
 	}
 }
 
+// setRates computes the tokens per second of an engine that keeps the token gap
+// target with sequences of the group's mean context.
+func (g *group) setRates(e *engine) {
+	gap := g.TargetGap.Seconds()
+	perSequence := math.Max(e.Speed.Slope+e.Speed.Context*g.meanContext, engineSecondFloor)
+	batch := math.Max(math.Min((gap-e.Speed.Base)/perSequence, maxBatch), 1)
+	e.prefillRate = prefillUse / math.Max(e.Speed.PrefillWork, engineSecondFloor)
+	e.decodeRate = batch / math.Max(e.Speed.Step(batch, batch*g.meanContext), engineSecondFloor)
+}
+
+// updateContext moves the mean context to that of the recent demand.
+func (g *group) updateContext(now fleet.Instant) {
+	output := g.output[middleHorizon].rate(now, g.started, horizons[middleHorizon])
+	if output < engineSecondFloor {
+		return
+	}
+	g.meanContext = g.context.rate(now, g.started, horizons[middleHorizon]) / output
+	for _, e := range g.engines {
+		g.setRates(e)
+	}
+}
+
 func (g *group) addDemand(now fleet.Instant, d Demand) {
 	if !g.seen {
 		g.seen, g.started, g.evalAt, g.shiftAt = true, now, now, now
 	}
 	g.demandAt = now
+	g.context.decay(now, horizons[middleHorizon])
+	g.context.sum += d.ContextTokens
+	g.requests.decay(now, horizons[shortHorizon])
+	g.requests.sum += d.Requests
+	g.late.decay(now, horizons[shortHorizon])
+	g.late.sum += d.Late
 	for h := range horizons {
 		g.prompt[h].decay(now, horizons[h])
 		g.output[h].decay(now, horizons[h])
@@ -269,6 +312,7 @@
 		return
 	}
 	g.evalAt = now
+	g.updateContext(now)
 	if g.pending != pendingNothing && now-g.pendingAt > settleLimit {
 		g.pending = pendingNothing
 	}
@@ -320,11 +364,30 @@
 	rise   float64
 }
 
+// use is the utilisation up to which demand is expected to be on time. When more
+// is missed than the model explains, the model is too hopeful and use falls to
+// what the present division, with the given multiple, carries in fact.
+func (g *group) use(multiple float64) float64 {
+	if g.requests.sum < minRequests {
+		return plannedUse
+	}
+	onTime := 1 - g.late.sum/g.requests.sum
+	return math.Max(math.Min(plannedUse, onTime/math.Max(multiple, engineSecondFloor)), minUse)
+}
+
 func (p *Planner) propose(now fleet.Instant, g *group) {
+	if g.requests.sum >= minRequests && g.late.sum < minLate*g.requests.sum {
+		return
+	}
 	short, middle := g.demandAtHorizon(now, shortHorizon), g.demandAtHorizon(now, middleHorizon)
 	work, share := g.work(middle)
-	before := p.carried(g, middle, nil, 0)
-	beforeShort := p.carried(g, short, nil, 0)
+	division := p.division(g)
+	scratch := make([]option, 0, len(division)+1)
+	use := g.use(multiple(division, short))
+	before, beforeShort := carried(division, middle, use), carried(division, short, use)
+	if math.Min(before, beforeShort) > 1-minGain {
+		return
+	}
 	var moves []move
 	best := 0.0
 	for _, e := range g.engines {
@@ -335,7 +398,8 @@
 			if r == e.Role {
 				continue
 			}
-			rise := math.Min(p.carried(g, middle, e, r)-before, p.carried(g, short, e, r)-beforeShort)
+			scratch = p.with(scratch, division, e, r)
+			rise := math.Min(carried(scratch, middle, use)-before, carried(scratch, short, use)-beforeShort)
 			if rise < minGain {
 				continue
 			}
@@ -401,24 +465,55 @@
 }
 
 // option is an engine's capacity if it only prefilled or only decoded.
-type option struct{ prefill, decode float64 }
+type option struct {
+	engine          *engine
+	prefill, decode float64
+	// advantage is the comparative advantage in prefill.
+	advantage float64
+}
 
-// carried returns the part of a demand that a division carries on time, 0 to
-// 1; changed takes role to instead of its own.
-func (p *Planner) carried(g *group, d demand, changed *engine, to fleet.Role) float64 {
+func (p *Planner) option(e *engine, role fleet.Role) option {
+	prefill, decode := p.efficiency(role)
+	prefill *= e.prefillRate
+	decode *= e.decodeRate
+	return option{e, prefill, decode, prefill / math.Max(decode, engineSecondFloor)}
+}
+
+// division returns the available engines in order of comparative advantage.
+func (p *Planner) division(g *group) []option {
 	options := make([]option, 0, len(g.engines))
 	for _, e := range g.engines {
-		if !e.Available {
+		if e.Available {
+			options = append(options, p.option(e, e.Role))
+		}
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.advantage, a.advantage) })
+	return options
+}
+
+// with returns a division with one engine in another role. It fills scratch:
+// sorting again for each of two moves of 284 engines took 59 ms per evaluation.
+func (p *Planner) with(scratch, division []option, e *engine, to fleet.Role) []option {
+	scratch = scratch[:0]
+	changed, placed := p.option(e, to), false
+	for _, o := range division {
+		if o.engine == e {
 			continue
 		}
-		role := e.Role
-		if e == changed {
-			role = to
+		if !placed && changed.advantage > o.advantage {
+			scratch, placed = append(scratch, changed), true
 		}
-		prefill, decode := p.efficiency(role)
-		options = append(options, option{e.prefillRate * prefill, e.decodeRate * decode})
+		scratch = append(scratch, o)
+	}
+	if !placed {
+		scratch = append(scratch, changed)
 	}
-	return math.Min(1, plannedUse*multiple(options, d))
+	return scratch
+}
+
+// carried returns the part of a demand that a division carries on time, 0 to 1.
+func carried(division []option, d demand, use float64) float64 {
+	return math.Min(1, use*multiple(division, d))
 }
 
 func (p *Planner) efficiency(role fleet.Role) (prefill, decode float64) {
@@ -431,13 +526,10 @@
 	return p.config.MixedEfficiency, p.config.MixedEfficiency
 }
 
-// multiple returns the largest multiple of the demand that the engines can
-// carry when each divides its time freely. It walks the frontier of possible
+// multiple returns the largest multiple of the demand that the engines, in order
+// of comparative advantage, can carry when each divides its time freely. It walks the frontier of possible
 // (prefill, decode) totals in order of comparative advantage.
 func multiple(options []option, d demand) float64 {
-	sort.SliceStable(options, func(i, j int) bool {
-		return options[i].prefill*options[j].decode > options[j].prefill*options[i].decode
-	})
 	prefill, decode := 0.0, 0.0
 	for _, o := range options {
 		decode += o.decode
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 )
@@ -45,7 +44,7 @@
 	ageSpread  = 0.10
 	// remotePenalty is added to the score of engines in other data centres,
 	// so that home is preferred in near ties only.
-	remotePenalty = 0.02
+	remotePenalty = 0.05
 	// remoteSeconds is the added round trip to another data centre.
 	remoteSeconds = 0.003
 	// avoidPenalty puts an engine that just failed the request last.
@@ -56,9 +55,6 @@
 	// prefixShare is the cached part of a prompt from which a choice is
 	// explained by the cache.
 	prefixShare = 0.3
-	// interference is the part of a prefill that delays the running streams
-	// of a mixed engine, as a fraction of the time prefill is in progress.
-	interference = 0.5
 )
 
 // Query is one request to route.
@@ -68,7 +64,9 @@
 	Prompt, Output float64
 	// Cached is the number of leading prompt blocks per engine, or nil;
 	// BlockTokens is the size of a block and Trust the confidence per engine.
+	// Holders lists the engines with any cached block, of all groups.
 	Cached      []uint16
+	Holders     []int32
 	BlockTokens float64
 	Trust       func(engine int32) float64
 	// FirstToken is what is left of the first-token target, Gap the token gap
@@ -76,6 +74,9 @@
 	FirstToken, Gap float64
 	// Hold is the longest acceptable prefill queue in seconds; zero means any.
 	Hold float64
+	// Room is the part of the sequences permitted by the token gap target that
+	// may be used; zero means all.
+	Room float64
 	// Avoid is an engine that just failed the request, or None.
 	Avoid int32
 	// Only restricts the choice to one engine, or None.
@@ -108,9 +109,10 @@
 	Groups [][]int32
 	// TransferPerToken is the seconds to move one prompt token's KV cache.
 	TransferPerToken float64
-	// PeersAt is when peers' dispatches were last learned.
-	PeersAt fleet.Instant
-	rng     uint64
+	rng              uint64
+	markets          []cachedMarket
+	// peersAt is when a peer's dispatches were last learned.
+	peersAt fleet.Instant
 }
 
 // New returns a router whose perturbation is derived from seed.
@@ -149,57 +151,89 @@
 	}
 }
 
+// maxCandidates bounds the engines assessed per choice. The largest region at
+// the two-year size has 284; in a larger group a random window of this size and
+// the engines that hold a prefix are as good as all.
+const maxCandidates = 288
+
+// scan collects the best candidates of one choice.
+type scan struct {
+	now                    fleet.Instant
+	q                      *Query
+	market                 *market
+	unit                   float64
+	local, prefill, decode candidate
+	split                  bool
+}
+
 // Pick chooses the path and engines of a request; ok is false when no engine
 // of the group is usable.
 func (r *Router) Pick(now fleet.Instant, q *Query) (Choice, bool) {
 	members := r.Groups[q.Group]
-	unit := r.workUnit(members, q)
+	m := r.marketOf(now, q)
 	none := candidate{None, math.Inf(1)}
-	local, prefill, decode := none, none, none
-	split := false
-	for _, i := range members {
-		e := &r.Engines[i]
-		if !e.Usable || (q.Only != None && q.Only != i) {
-			continue
-		}
-		x := r.assess(now, q, e, i)
-		spread := (baseSpread + ageSpread*e.Age(now)) * noise[r.random()&255]
-		local.offer(i, x.localScore(q, e, unit)-spread)
-		if q.NoSplit || q.Only != None {
-			continue
-		}
-		split = split || e.Role != fleet.RoleMixed
-		if e.Role != fleet.RoleDecode {
-			prefill.offer(i, x.prefillScore(q, unit, r.TransferPerToken)-spread)
-		}
-		if e.Role != fleet.RolePrefill {
-			decode.offer(i, x.decodeScore(q, e, unit)-spread)
-		}
-	}
-	if local.engine == None {
+	s := scan{now: now, q: q, unit: math.Max(q.Prompt*m.prefill+q.Output*m.token, minUnit), market: m, local: none, prefill: none, decode: none}
+	r.scan(&s, members)
+	if s.local.engine == None {
 		return Choice{Target: None, Prefill: None}, false
 	}
-	c := r.localChoice(now, q, local.engine)
-	// A split costs a transfer and both scores carry their own perturbation
-	// and penalties, so it must win against the best local choice as a sum.
-	if split && prefill.engine != None && decode.engine != None && prefill.engine != decode.engine &&
-		prefill.score+decode.score < local.score {
-		c = r.splitChoice(now, q, prefill.engine, decode.engine)
+	c := r.localChoice(now, q, s.local.engine)
+	if s.split && s.prefill.engine != None && s.decode.engine != None && s.prefill.engine != s.decode.engine &&
+		s.prefill.score+s.decode.score < s.local.score {
+		c = r.splitChoice(now, q, s.prefill.engine, s.decode.engine)
 	}
 	c.Reason = r.reason(q, &c)
 	return c, true
 }
 
-// workUnit is the engine-seconds of the request at a typical engine; scores
-// are in this unit.
-func (r *Router) workUnit(members []int32, q *Query) float64 {
-	if len(members) == 0 {
-		return 1
+func (r *Router) scan(s *scan, members []int32) {
+	if len(members) <= maxCandidates || s.q.Only != None {
+		for _, i := range members {
+			r.consider(s, i)
+		}
+		return
+	}
+	start := int(r.random() % uint64(len(members)))
+	for k := start; k < len(members); k++ {
+		if k == start+maxCandidates && s.local.engine != None {
+			break
+		}
+		r.consider(s, members[k])
+	}
+	for k := 0; k < start && (k < start+maxCandidates-len(members) || s.local.engine == None); k++ {
+		r.consider(s, members[k])
+	}
+	group := r.Engines[members[0]].Group
+	for _, i := range s.q.Holders {
+		if r.Engines[i].Group == group {
+			r.consider(s, i)
+		}
+	}
+}
+
+func (r *Router) consider(s *scan, i int32) {
+	e, q := &r.Engines[i], s.q
+	if !e.Usable || (q.Only != None && q.Only != i) {
+		return
+	}
+	x := r.assess(s.now, q, e, i)
+	spread := (baseSpread + ageSpread*e.Age(s.now)) * noise[r.random()&255]
+	s.local.offer(i, x.localScore(q, e, s.market, s.unit)-spread)
+	if q.NoSplit || q.Only != None {
+		return
+	}
+	s.split = s.split || e.Role != fleet.RoleMixed
+	if e.Role != fleet.RoleDecode {
+		s.prefill.offer(i, x.prefillScore(q, e, s.market, s.unit, r.TransferPerToken)-spread)
+	}
+	if e.Role != fleet.RolePrefill {
+		s.decode.offer(i, x.decodeScore(q, e, s.market, s.unit)-spread)
 	}
-	s := r.Engines[members[0]].Speed
-	return math.Max(q.Prompt*s.Prefill+q.Output*s.TokenCost(), 1e-4)
 }
 
+// minUnit bounds the seconds of a mean request, to which scores are related.
+const minUnit = 1e-4
+
 func (r *Router) uncached(q *Query, i int32) (uncached, cached float64) {
 	if q.Cached == nil {
 		return q.Prompt, 0
@@ -253,14 +287,18 @@
 // fits tells that one more sequence keeps the streams on the engine and the
 // request itself within the token gap target. An engine without streams
 // always fits, so that no engine is excluded by a wrong estimate for good.
-func (e *Engine) fits(q *Query, gap float64) bool {
-	if e.Batch() < 1 {
+func (e *Engine) fits(now fleet.Instant, q *Query, gap float64) bool {
+	if e.Batch(now) < 1 {
 		return true
 	}
 	target := q.Gap
 	if e.Decoding > 0 && e.tightestGap > 0 && (target <= 0 || e.tightestGap < target) {
 		target = e.tightestGap
 	}
+	if q.Room > 0 && q.Room < 1 {
+		// One running sequence costs Slope, so room is scaled above Base.
+		target = e.Speed.Base + q.Room*math.Max(target-e.Speed.Base, 0)
+	}
 	return target <= 0 || gap <= target
 }
 
@@ -278,26 +316,26 @@
 	x.uncached, x.cached = r.uncached(q, i)
 	x.wait = r.wait(e, now)
 	x.work = x.uncached * e.Speed.Prefill
-	x.gap = e.Speed.Step(e.Batch() + 1)
+	x.gap = e.GapWith(now, r.peersAt, 1, q.Prompt)
 	x.first = x.wait + x.work + e.hop()
 	x.penalty = e.penalty(q, i)
-	x.fitsGap = e.fits(q, x.gap)
-	x.short = q.short(x.wait)
+	x.fitsGap = e.fits(now, q, x.gap)
+	x.short = q.short(x.wait) || x.cached > x.uncached && x.first < targetMargin*q.FirstToken
 	return x
 }
 
-// maxUnseen bounds the time over which unseen work of peers is extrapolated.
-const maxUnseen = 2 * time.Second
+// Heard records that a peer's dispatches arrived.
+func (r *Router) Heard(now fleet.Instant) { r.peersAt = now }
 
 // wait is the backlog of an engine with the work that peers are expected to
-// have sent since they were last heard. Without it every instance would see an
-// engine drain between two exchanges and refill it.
+// have sent since then. Without it every instance would see an engine drain
+// between two exchanges and refill it.
 func (r *Router) wait(e *Engine, now fleet.Instant) float64 {
-	unseen := min(now-r.PeersAt, maxUnseen)
+	unseen := e.unseen(now, r.peersAt)
 	if e.peerRate == 0 || unseen <= 0 {
 		return e.Backlog(now)
 	}
-	free := max(e.prefillFree, now-unseen) + seconds(e.peerRate*unseen.Seconds())
+	free := max(e.prefillFree, now-seconds(unseen)) + seconds(e.peerRate*unseen)
 	return math.Max((free - now).Seconds(), 0)
 }
 
@@ -309,21 +347,19 @@
 	return lateWeight
 }
 
-func (x *assessment) localScore(q *Query, e *Engine, unit float64) float64 {
-	work := x.wait + x.work + q.Output*e.Speed.TokenCost()
-	if e.Role != fleet.RoleDecode && e.Batch() > 0 {
-		work += interference * x.work
-	}
-	return work/unit + x.penalty + lateWeight*late(q, x.first+x.gap, x.gap) + misfit(x.fitsGap && x.short)
+func (x *assessment) localScore(q *Query, e *Engine, m *market, unit float64) float64 {
+	first := x.first + x.gap
+	work := m.prefillCost(e, x.uncached) + m.decodeCost(e, q.Output)
+	return work/unit + x.penalty + lateWeight*late(q, first, x.gap) + misfit(x.fitsGap && x.short) + m.balance(q, e, first, x.gap)
 }
 
-func (x *assessment) prefillScore(q *Query, unit, transfer float64) float64 {
-	moved := q.Prompt * transfer
-	return (x.wait+x.work+moved)/unit + x.penalty + lateWeight*late(q, x.first+moved, 0) + misfit(x.short)
+func (x *assessment) prefillScore(q *Query, e *Engine, m *market, unit, transfer float64) float64 {
+	first := x.first + q.Prompt*transfer
+	return m.prefillCost(e, x.uncached)/unit + x.penalty + lateWeight*late(q, first, 0) + misfit(x.short) + m.balance(q, e, first, 0)
 }
 
-func (x *assessment) decodeScore(q *Query, e *Engine, unit float64) float64 {
-	return q.Output*e.Speed.TokenCost()/unit + x.penalty + lateWeight*late(q, 0, x.gap) + misfit(x.fitsGap)
+func (x *assessment) decodeScore(q *Query, e *Engine, m *market, unit float64) float64 {
+	return m.decodeCost(e, q.Output)/unit + x.penalty + lateWeight*late(q, 0, x.gap) + misfit(x.fitsGap) + m.balance(q, e, 0, x.gap)
 }
 
 func (r *Router) localChoice(now fleet.Instant, q *Query, i int32) Choice {
--- a/core/sched/flight.go
+++ b/core/sched/flight.go
@@ -20,7 +20,7 @@
 	// initialServiceTime is the assumed seconds of a call at a plain service.
 	initialServiceTime = 0.05
 	serviceTimeGain    = 0.1
-	cachedShareGain    = 0.02
+	cachedShareGain    = 0.005
 )
 
 func (s *Scheduler) dispatch(t *tracked) {
@@ -106,11 +106,9 @@
 		return
 	}
 	target.Decoding--
-	target.Ended(s.now, true, t.prompt+t.output)
 	if t.choice.Prefill != route.None {
 		p := &s.router.Engines[t.choice.Prefill]
 		p.InFlight--
-		p.Ended(s.now, false, t.prompt)
 	}
 }
 
@@ -120,6 +118,9 @@
 		return
 	}
 	t.first, t.sampledAt = s.now, s.now
+	if target := s.kindStates[t.kind].firstToken; target > 0 && (s.now-t.arrived).Seconds() > target {
+		s.missed(t)
+	}
 	t.prefillDone = s.router.Engines[t.choice.Target].PrefillDone(s.now)
 	if s.config.Ablate.NoLearning || s.groupStates[t.group].service {
 		return
@@ -153,13 +154,9 @@
 		return
 	}
 	e := &s.router.Engines[t.choice.Target]
-	// Prefill and decode share the engine's time, so only the rest of the time
-	// went into decode steps.
-	span := (s.now - t.sampledAt).Seconds()
-	done := e.PrefillDone(s.now)
-	decoding := math.Min(math.Max(span-(done-t.prefillDone), minDecoding*span), span)
-	t.prefillDone = done
-	s.speeds.ObserveStep(t.choice.Target, e.Role, math.Max(e.Batch(), 1), decoding/float64(n))
+	gap := (s.now - t.sampledAt).Seconds() / float64(n)
+	e.ObserveGap(s.now, gap)
+	s.speeds.ObserveStep(t.choice.Target, e.Role, math.Max(e.Batch(s.now), 1), e.Context(s.now), gap)
 	t.sampled, t.sampledAt = t.produced, s.now
 	s.updateEngine(t.choice.Target)
 }
@@ -176,6 +173,8 @@
 		s.forget(t)
 		return
 	}
+	s.router.Engines[t.choice.Target].ObserveLife((s.now - t.dispatched).Seconds())
+	s.checkGap(t, ev.Usage)
 	s.settle(t, ev.Usage)
 	s.learnUsage(t, ev.Usage)
 	group := t.group
@@ -183,6 +182,14 @@
 	s.pump(group)
 }
 
+// checkGap counts an answer whose mean token gap missed its target.
+func (s *Scheduler) checkGap(t *tracked, u fleet.Usage) {
+	target := s.kindStates[t.kind].gap
+	if target > 0 && u.OutputTokens > 1 && t.first > 0 && (s.now-t.first).Seconds() > target*float64(u.OutputTokens-1) {
+		s.missed(t)
+	}
+}
+
 // settle replaces the predicted cost by the cost of the real usage.
 func (s *Scheduler) settle(t *tracked, u fleet.Usage) {
 	if u.PromptTokens == 0 && u.OutputTokens == 0 {
@@ -206,7 +213,10 @@
 		return
 	}
 	g := &s.groupStates[t.group]
-	g.cachedShare += cachedShareGain * (float64(u.CachedTokens)/float64(u.PromptTokens) - g.cachedShare)
+	// The sums weigh by tokens: short prompts are many and never cached.
+	g.cachedTokens += cachedShareGain * (float64(u.CachedTokens) - g.cachedTokens)
+	g.promptTokens += cachedShareGain * (float64(u.PromptTokens) - g.promptTokens)
+	g.cachedShare = g.cachedTokens / math.Max(g.promptTokens, 1)
 	if s.blocks == nil {
 		return
 	}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -40,6 +40,8 @@
 	produced, sampled int
 	// prefillDone is the target's PrefillDone at the last speed sample.
 	prefillDone float64
+	// missed tells that a target was missed.
+	missed bool
 }
 
 func (s *Scheduler) submit(r Request) {
@@ -64,6 +66,7 @@
 	t.output = s.tokens.OutputMean(member, kind, limit(r.MaxOutputTokens, k.kind.MaxOutputTokens))
 	s.groupStates[t.group].demand(t)
 	if refusal := s.admit(t); refusal != nil {
+		s.groupStates[t.group].late++
 		s.free = append(s.free, t)
 		s.ready = append(s.ready, Refuse{ID: r.ID, Refusal: refusal})
 		return
@@ -73,10 +76,20 @@
 	s.pump(t.group)
 }
 
+// missed counts a request that does not meet its targets, once.
+func (s *Scheduler) missed(t *tracked) {
+	if !t.missed {
+		t.missed = true
+		s.groupStates[t.group].late++
+	}
+}
+
 // demand counts a request's expected work for the role planner.
 func (g *groupState) demand(t *tracked) {
+	g.arrived++
 	g.promptDemand += t.prompt * (1 - g.cachedShare)
 	g.outputDemand += t.output
+	g.contextDemand += t.output * (t.prompt + t.output/2)
 }
 
 func limit(requested, declared int) int {
@@ -215,6 +228,8 @@
 		return
 	}
 	g := &s.groupStates[group]
+	skipped := 0
+	defer g.queue.Restore()
 	for {
 		it := g.queue.Peek()
 		if it == nil {
@@ -226,7 +241,11 @@
 		}
 		if !s.decide(t) {
 			g.backlogged = true
-			return
+			if skipped++; skipped > 8 {
+				return
+			}
+			g.queue.Skip()
+			continue
 		}
 		if s.lateThere(t) {
 			s.drop(t, admit.LateAtBest(t.choice.FirstToken))
@@ -263,7 +282,7 @@
 		return false
 	}
 	elapsed := (s.now - t.arrived).Seconds()
-	idle := t.choice.Wait == 0 && s.router.Engines[t.choice.Target].Batch() < 1
+	idle := t.choice.Wait == 0 && s.router.Engines[t.choice.Target].Batch(s.now) < 1
 	return elapsed > 0 && !idle && elapsed+g.plannedFirst(t.choice.FirstToken) > edgeFraction*k.firstToken
 }
 
@@ -271,9 +290,10 @@
 	k := &s.kindStates[t.kind]
 	q := &s.query
 	q.Group, q.Prompt, q.Output = t.group, t.prompt, t.output
-	q.Cached, q.BlockTokens = nil, float64(s.config.BlockTokens)
+	q.Cached, q.Holders, q.BlockTokens = nil, nil, float64(s.config.BlockTokens)
 	if s.blocks != nil && len(t.Blocks) > 0 {
 		q.Cached = s.blocks.Match(t.Blocks)
+		q.Holders = s.blocks.Holders()
 	}
 	q.FirstToken, q.Gap = 0, k.gap
 	if k.firstToken > 0 {
@@ -282,7 +302,8 @@
 			q.FirstToken = -1e-9
 		}
 	}
-	q.Hold = s.config.HoldPrefill.Seconds()
+	q.Room = s.groupStates[t.group].room(s.now)
+	q.Hold = s.config.HoldPrefill.Seconds() * q.Room
 	q.Avoid, q.Only = t.avoid, t.only
 	q.NoSplit, q.NoSlack = s.config.Ablate.NoSplit, s.config.Ablate.NoSlack
 }
@@ -305,6 +326,7 @@
 
 // drop refuses a queued request.
 func (s *Scheduler) drop(t *tracked, refusal *fleet.Refusal) {
+	s.missed(t)
 	s.groupStates[t.group].queue.Remove(&t.item)
 	s.unqueue(t)
 	s.refuse(t, refusal)
--- a/core/sched/shared.go
+++ b/core/sched/shared.go
@@ -13,6 +13,8 @@
 	Service []PeerService
 	// Dispatches is the work sent to engines since the last call.
 	Dispatches []PeerDispatch
+	// Turns are the turns of the instance's fair queues, one per engine group.
+	Turns []PeerTurn
 	// Demand is the work of the requests that arrived since the last call,
 	// refused ones included, for the role planner.
 	Demand []GroupDemand
@@ -23,6 +25,10 @@
 	Group fleet.GroupName
 	// PromptTokens are expected without the cached part.
 	PromptTokens, OutputTokens float64
+	// ContextTokens is the KV cache that the output tokens read.
+	ContextTokens float64
+	// Requests arrived; Late of them were refused or missed a target.
+	Requests, Late float64
 }
 
 // Status is a snapshot of the scheduler for operators.
@@ -56,7 +62,8 @@
 	InFlight int
 	// ReportedAt is the time of the last load report.
 	ReportedAt fleet.Instant
-	// Speed is the learned speed of an engine in its role.
+	// Speed is the learned speed of an engine for work in its role: prefill as
+	// a prefill engine, decode as a decode engine.
 	Speed cost.Speed
 	// Batch is the expected number of running sequences, Backlog the expected
 	// time until a new prefill could start.
@@ -116,9 +123,15 @@
 	for i := range s.groupStates {
 		g := &s.groupStates[i]
 		if g.promptDemand+g.outputDemand > 0 {
-			out.Demand = append(out.Demand, GroupDemand{Group: s.groups.names[i], PromptTokens: g.promptDemand, OutputTokens: g.outputDemand})
+			out.Demand = append(out.Demand, GroupDemand{Group: s.groups.names[i], PromptTokens: g.promptDemand, OutputTokens: g.outputDemand, ContextTokens: g.contextDemand, Requests: g.arrived, Late: g.late})
+		}
+		g.promptDemand, g.outputDemand, g.contextDemand = 0, 0, 0
+		g.arrived, g.late = 0, 0
+		if !g.service {
+			start, ok := g.queue.Turn()
+			out.Turns = append(out.Turns, PeerTurn{Instance: s.config.Instance, Group: s.groups.names[i], Start: start, Backlogged: ok,
+				PrefillCost: g.ownPrefillCost, TokenCost: g.ownTokenCost})
 		}
-		g.promptDemand, g.outputDemand = 0, 0
 	}
 	out.Dispatches = append(out.Dispatches, s.shared.dispatches...)
 	s.shared.service = s.shared.service[:0]
@@ -150,7 +163,7 @@
 		out.Upstreams = append(out.Upstreams, UpstreamStatus{
 			ID: s.upstreams.names[i], Group: e.Group, DataCentre: u.dataCentre, Role: e.Role,
 			Incarnation: u.incarnation, Available: u.declared && u.available, Leaving: u.leaving, Held: u.held,
-			InFlight: e.InFlight, ReportedAt: e.ReportedAt, Speed: e.Speed, Batch: e.Batch(),
+			InFlight: e.InFlight, ReportedAt: e.ReportedAt, Speed: e.Corrected(s.speeds.InRole(int32(i))), Batch: e.Batch(s.now),
 			Backlog: time.Duration(e.Backlog(s.now) * float64(time.Second)), CacheConfidence: confidence,
 		})
 	}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fair"
@@ -55,17 +56,27 @@
 	// prefillCost and tokenCost are the group's cost units: mean engine-seconds
 	// per uncached prompt token and per output token.
 	prefillCost, tokenCost float64
+	// ownPrefillCost and ownTokenCost are the instance's own estimates.
+	ownPrefillCost, ownTokenCost float64
 	// released is the cost released since the last refresh, rate the cost per
 	// second that this instance can release, learned while work is queued.
 	released, rate float64
 	backlogged     bool
+	// turns are the peers' turns, turnSlack the lead over the least of them
+	// from which this instance leaves room to the others.
+	turns     []peerTurn
+	turnSlack float64
 	// usableAt is when the group last had a usable upstream.
 	usableAt fleet.Instant
 	// cachedShare is the learned part of prompts found in prefix caches.
 	cachedShare float64
+	// cachedTokens and promptTokens are the running means it is made from.
+	cachedTokens, promptTokens float64
 	// promptDemand and outputDemand are the tokens of the requests that
 	// arrived since the last TakeShared, refused ones included.
-	promptDemand, outputDemand float64
+	promptDemand, outputDemand, contextDemand float64
+	// arrived counts them, late those that were refused or missed a target.
+	arrived, late float64
 	// firstError and firstDeviation are the mean and the mean deviation of
 	// observed over expected first-token times. They cover what the estimate
 	// leaves out, such as prefill that shares an engine with decode.
@@ -98,6 +109,8 @@
 	leaving     bool
 	held        bool
 	incarnation fleet.Incarnation
+	// last is the report before, for the differences of its counters.
+	last LoadReport
 }
 
 // maxLeadSeconds is the time for which service received while others were idle
@@ -138,6 +151,11 @@
 	s.groupStates[i].service = g.Type == declare.GroupService
 }
 
+// untargetedGap bounds, in seconds, the token gap of kinds that declare none.
+// Without a bound a backlog of them fills a few engines with batches so large
+// that prefill there almost stops.
+const untargetedGap = 0.15
+
 func (s *Scheduler) configureKind(k *declare.Kind) {
 	group, ok := s.groups.find(k.Group)
 	if !ok {
@@ -151,6 +169,9 @@
 		declared: true, kind: *k, group: group,
 		firstToken: k.TargetFirstToken.Seconds(), gap: k.TargetTokenGap.Seconds(), limit: k.Deadline.Seconds(),
 	}
+	if k.TargetTokenGap == 0 {
+		s.kindStates[i].gap = untargetedGap
+	}
 	s.tokens.Grow(len(s.kindStates))
 }
 
@@ -170,6 +191,7 @@
 	e.Group = u.Group
 	e.Home = u.DataCentre == s.config.DataCentre
 	s.speeds.SetGroup(i, group)
+	s.speeds.SetMachine(i, u.Speed)
 	if s.blocks != nil {
 		s.blocks.Grow(len(s.upstreamStates))
 	}
@@ -217,7 +239,9 @@
 		for m := range s.memberStates {
 			q.SetWeight(int32(m), s.memberStates[m].share)
 		}
-		q.SetMaxLead(maxLeadSeconds * float64(len(s.router.Groups[g])) / math.Max(total, 1e-9))
+		perSecond := float64(len(s.router.Groups[g])) / math.Max(total, 1e-9)
+		q.SetMaxLead(maxLeadSeconds * perSecond)
+		s.groupStates[g].turnSlack = turnSlackSeconds * perSecond
 	}
 }
 
@@ -228,7 +252,7 @@
 	}
 	for i := range s.upstreamStates {
 		s.updateEngine(int32(i))
-		s.router.Engines[i].Refresh(s.now, elapsed)
+		s.router.Engines[i].Refresh(elapsed)
 	}
 	s.refreshUnits()
 	for g := range s.groupStates {
@@ -266,9 +290,27 @@
 				token.add(e.Speed.TokenCost())
 			}
 		}
-		s.groupStates[g].prefillCost = prefill.or(s.config.Prior.Prefill)
-		s.groupStates[g].tokenCost = token.or(s.config.Prior.TokenCost())
+		x := &s.groupStates[g]
+		x.ownPrefillCost = prefill.or(s.config.Prior.Prefill)
+		x.ownTokenCost = token.or(s.config.Prior.TokenCost())
+		x.agreeUnits(s.now)
+	}
+}
+
+// agreeUnits takes the mean of the own and the peers' estimates. Instances see
+// different engines and batches, and a member would be charged differently at
+// each of them.
+func (g *groupState) agreeUnits(now fleet.Instant) {
+	var prefill, token mean
+	prefill.add(g.ownPrefillCost)
+	token.add(g.ownTokenCost)
+	for _, t := range g.turns {
+		if now-t.at < turnLife && t.prefillCost > 0 && t.tokenCost > 0 {
+			prefill.add(t.prefillCost)
+			token.add(t.tokenCost)
+		}
 	}
+	g.prefillCost, g.tokenCost = prefill.or(0), token.or(0)
 }
 
 type mean struct{ sum, n float64 }
@@ -296,6 +338,7 @@
 	if !e.Reported || l.At >= e.ReportedAt {
 		e.Role = l.Role
 	}
+	s.learnCounters(i, l)
 	s.updateEngine(i)
 	e.Report(route.Load{
 		At: l.At, Running: l.Running, Waiting: l.Waiting, WaitingPrompt: float64(l.WaitingPromptTokens),
@@ -304,6 +347,36 @@
 	s.pump(x.group)
 }
 
+// counterSpan bounds the time between two reports whose counters are compared.
+const counterSpan = 3 * time.Second
+
+// learnCounters learns an engine's speed from the tokens that it processed
+// between two reports. Unlike first-token times this is not disturbed by
+// requests that share an iteration.
+func (s *Scheduler) learnCounters(i int32, l LoadReport) {
+	x := &s.upstreamStates[i]
+	last := x.last
+	span := l.At - last.At
+	if span <= 0 {
+		return
+	}
+	x.last = l
+	known := last.PrefilledTotal+last.GeneratedTotal > 0 && last.Incarnation == l.Incarnation && last.Role == l.Role
+	if !known || span > counterSpan || s.config.Ablate.NoLearning {
+		return
+	}
+	prefilled, generated := float64(l.PrefilledTotal-last.PrefilledTotal), float64(l.GeneratedTotal-last.GeneratedTotal)
+	if l.Role == fleet.RolePrefill && last.WaitingPromptTokens > 0 && l.WaitingPromptTokens > 0 && prefilled > 0 {
+		s.speeds.ObserveWork(i, l.Role, span.Seconds()/prefilled)
+	}
+	running := float64(last.Running+l.Running) / 2
+	if l.Role != fleet.RolePrefill && last.Running > 0 && l.Running > 0 && generated > running {
+		step := running * span.Seconds() / generated
+		s.router.Engines[i].ObserveGap(s.now, step)
+		s.speeds.ObserveStep(i, l.Role, running, float64(last.KVUsedTokens+l.KVUsedTokens)/2, step)
+	}
+}
+
 // setIncarnation starts afresh with an upstream that has restarted.
 func (s *Scheduler) setIncarnation(i int32, incarnation fleet.Incarnation) {
 	x := &s.upstreamStates[i]
@@ -361,6 +434,75 @@
 	}
 }
 
+type peerTurn struct {
+	instance   fleet.InstanceID
+	start      float64
+	backlogged bool
+	at         fleet.Instant
+	// prefillCost and tokenCost are the peer's estimates.
+	prefillCost, tokenCost float64
+}
+
+const (
+	// turnLife is how long a peer's turn counts without an update, three
+	// exchanges.
+	turnLife = 3 * time.Second
+	// turnSlackSeconds is the lead in seconds of the fleet's service. It covers
+	// a few exchanges, because smaller leads are noise and restricting them
+	// costs goodput, and stays small against the minute of the share error.
+	turnSlackSeconds = 4
+	// aheadRoom is the part of an engine's room that an instance ahead of the
+	// fleet uses. It is above zero so that engines never run dry when the
+	// instances behind have too little work.
+	aheadRoom = 0.4
+)
+
+func (s *Scheduler) peerTurn(ev PeerTurn) {
+	i, ok := s.groups.find(ev.Group)
+	if !ok || s.config.Ablate.NoFair || ev.Instance == s.config.Instance {
+		return
+	}
+	g := &s.groupStates[i]
+	turn := peerTurn{ev.Instance, ev.Start, ev.Backlogged, s.now, ev.PrefillCost, ev.TokenCost}
+	found := false
+	kept := g.turns[:0]
+	for _, t := range g.turns {
+		if t.instance == ev.Instance {
+			t, found = turn, true
+		}
+		if s.now-t.at < turnLife {
+			kept = append(kept, t)
+		}
+	}
+	if !found {
+		kept = append(kept, turn)
+	}
+	g.turns = kept
+	if least, ok := g.leastTurn(s.now); ok {
+		g.queue.Advance(least)
+	}
+}
+
+// leastTurn returns the least start tag of the backlogged peers.
+func (g *groupState) leastTurn(now fleet.Instant) (least float64, ok bool) {
+	for _, t := range g.turns {
+		if t.backlogged && now-t.at < turnLife && (!ok || t.start < least) {
+			least, ok = t.start, true
+		}
+	}
+	return least, ok
+}
+
+// room is the part of an engine's room that this instance may use now.
+func (g *groupState) room(now fleet.Instant) float64 {
+	own, ok := g.queue.Turn()
+	least, other := g.leastTurn(now)
+	if ok && other && own > least+g.turnSlack {
+		return aheadRoom
+	}
+	return 1
+}
+
 func (s *Scheduler) peerDispatch(ev PeerDispatch) {
 	i, ok := s.upstreams.find(ev.Upstream)
 	if !ok || s.config.Ablate.NoPeerDispatch {
@@ -368,7 +510,7 @@
 	}
 	e := &s.router.Engines[i]
 	tokens := float64(ev.PromptTokens)
-	s.router.PeersAt = s.now
+	s.router.Heard(s.now)
 	e.PeerDispatched(ev.At, tokens*e.Speed.Prefill, ev.OutputTokens > 0, float64(ev.PromptTokens+ev.OutputTokens))
 }
 
--- a/mixshift/baseline.go
+++ b/mixshift/baseline.go
@@ -22,6 +22,7 @@
 type baselineEngine struct {
 	declare.Upstream
 	available bool
+	held      bool
 	inFlight  int // tokens of work
 }
 
@@ -84,6 +85,8 @@
 		b.retry(ev.ID)
 	case sched.UpstreamState:
 		b.setState(ev)
+	case sched.Hold:
+		b.hold(ev)
 	}
 }
 
@@ -91,7 +94,7 @@
 	var out, other []*baselineEngine
 	for _, e := range b.engines {
 		switch {
-		case !e.available:
+		case !e.available || e.held:
 		case e.Role == role || e.Role == fleet.RoleMixed:
 			out = append(out, e)
 		default:
@@ -167,6 +170,14 @@
 	}
 }
 
+func (b *baseline) hold(ev sched.Hold) {
+	for _, e := range b.engines {
+		if e.ID == ev.Upstream {
+			e.held = ev.On
+		}
+	}
+}
+
 // thresholdPlanner changes a role when the waiting prefill work per prefill
 // engine crosses a bound, at most once per pause.
 type thresholdPlanner struct {
@@ -188,7 +199,7 @@
 	var count, load [3]int
 	for i, e := range s.engines {
 		r := s.reports[i]
-		if e.draining || !e.Available(now) {
+		if e.leaving || !e.Available(now) {
 			continue
 		}
 		count[r.Role]++
@@ -213,7 +224,7 @@
 func (p *thresholdPlanner) change(now fleet.Instant, s *Sim, from, to fleet.Role) (int, fleet.Role, bool) {
 	best := -1
 	for i, e := range s.engines {
-		if e.draining || !e.Available(now) || s.reports[i].Role != from {
+		if e.leaving || !e.Available(now) || s.reports[i].Role != from {
 			continue
 		}
 		if best < 0 || s.reports[i].Running < s.reports[best].Running {
--- a/mixshift/policy.go
+++ b/mixshift/policy.go
@@ -8,7 +8,7 @@
 // Policies lists what the measurement compares; "full" is the product's.
 func Policies() []Policy {
 	return []Policy{
-		{Name: "full", scheduler: core, roles: bestFixedRoles},
+		{Name: "full", scheduler: core, roles: bestFixedRoles, planner: newRolePlanner},
 		{Name: "round_robin", scheduler: baselineOf(roundRobin), roles: bestFixedRoles},
 		{Name: "least_in_flight", scheduler: baselineOf(leastInFlight), roles: bestFixedRoles},
 		{Name: "least_in_flight_mixed", scheduler: baselineOf(leastInFlight), roles: mixedRoles},
--- a/mixshift/sim.go
+++ b/mixshift/sim.go
@@ -102,7 +102,7 @@
 	index    int
 	dc       int
 	sequence int64
-	draining bool
+	leaving  bool
 	// incarnation counts restarts.
 	incarnation int
 }
@@ -125,8 +125,11 @@
 	events     []emulator.Event
 
 	roleChanges int
+	planReasons []string
 	tokensByMem map[int][]servedTokens
 	reasons     map[string]int
+	// demand is what instances have shared since the planner last took it.
+	demand []sched.GroupDemand
 	// latest reports by engine, as the planner's instance has them.
 	reports []sched.LoadReport
 }
