Share turns and demand with peers and plan roles at the order holder

Cause: peers did not hear of each other's turns and demand, a negative cost correction made a peer refuse a frame for good, and nobody acted on the role planner; a new order holder would have undone the roles planned before it. Change: frames carry turns and demand, costs may be negative, every daemon feeds a planner and the holder of the engine's data centre acts; where roles are automatic a holder without a plan keeps them. Declarations state a machine's speed.

--- a/authority/authority.go
+++ b/authority/authority.go
@@ -256,13 +256,18 @@
 	return e
 }
 
-// desired joins the declaration's model with the planner's role.
+// desired joins the declaration's model with the planner's role. Where roles are
+// automatic, a holder that has planned nothing yet keeps the engine's role: the
+// plan of the holder before it must not be undone by the change of holder.
 func (a *Authority) desired(u declare.Upstream, group *declare.Group) order.Desired {
 	role, planned := a.roles[u.ID]
 	if !planned {
 		role = u.Role
 	}
-	return order.Desired{Model: group.Model, Adapter: group.Adapter, Version: group.ModelVersion, Role: role}
+	return order.Desired{
+		Model: group.Model, Adapter: group.Adapter, Version: group.ModelVersion,
+		Role: role, KeepRole: !planned && !group.FixedRoles,
+	}
 }
 
 // SetRole is the role planner's wish for an engine; it outlives new versions of
--- a/core/declare/declare.go
+++ b/core/declare/declare.go
@@ -102,8 +102,13 @@
 	// DefaultCacheBlockTokens is the block size of the engines of both
 	// deployments.
 	DefaultCacheBlockTokens = 2000
+	// DefaultWeightLoads lets one engine at a time load from the weight store.
+	DefaultWeightLoads = 1
 )
 
+// DefaultSpeed is the relative speed of a machine that states none.
+const DefaultSpeed = 1
+
 // Upstream is one engine or plain service.
 type Upstream struct {
 	ID         fleet.UpstreamID
--- a/core/declare/item.go
+++ b/core/declare/item.go
@@ -132,6 +132,7 @@
 	l.text("roles", rolesName(g.FixedRoles), rolesName(false))
 	l.decimal("role_change_weight", g.RoleChangeWeight, DefaultRoleChangeWeight)
 	l.number("cache_block_tokens", g.CacheBlockTokens, DefaultCacheBlockTokens)
+	l.number("weight_loads", g.WeightLoads, DefaultWeightLoads)
 	return Item{Name: string(g.Name), Pos: g.Pos, Fields: l}
 }
 
@@ -148,6 +149,7 @@
 	l.text("address", u.Address, "")
 	l.text("data_centre", string(u.DataCentre), "")
 	l.text("role", u.Role.String(), fleet.RoleMixed.String())
+	l.decimal("speed", u.Speed, DefaultSpeed)
 	return Item{Name: string(u.ID), Pos: u.Pos, Fields: l}
 }
 
--- a/core/declare/validate.go
+++ b/core/declare/validate.go
@@ -17,6 +17,8 @@
 	maxUrgency          = 1000
 	maxRoleChangeWeight = 1000
 	maxTokens           = 10_000_000
+	maxWeightLoads      = 1000
+	maxSpeed            = 100
 	minCacheBlockTokens = 16
 	maxCacheBlockTokens = 65536
 	// maxShareRatio bounds the largest share over the smallest; beyond it the
@@ -263,6 +265,9 @@
 	if g.CacheBlockTokens < minCacheBlockTokens || g.CacheBlockTokens > maxCacheBlockTokens {
 		v.add("cache_block_tokens", "16 to 65536", "cache_block_tokens %d is out of range", g.CacheBlockTokens)
 	}
+	if g.WeightLoads < 0 || g.WeightLoads > maxWeightLoads {
+		v.add("weight_loads", "1 to 1000", "weight_loads %d is out of range", g.WeightLoads)
+	}
 }
 
 func (v *validator) modelName(key, value string, required bool) {
@@ -315,6 +320,9 @@
 }
 
 func (v *validator) placed(u Upstream) {
+	if u.Speed < 0 || u.Speed > maxSpeed {
+		v.add("speed", "a number above 0, at most 100", "speed %v is out of range", u.Speed)
+	}
 	group := v.groups[u.Group]
 	if group == nil {
 		v.add("group", "a declared group", "group %q is not declared", u.Group)
--- a/core/exchange/event.go
+++ b/core/exchange/event.go
@@ -74,7 +74,10 @@
 	}
 	// Learnt is an event for the membership.
 	Learnt struct{ Event membership.Event }
-	// Schedule is an event for the scheduler: a PeerService or PeerDispatch.
+	// Demanded is work that arrived at a peer, for the role planner.
+	Demanded struct{ Demand []sched.GroupDemand }
+	// Schedule is an event for the scheduler: a PeerService, PeerDispatch or
+	// PeerTurn.
 	Schedule struct{ Event sched.Event }
 	// Fetch asks for a configuration version that a peer has in force.
 	Fetch struct {
@@ -88,4 +91,5 @@
 func (Introduce) isCommand() {}
 func (Learnt) isCommand()    {}
 func (Schedule) isCommand()  {}
+func (Demanded) isCommand()  {}
 func (Fetch) isCommand()     {}
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -80,6 +80,8 @@
 
 // Exchange is not safe for concurrent use.
 type Exchange struct {
+	// turns are the scheduler's present ones.
+	turns    []sched.PeerTurn
 	config   Config
 	version  int64
 	names    *Names
@@ -408,6 +410,7 @@
 
 // work hands own service and dispatches to the sessions.
 func (e *Exchange) work(shared sched.Shared) {
+	e.turns = shared.Turns
 	for _, service := range shared.Service {
 		owner := e.owners[slotOf(service.Member)]
 		if owner == e.config.Self.ID {
@@ -427,6 +430,7 @@
 	for _, s := range e.order {
 		if s.open && s.period == Period && (e.local(s) || e.mesh) {
 			s.keepDispatches(shared.Dispatches)
+			s.keepDemand(shared.Demand)
 		}
 	}
 }
--- a/core/exchange/frame.go
+++ b/core/exchange/frame.go
@@ -59,6 +59,10 @@
 	reports    []wireReport
 	service    []item
 	dispatches []sched.PeerDispatch
+	// turns are the sender's present ones, demand what arrived since the last
+	// batch.
+	turns  []sched.PeerTurn
+	demand []sched.GroupDemand
 }
 
 type wireReport struct {
@@ -110,9 +114,48 @@
 		w.coarse(d.PromptTokens, promptUnit)
 		w.coarse(d.OutputTokens, outputUnit)
 	}
+	w.count(len(f.turns))
+	for _, t := range f.turns {
+		w.turn(t)
+	}
+	w.count(len(f.demand))
+	for _, d := range f.demand {
+		w.demand(d)
+	}
 	return w.out
 }
 
+func (w *writer) turn(t sched.PeerTurn) {
+	w.group(w.names.groups, item{itemKey: itemKey{group: t.Group}})
+	w.flags(t.Backlogged)
+	w.cost(t.Start)
+	w.cost(t.PrefillCost)
+	w.cost(t.TokenCost)
+}
+
+func (r *reader) turn() sched.PeerTurn {
+	group, _ := r.group(r.names.groups)
+	return sched.PeerTurn{
+		Group: group, Backlogged: r.flags()[0],
+		Start: r.cost(), PrefillCost: r.cost(), TokenCost: r.cost(),
+	}
+}
+
+func (w *writer) demand(d sched.GroupDemand) {
+	w.group(w.names.groups, item{itemKey: itemKey{group: d.Group}})
+	for _, v := range [...]float64{d.PromptTokens, d.OutputTokens, d.ContextTokens, d.Requests, d.Late} {
+		w.cost(v)
+	}
+}
+
+func (r *reader) demand() sched.GroupDemand {
+	group, _ := r.group(r.names.groups)
+	return sched.GroupDemand{
+		Group: group, PromptTokens: r.cost(), OutputTokens: r.cost(), ContextTokens: r.cost(),
+		Requests: r.cost(), Late: r.cost(),
+	}
+}
+
 func (w *writer) profile(p membership.Profile) {
 	w.text(string(p.ID))
 	w.text(string(p.DataCentre))
@@ -197,6 +240,12 @@
 			OutputTokens: r.count() * outputUnit,
 		})
 	}
+	for range r.length() {
+		f.turns = append(f.turns, r.turn())
+	}
+	for range r.length() {
+		f.demand = append(f.demand, r.demand())
+	}
 }
 
 func (r *reader) item() item {
--- a/core/exchange/receive.go
+++ b/core/exchange/receive.go
@@ -157,6 +157,13 @@
 	for _, d := range f.dispatches {
 		e.emit(Schedule{Event: d})
 	}
+	for _, t := range f.turns {
+		t.Instance = o.profile.ID
+		e.emit(Schedule{Event: t})
+	}
+	if len(f.demand) > 0 {
+		e.emit(Demanded{Demand: f.demand})
+	}
 }
 
 func (e *Exchange) passOn(i item) {
--- a/core/exchange/session.go
+++ b/core/exchange/session.go
@@ -32,10 +32,12 @@
 	dispatches  []sched.PeerDispatch
 	pending     map[itemKey]float64
 	queued      []sched.PeerDispatch
-	inFlight    bool
-	due         fleet.Instant
-	failures    int
-	failedAt    fleet.Instant
+	// demand is part of the batch, arrived what came since it was frozen.
+	demand, arrived []sched.GroupDemand
+	inFlight        bool
+	due             fleet.Instant
+	failures        int
+	failedAt        fleet.Instant
 	// helloAt is when the profile was sent last.
 	helloAt fleet.Instant
 	// stamp is the last change of reports and marks that the peer confirmed,
@@ -73,6 +75,7 @@
 // its start is not part of its accounting.
 func (s *session) forget() {
 	s.open, s.frozen, s.service, s.dispatches, s.queued = false, false, nil, nil, nil
+	s.demand, s.arrived = nil, nil
 	s.stamp, s.sent = 0, 0
 	clear(s.pending)
 	clear(s.spelt)
@@ -106,6 +109,19 @@
 		}
 	}
 	s.queued = s.queued[:0]
+	s.demand, s.arrived = s.arrived, nil
+}
+
+// keepDemand adds demand by group, so that a silent peer costs no memory.
+func (s *session) keepDemand(demand []sched.GroupDemand) {
+	for _, d := range demand {
+		i := slices.IndexFunc(s.arrived, func(a sched.GroupDemand) bool { return a.Group == d.Group })
+		if i < 0 {
+			s.arrived = append(s.arrived, d)
+			continue
+		}
+		s.arrived[i].Add(d)
+	}
 }
 
 func compareItems(a, b item) int {
@@ -148,6 +164,10 @@
 	f.handle, f.sequence = s.handle, s.sequence
 	f.numbered = s.digest == e.names.digest
 	f.service, f.dispatches = s.service, s.dispatches
+	f.demand = s.demand
+	if e.local(s) || e.mesh {
+		f.turns = e.turns
+	}
 	f.relay = !e.local(s) && !e.mesh
 	s.sent = e.stamp
 	for mark, stamp := range e.marks {
--- a/core/exchange/wire.go
+++ b/core/exchange/wire.go
@@ -163,7 +163,8 @@
 		return 0
 	}
 	v := float64(math.Float32frombits(binary.LittleEndian.Uint32(raw)))
-	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+	// Costs may be negative: a correction can exceed what was served meanwhile.
+	if math.IsNaN(v) || math.IsInf(v, 0) {
 		r.fail()
 		return 0
 	}
--- a/core/order/record.go
+++ b/core/order/record.go
@@ -19,6 +19,9 @@
 	Adapter string          `json:"adapter,omitempty"`
 	Version string          `json:"version,omitempty"`
 	Role    fleet.Role      `json:"role"`
+	// KeepRole leaves the role open: the engine keeps the one it has, and Role
+	// does not count. It never enters a record.
+	KeepRole bool `json:"-"`
 }
 
 // Over returns the desired state for an engine in the state current: what d
@@ -31,6 +34,9 @@
 	if d.Version == "" && d.Model == current.Model {
 		d.Version = current.Version
 	}
+	if d.KeepRole {
+		d.Role, d.KeepRole = current.Role, false
+	}
 	return d
 }
 
--- a/core/sched/flight.go
+++ b/core/sched/flight.go
@@ -15,8 +15,6 @@
 	// request's own prefill for it to teach the prefill speed; the rest is an
 	// estimate of other work.
 	minOwnPrefill = 0.5
-	// minDecoding is the least part of a time attributed to decode.
-	minDecoding = 0.3
 	// initialServiceTime is the assumed seconds of a call at a plain service.
 	initialServiceTime = 0.05
 	serviceTimeGain    = 0.1
--- a/core/sched/shared.go
+++ b/core/sched/shared.go
@@ -31,6 +31,15 @@
 	Requests, Late float64
 }
 
+// Add sums up work of one group.
+func (d *GroupDemand) Add(o GroupDemand) {
+	d.PromptTokens += o.PromptTokens
+	d.OutputTokens += o.OutputTokens
+	d.ContextTokens += o.ContextTokens
+	d.Requests += o.Requests
+	d.Late += o.Late
+}
+
 // Status is a snapshot of the scheduler for operators.
 type Status struct {
 	Members   []MemberStatus
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,6 +44,7 @@
 	// authorityDone is closed when the order lease has been given back.
 	authorityDone chan struct{}
 	cluster       cluster
+	roles         *roles
 	calls         *caller.Server
 	// callers serves callers; servers are the other listeners, which stay open
 	// until the callers' answers are finished.
@@ -66,7 +67,7 @@
 
 // New provisions a daemon without starting anything.
 func New(s *settings.Settings, log *zap.Logger) *Daemon {
-	d := &Daemon{settings: s, log: log, metrics: metrics.New(), interrupt: make(chan struct{})}
+	d := &Daemon{settings: s, log: log, metrics: metrics.New(), roles: newRoles(), interrupt: make(chan struct{})}
 	d.engines = upstream.NewEngineClient(upstream.NewTransport())
 	d.dispatcher = dispatch.New(sched.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
@@ -141,6 +142,7 @@
 	}
 	go d.keeper.Run(ctx, d.watchesConfiguration)
 	d.startAuthority(ctx)
+	go d.planRoles(ctx)
 	go d.dispatcher.Run(context.WithoutCancel(ctx))
 	return d.startCluster(context.WithoutCancel(ctx))
 }
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -97,7 +97,8 @@
 		Log:         d.log,
 		Hooks: peer.Hooks{
 			Schedule: d.dispatcher.Step,
-			Shared:   d.dispatcher.TakeShared,
+			Shared:   d.takeShared,
+			Demand:   d.roles.arrived,
 			Poll:     d.cluster.poller.Set,
 			Watch:    d.cluster.watches.Store,
 		},
--- a/declfile/declfile.go
+++ b/declfile/declfile.go
@@ -175,7 +175,7 @@
 		ModelVersion:     dec.String("model_version", ""),
 		RoleChangeWeight: dec.Float("role_change_weight", declare.DefaultRoleChangeWeight),
 		CacheBlockTokens: dec.Int("cache_block_tokens", declare.DefaultCacheBlockTokens),
-		WeightLoads:      dec.Int("weight_loads", 1),
+		WeightLoads:      dec.Int("weight_loads", declare.DefaultWeightLoads),
 		Pos:              pos,
 	}
 	switch dec.String("roles", "automatic") {
@@ -199,6 +199,7 @@
 		Address:    dec.Address("address", ""),
 		DataCentre: fleet.DataCentre(dec.Required("data_centre", "a data centre's name")),
 		Role:       role,
+		Speed:      dec.Float("speed", declare.DefaultSpeed),
 		Pos:        pos,
 	}
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -48,6 +48,8 @@
 	Schedule func(sched.Event)
 	// Shared returns and clears the scheduler's recent work.
 	Shared func() sched.Shared
+	// Demand takes work that arrived at peers; it may be nil.
+	Demand func([]sched.GroupDemand)
 	// Poll takes the upstreams that this instance polls from now on.
 	Poll func([]fleet.UpstreamID)
 	// Watch switches the watch on the configuration.
@@ -171,7 +173,7 @@
 
 func (n *Node) share() {
 	shared := n.options.Hooks.Shared()
-	if len(shared.Service) == 0 && len(shared.Dispatches) == 0 {
+	if len(shared.Service)+len(shared.Dispatches)+len(shared.Turns)+len(shared.Demand) == 0 {
 		return
 	}
 	n.mu.Lock()
@@ -306,6 +308,10 @@
 			go n.introduce(c)
 		case exchange.Learnt:
 			n.member(c.Event)
+		case exchange.Demanded:
+			if n.options.Hooks.Demand != nil {
+				n.options.Hooks.Demand(c.Demand)
+			}
 		case exchange.Schedule:
 			n.options.Hooks.Schedule(c.Event)
 		case exchange.Fetch:
