--- /dev/null
+++ b/capacity/capacity.go
@@ -0,0 +1,192 @@
+// Package capacity works out what each role of a daemon costs at a given size
+// from measured points. The page docs/CAPACITY.md holds its tables.
+package capacity
+
+import (
+	_ "embed"
+	"encoding/csv"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+//go:embed points.csv
+var points string
+
+// Point is one measurement.
+type Point struct {
+	Metric string
+	// Size is what the metric is measured over; see the page for its unit.
+	Size, Value float64
+	Command     string
+}
+
+// Points returns the measurements.
+func Points() ([]Point, error) {
+	rows, err := csv.NewReader(strings.NewReader(points)).ReadAll()
+	if err != nil {
+		return nil, errors.Wrap(err, "read points")
+	}
+	var out []Point
+	for _, row := range rows[1:] {
+		size, err := strconv.ParseFloat(row[1], 64)
+		if err != nil {
+			return nil, errors.Wrapf(err, "size of %s", row[0])
+		}
+		value, err := strconv.ParseFloat(row[2], 64)
+		if err != nil {
+			return nil, errors.Wrapf(err, "value of %s", row[0])
+		}
+		out = append(out, Point{Metric: row[0], Size: size, Value: value, Command: row[3]})
+	}
+	return out, nil
+}
+
+// Line is value = Base + Slope*size.
+type Line struct{ Base, Slope float64 }
+
+// At returns the value at a size.
+func (l Line) At(size float64) float64 { return l.Base + l.Slope*size }
+
+// Fit returns the least-squares line through a metric's points. A metric with
+// one size has no slope.
+func Fit(all []Point, metric string) (Line, error) {
+	var n, x, xx, y, xy float64
+	for _, p := range all {
+		if p.Metric != metric {
+			continue
+		}
+		n++
+		x += p.Size
+		xx += p.Size * p.Size
+		y += p.Value
+		xy += p.Size * p.Value
+	}
+	if n == 0 {
+		return Line{}, errors.Errorf("no point of %s", metric)
+	}
+	if d := n*xx - x*x; d > 0 {
+		slope := (n*xy - x*y) / d
+		return Line{Base: (y - slope*x) / n, Slope: slope}, nil
+	}
+	return Line{Base: y / n}, nil
+}
+
+// Size is a deployment's size.
+type Size struct {
+	Name string
+	// Daemons and Upstreams are those of one data centre.
+	Daemons, Upstreams float64
+	// RegionEngines are the engines that one daemon routes to.
+	RegionEngines float64
+	Members       float64
+	// Requests and Tokens are per daemon and second, Seconds the mean length
+	// of an answer.
+	Requests, Tokens, Seconds float64
+	// AllDaemons are those of the whole deployment, Changes of the
+	// configuration per day.
+	AllDaemons, Changes float64
+}
+
+// Sizes returns today's larger deployment and the one of two years on. Requests
+// of today are those that the measurement of the shifting mix offers.
+func Sizes() []Size {
+	return []Size{
+		{Name: "today", Daemons: 3, Upstreams: 7, RegionEngines: 18, Members: 30, Requests: 30, Tokens: 4600, Seconds: 5, AllDaemons: 8, Changes: 20},
+		{Name: "two years on", Daemons: 35, Upstreams: 71, RegionEngines: 284, Members: 1300, Requests: 8.7, Tokens: 1897, Seconds: 11, AllDaemons: 390, Changes: 840},
+	}
+}
+
+// Row is one line of the page's table, per daemon.
+type Row struct {
+	Role, Size string
+	// State in KB, messages and bytes each way a second, CPU in percent of a
+	// core, platform calls a minute.
+	StateKB, Messages, Bytes, CPU, PlatformCalls float64
+}
+
+// Rows works out the table.
+func Rows() ([]Row, error) {
+	all, err := Points()
+	if err != nil {
+		return nil, err
+	}
+	m := &model{points: all}
+	var out []Row
+	for _, s := range Sizes() {
+		out = append(out, m.rows(s)...)
+	}
+	return out, m.err
+}
+
+type model struct {
+	points []Point
+	err    error
+}
+
+// at evaluates a metric's line; the first failure is kept.
+func (m *model) at(metric string, size float64) float64 {
+	line, err := Fit(m.points, metric)
+	if err != nil && m.err == nil {
+		m.err = err
+	}
+	return line.At(size)
+}
+
+const (
+	pollsPerSecond = 2
+	kb             = 1000
+	percent        = 100
+	micro          = 1e-6
+)
+
+func (m *model) rows(s Size) []Row {
+	streams := s.Requests * s.Seconds
+	polled := s.Upstreams / s.Daemons
+	return []Row{
+		{
+			Role: "request path (not control)", Size: s.Name, StateKB: streams * m.at("stream_bytes", 0) / kb,
+			Messages: s.Tokens, CPU: s.Tokens * m.at("chunk_us", 0) * micro * percent,
+		},
+		{
+			Role: "decisions", Size: s.Name,
+			CPU: s.Requests * (m.at("decide_us", s.RegionEngines) + m.at("request_us", 0)) * micro * percent,
+		},
+		{
+			Role: "exchange: fair turns, loads, membership", Size: s.Name, StateKB: m.at("exchange_kb", s.Daemons),
+			Messages: s.Daemons - 1, Bytes: m.at("exchange_bytes", s.Daemons), CPU: m.at("exchange_cpu", s.Daemons),
+		},
+		{
+			Role: "polling of loads", Size: s.Name, Messages: polled * pollsPerSecond,
+		},
+		{
+			Role: "cache index", Size: s.Name, StateKB: m.at("index_kb", 0),
+		},
+		{
+			Role: "configuration", Size: s.Name, StateKB: m.at("config_bytes", s.Members) / kb,
+			CPU: s.Changes / secondsPerDay * m.at("config_ms", s.Members) / 1000 * percent, PlatformCalls: m.at("config_calls", 0),
+		},
+	}
+}
+
+const secondsPerDay = 24 * 60 * 60
+
+// Table formats the rows as the page shows them.
+func Table(rows []Row) string {
+	var b strings.Builder
+	b.WriteString("| size | role of a daemon | state KB | messages/s | B/s each way | % of a core | platform calls/min |\n|---|---|---|---|---|---|---|\n")
+	for _, r := range rows {
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s | %s |\n", r.Size, r.Role,
+			number(r.StateKB, 0), number(r.Messages, 1), number(r.Bytes, 0), number(r.CPU, 3), number(r.PlatformCalls, 1))
+	}
+	return b.String()
+}
+
+func number(v float64, digits int) string {
+	if v == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(v, 'f', digits, 64)
+}
--- a/mixshift/policy.go
+++ b/mixshift/policy.go
@@ -17,16 +17,40 @@
 	}
 }
 
+// Ablations lists the product's policy with one mechanism off each.
+func Ablations() []Policy {
+	off := func(name string, a sched.Ablate) Policy {
+		return Policy{Name: name, scheduler: coreWith(a), roles: bestFixedRoles, planner: newRolePlanner}
+	}
+	return []Policy{
+		off("no_prefix", sched.Ablate{NoPrefix: true}),
+		off("no_peer_dispatch", sched.Ablate{NoPeerDispatch: true}),
+		off("no_fair", sched.Ablate{NoFair: true}),
+		off("no_admission", sched.Ablate{NoAdmission: true}),
+		off("no_split", sched.Ablate{NoSplit: true}),
+		off("no_learning", sched.Ablate{NoLearning: true}),
+		off("no_slack", sched.Ablate{NoSlack: true}),
+		{Name: "no_role_changes", scheduler: core, roles: bestFixedRoles},
+	}
+}
+
 func baselineOf(pick picker) func(int, uint64) Scheduler {
 	return func(int, uint64) Scheduler { return newBaseline(pick) }
 }
 
 func core(instance int, seed uint64) Scheduler {
-	return sched.New(sched.Config{
-		Instance:   fleet.InstanceID(instanceName(instance)),
-		DataCentre: dataCentreName(instanceDataCentre(instance)),
-		Seed:       seed*instances + uint64(instance),
-	})
+	return coreWith(sched.Ablate{})(instance, seed)
+}
+
+func coreWith(ablate sched.Ablate) func(int, uint64) Scheduler {
+	return func(instance int, seed uint64) Scheduler {
+		return sched.New(sched.Config{
+			Instance:   fleet.InstanceID(instanceName(instance)),
+			DataCentre: dataCentreName(instanceDataCentre(instance)),
+			Seed:       seed*instances + uint64(instance),
+			Ablate:     ablate,
+		})
+	}
 }
 
 func instanceName(i int) string { return "instance-" + string(rune('a'+i)) }
