--- a/daemon/certificate_test.go
+++ b/daemon/certificate_test.go
@@ -97,5 +97,7 @@
 		So(err.Error(), ShouldContainSubstring, "f:7: unknown listener [tls caller]")
 		_, err = settings.Parse("f", []byte(base+"[tls callers]\ncertificate = c\n"))
 		So(err.Error(), ShouldContainSubstring, "lacks key")
+		_, err = settings.Parse("f", []byte(base+"[tls peers]\ncertificate = c\nkey = k\n"))
+		So(err.Error(), ShouldContainSubstring, "f:7: [tls peers] is not supported yet")
 	})
 }
--- a/settings/tls.go
+++ b/settings/tls.go
@@ -24,11 +24,18 @@
 func (s *Settings) decodeTLS(name string, section inifile.Section, dec *inifile.Decoder, faults *inifile.Faults) {
 	listener := Listener(section.Name)
 	switch listener {
-	case ListenerCallers, ListenerOperators, ListenerPeers, ListenerAdmin:
+	case ListenerCallers, ListenerOperators, ListenerAdmin:
+	case ListenerPeers:
+		// Accepting the section without using it would leave the exchange
+		// plain while the settings say otherwise.
+		*faults = append(*faults, inifile.Fault{
+			File: name, Line: section.Line, Message: "[tls peers] is not supported yet: the exchange between instances is not encrypted",
+			Expected: "[tls callers], [tls operators] or [tls admin]",
+		})
 	default:
 		*faults = append(*faults, inifile.Fault{
 			File: name, Line: section.Line, Message: "unknown listener [tls " + section.Name + "]",
-			Expected: "[tls callers], [tls operators], [tls peers] or [tls admin]",
+			Expected: "[tls callers], [tls operators] or [tls admin]",
 		})
 	}
 	if s.TLS == nil {
