List orders to engines at any instance

Cause: the operators' Orders call answered unimplemented, since no part implemented its interface. Change: the daemon reads the order records from the platform. Measured: go test -run TestOrders ./daemon passes.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -79,6 +79,6 @@
 	return operator.Options{
 		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre,
 		KeyHashes: d.settings.OperatorKeyHashes, Keeper: d.keeper, Scheduler: d.dispatcher,
-		Counters: d.metrics, InForce: d, Drainer: d, Log: d.log,
+		Counters: d.metrics, InForce: d, Drainer: d, Orders: d, Log: d.log,
 	}
 }
