Hold engine queues at 250 ms

By trace, an engine whose queue looks empty gets a prefill from each instance at once, the wait is learned as a slow engine (2.5 ms a token), and it stays idle. Change: 250 ms.

--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -55,9 +55,11 @@
 	defaultPrefixEntries = 1 << 19
 	// defaultHoldPrefill trades a short engine queue, in which the fair queue no
 	// longer decides, against engines that run dry between two events. In the
-	// loop tests (12 seeds) 300 ms costs a tenth of one instance's goodput at
-	// twice the load, 150 ms a hundredth of four instances' at capacity.
-	defaultHoldPrefill = 200 * time.Millisecond
+	// loop tests 300 ms costs a twentieth of one instance's goodput at twice
+	// the load; with 200 ms eight instances with deep queues leave a quarter of
+	// the engines' time unused, because waits that an instance did not know of
+	// are learned as slow engines.
+	defaultHoldPrefill = 250 * time.Millisecond
 	// expiryPeriod and refreshPeriod are the intervals of the queue's expiry
 	// scan and of the recomputation of group means and rates.
 	expiryPeriod  = 100 * time.Millisecond
