core/role: detect shifts of the mix as change points of the demand

Cause: the planner waited until half of the requests were late, and made no change in MixShift. Changes after 20% late came 63 s or more into a phase of 180 s.

Change: one-second samples of the demand are compared with the mean mix since the last shift over windows of 2 to 32 s. A shift needs both a distance and six standard deviations of the measured noise, so it is found 2 to 10 s after it starts. A division is valued without work outside the engines' roles, with headroom for prefill and a steep loss for a shortage of decode, as measured in MixShift, and by what the recent other mixes could be given with the changes of one shift. Changes start within 60 s of a shift.

--- a/core/role/plan.go
+++ b/core/role/plan.go
@@ -1,7 +1,6 @@
 package role
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -19,52 +18,49 @@
 	// Dwell is the assumed time between two shifts of the mix until shifts
 	// have been observed.
 	Dwell time.Duration
-	// MixedEfficiency and OffRoleEfficiency are the speed of a mixed engine
-	// and of work outside an engine's role, relative to work in the role.
-	MixedEfficiency, OffRoleEfficiency float64
+	// MixedEfficiency is the speed of a mixed engine relative to an engine in
+	// the role of the work.
+	MixedEfficiency float64
 }
 
 const (
-	defaultChangeTime        = 10 * time.Second
-	defaultDwell             = 5 * time.Minute
-	defaultMixedEfficiency   = 0.8
-	defaultOffRoleEfficiency = 0.5
+	defaultChangeTime      = 10 * time.Second
+	defaultDwell           = 5 * time.Minute
+	defaultMixedEfficiency = 0.8
 
 	// evalPeriod is how often a division is evaluated.
-	evalPeriod = 2 * time.Second
+	evalPeriod = time.Second
 	// staleAfter is the age of a report from which an engine is not changed,
 	// and the age of the demand from which nothing is.
 	staleAfter = 10 * time.Second
 	// settleLimit ends a change that was neither settled nor observed.
 	settleLimit = 3 * time.Minute
-	// plannedUse is the utilisation up to which all demand is expected to be
-	// on time; the rest absorbs bursts.
-	plannedUse = 0.9
-	// prefillUse is the part of a prefill engine's time that is planned for in
-	// relation to decode. Prefill waits in a queue, so it needs headroom for its
-	// first-token targets; decode keeps its token gap up to the whole batch.
-	prefillUse = 0.95
-	// minUse bounds the calibration of plannedUse by what is missed.
-	minUse = 0.4
-	// minLate is the part of the requests that miss a target from which a change
-	// is considered. Routing covers smaller mismatches by work outside the
-	// engines' roles, and the model's errors are of this order.
-	minLate = 0.5
-	// minRequests is how many requests of the short horizon calibrate.
-	minRequests = 20
+	// actLimit is the time after a shift in which its changes may start. Later
+	// ones have too little of the dwell time left.
+	actLimit = 60 * time.Second
+	// maxPast is the number of recent mixes that a division is judged by.
+	maxPast = 3
+	// reachEngines bounds the engines per role that are tried for later changes.
+	reachEngines = 8
+	// minUseful bounds the part of a decode step that is spent on sequences.
+	minUseful = 0.05
+	// mixedSteps is the number of parts in which mixed engines divide their time.
+	mixedSteps = 10
+	// prefillUse is the part of a prefill engine's time that carries prefill
+	// within its first-token targets: prefill queues up in bursts. In MixShift
+	// 0.63 to 0.74 of the demand's ratio to the prefill engines' time was carried.
+	prefillUse = 0.7
+	// decodeUse is the same for decode. It exceeds 1 because a part of the token
+	// gaps may be late and prefill engines decode some short answers; in MixShift
+	// decode engines kept up to a ratio of 1.1 and no longer at 1.2.
+	decodeUse = 1.15
+	// decodeLoss is the exponent of the carried part of the decode work. A batch
+	// above the token gap target makes all its answers late, while prefill above
+	// the capacity is refused one request at a time.
+	decodeLoss = 3
 	// minGain is the least rise of the carried part of the demand for which a
 	// change is made; smaller ones are within the error of the estimates.
 	minGain = 0.03
-	// shiftDistance is the change of the prefill share that counts as a shift
-	// of the mix. It exceeds the noise of the short horizon at the smallest
-	// deployment (standard deviation about 0.04).
-	shiftDistance = 0.15
-	// settledDistance is how close the short and the middle horizon must be
-	// before a change: during a shift the final mix is not yet known.
-	settledDistance = 0.07
-	// driftLimit is how long a shift may take before it is acted upon
-	// although it goes on.
-	driftLimit = 90 * time.Second
 	// heavyWeight is the declared weight from which a shift gets one change.
 	heavyWeight       = 2
 	changesPerShift   = 2
@@ -74,21 +70,11 @@
 	maxBatch          = 256.0
 	defaultTargetGap  = 74 * time.Millisecond
 	loadTieGain       = 0.9
-	minDemandSeconds  = 0.05
-	warmupHorizons    = 1
 	pendingNothing    = fleet.UpstreamID("")
-	numberOfHorizons  = 2
-	shortHorizon      = 0
-	middleHorizon     = 1
 	numberOfRoles     = 3
-	noReference       = -1.0
 	engineSecondFloor = 1e-9
 )
 
-// horizons are the averaging times of the demand. A change must pay at
-// both.
-var horizons = [numberOfHorizons]time.Duration{12 * time.Second, 35 * time.Second}
-
 // Planner is not safe for concurrent use. The same events give the same
 // changes, so planners at several data centres agree without messages.
 type Planner struct {
@@ -105,51 +91,22 @@
 type group struct {
 	Group
 	engines []*engine // sorted by id
-	prompt  [numberOfHorizons]average
-	output  [numberOfHorizons]average
-	context average
-	// requests and late calibrate the model by what is missed in fact.
-	requests, late average
+	history history
 	// meanContext is the tokens of KV cache that a sequence reads per step.
 	meanContext float64
-	started     fleet.Instant
 	demandAt    fleet.Instant
-	seen        bool
 	evalAt      fleet.Instant
 
 	pending   fleet.UpstreamID
 	pendingTo fleet.Role
 	pendingAt fleet.Instant
 
-	// reference is the prefill share of the last shift, noReference before
-	// the first evaluation; budget is the changes left for that shift.
-	reference    float64
+	// budget is the changes left for the last shift.
 	budget       int
 	shiftAt      fleet.Instant
-	unsettledAt  fleet.Instant
-	unsettled    bool
 	dwellSeconds float64
-}
-
-// average is an exponentially decaying rate per second.
-type average struct {
-	sum float64
-	at  fleet.Instant
-}
-
-func (a *average) decay(now fleet.Instant, horizon time.Duration) {
-	if now > a.at {
-		a.sum *= math.Exp(-(now - a.at).Seconds() / horizon.Seconds())
-		a.at = now
-	}
-}
-
-// rate corrects for the time since the start being short of the horizon.
-func (a *average) rate(now, started fleet.Instant, horizon time.Duration) float64 {
-	a.decay(now, horizon)
-	h := horizon.Seconds()
-	filled := 1 - math.Exp(-(now-started).Seconds()/h)
-	return a.sum / (h * math.Max(filled, engineSecondFloor))
+	// past is the recent mixes, in tokens per second, oldest first.
+	past []sample
 }
 
 // New returns a planner without groups.
@@ -163,9 +120,6 @@
 	if config.MixedEfficiency == 0 {
 		config.MixedEfficiency = defaultMixedEfficiency
 	}
-	if config.OffRoleEfficiency == 0 {
-		config.OffRoleEfficiency = defaultOffRoleEfficiency
-	}
 	return &Planner{config: config}
 }
 
@@ -203,8 +157,7 @@
 			return g
 		}
 	}
-	g := &group{Group: Group{Name: name}, started: now, evalAt: now, shiftAt: now, reference: noReference,
-		dwellSeconds: p.config.Dwell.Seconds()}
+	g := &group{Group: Group{Name: name}, evalAt: now, shiftAt: now, dwellSeconds: p.config.Dwell.Seconds()}
 	g.setDefaults()
 	p.groups = append(p.groups, g)
 	return g
@@ -243,68 +196,42 @@
 	gap := g.TargetGap.Seconds()
 	perSequence := math.Max(e.Speed.Slope+e.Speed.Context*g.meanContext, engineSecondFloor)
 	batch := math.Max(math.Min((gap-e.Speed.Base)/perSequence, maxBatch), 1)
-	e.prefillRate = prefillUse / math.Max(e.Speed.PrefillWork, engineSecondFloor)
+	e.prefillRate = 1 / math.Max(e.Speed.PrefillWork, engineSecondFloor)
 	e.decodeRate = batch / math.Max(e.Speed.Step(batch, batch*g.meanContext), engineSecondFloor)
 }
 
-// updateContext moves the mean context to that of the recent demand.
-func (g *group) updateContext(now fleet.Instant) {
-	output := g.output[middleHorizon].rate(now, g.started, horizons[middleHorizon])
-	if output < engineSecondFloor {
+// setContext sets the mean context to that of a demand.
+func (g *group) setContext(d sample) {
+	if d.output < engineSecondFloor {
 		return
 	}
-	g.meanContext = g.context.rate(now, g.started, horizons[middleHorizon]) / output
+	g.meanContext = d.context / d.output
 	for _, e := range g.engines {
 		g.setRates(e)
 	}
 }
 
 func (g *group) addDemand(now fleet.Instant, d Demand) {
-	if !g.seen {
-		g.seen, g.started, g.evalAt, g.shiftAt = true, now, now, now
-	}
 	g.demandAt = now
-	g.context.decay(now, horizons[middleHorizon])
-	g.context.sum += d.ContextTokens
-	g.requests.decay(now, horizons[shortHorizon])
-	g.requests.sum += d.Requests
-	g.late.decay(now, horizons[shortHorizon])
-	g.late.sum += d.Late
-	for h := range horizons {
-		g.prompt[h].decay(now, horizons[h])
-		g.output[h].decay(now, horizons[h])
-		g.prompt[h].sum += d.PromptTokens
-		g.output[h].sum += d.OutputTokens
-	}
-}
-
-// demand is a mix in tokens per second.
-type demand struct{ prompt, output float64 }
-
-func (g *group) demandAtHorizon(now fleet.Instant, h int) demand {
-	return demand{
-		prompt: g.prompt[h].rate(now, g.started, horizons[h]),
-		output: g.output[h].rate(now, g.started, horizons[h]),
-	}
+	g.history.add(now, sample{prompt: d.PromptTokens, output: d.OutputTokens, context: d.ContextTokens})
 }
 
-// work returns the demand in mean engine-seconds per second and the share of
-// prefill in it.
-func (g *group) work(d demand) (total, share float64) {
-	var prefill, decode, n float64
+// work returns the engine-seconds of a demand on mean engines of the right
+// role. It is linear in the demand, so that parts of a demand add up.
+func (g *group) work(d sample) (prefill, decode float64) {
+	var prefillRate, slope, context, n float64
 	for _, e := range g.engines {
-		prefill += e.prefillRate
-		decode += e.decodeRate
+		// A full batch spends on its sequences what the gap leaves beyond Base.
+		useful := math.Max(1-e.Speed.Base/g.TargetGap.Seconds(), minUseful)
+		prefillRate += e.prefillRate
+		slope += useful / math.Max(e.Speed.Slope, engineSecondFloor)
+		context += useful / math.Max(e.Speed.Context, engineSecondFloor)
 		n++
 	}
 	if n == 0 {
 		return 0, 0
 	}
-	a, b := d.prompt*n/prefill, d.output*n/decode
-	if a+b < engineSecondFloor {
-		return 0, 0
-	}
-	return a + b, a / (a + b)
+	return d.prompt * n / prefillRate, d.output*n/slope + d.context*n/context
 }
 
 func (p *Planner) evaluate(now fleet.Instant, g *group) {
@@ -312,48 +239,57 @@
 		return
 	}
 	g.evalAt = now
-	g.updateContext(now)
 	if g.pending != pendingNothing && now-g.pendingAt > settleLimit {
 		g.pending = pendingNothing
 	}
-	if !g.seen || now-g.demandAt > staleAfter || now-g.started < warmupHorizons*horizons[middleHorizon] {
+	if now-g.demandAt > staleAfter {
 		return
 	}
-	if !g.trackShift(now) || g.pending != pendingNothing || g.budget <= 0 {
+	if before, ok := g.history.shifted(g.work); ok {
+		g.startShift(now, before)
+	}
+	if g.budget <= 0 || g.pending != pendingNothing || now-g.shiftAt > actLimit {
 		return
 	}
-	p.propose(now, g)
+	if d, ok := g.history.current(); ok {
+		p.propose(now, g, d)
+	}
 }
 
-// trackShift notices shifts of the mix and refills the budget of changes; it
-// reports whether the mix has settled.
-func (g *group) trackShift(now fleet.Instant) bool {
-	total, short := g.work(g.demandAtHorizon(now, shortHorizon))
-	_, middle := g.work(g.demandAtHorizon(now, middleHorizon))
-	if total < minDemandSeconds {
-		return false
+// startShift learns the dwell time and the mix that has ended, and grants the
+// changes for the new one.
+func (g *group) startShift(now fleet.Instant, ended sample) {
+	g.remember(ended)
+	interval := math.Min(math.Max((now-g.shiftAt).Seconds(), minDwell.Seconds()), maxDwell.Seconds())
+	g.dwellSeconds += dwellGain * (interval - g.dwellSeconds)
+	g.shiftAt, g.budget = now, g.changesPerShift()
+}
+
+func (g *group) changesPerShift() int {
+	if g.Weight >= heavyWeight {
+		return 1
 	}
-	if math.Abs(short-middle) > settledDistance {
-		if !g.unsettled {
-			g.unsettled, g.unsettledAt = true, now
-		}
-		if now-g.unsettledAt < driftLimit {
-			return false
+	return changesPerShift
+}
+
+// remember keeps a mix among the recent ones in place of a similar one.
+func (g *group) remember(d sample) {
+	share := g.share(d)
+	kept := g.past[:0]
+	for _, m := range g.past {
+		if math.Abs(g.share(m)-share) > shiftDistance {
+			kept = append(kept, m)
 		}
-	} else {
-		g.unsettled = false
 	}
-	if g.reference == noReference || math.Abs(middle-g.reference) > shiftDistance {
-		if g.reference != noReference {
-			interval := math.Min(math.Max((now-g.shiftAt).Seconds(), minDwell.Seconds()), maxDwell.Seconds())
-			g.dwellSeconds += dwellGain * (interval - g.dwellSeconds)
-		}
-		g.reference, g.shiftAt, g.budget = middle, now, changesPerShift
-		if g.Weight >= heavyWeight {
-			g.budget = 1
-		}
+	if len(kept) == maxPast {
+		kept = kept[:copy(kept, kept[1:])]
 	}
-	return true
+	g.past = append(kept, d)
+}
+
+func (g *group) share(d sample) float64 {
+	prefill, decode := g.work(d)
+	return prefill / math.Max(prefill+decode, engineSecondFloor)
 }
 
 // move is one possible change and its gain in engine-seconds.
@@ -364,48 +300,37 @@
 	rise   float64
 }
 
-// use is the utilisation up to which demand is expected to be on time. When more
-// is missed than the model explains, the model is too hopeful and use falls to
-// what the present division, with the given multiple, carries in fact.
-func (g *group) use(multiple float64) float64 {
-	if g.requests.sum < minRequests {
-		return plannedUse
-	}
-	onTime := 1 - g.late.sum/g.requests.sum
-	return math.Max(math.Min(plannedUse, onTime/math.Max(multiple, engineSecondFloor)), minUse)
-}
-
-func (p *Planner) propose(now fleet.Instant, g *group) {
-	if g.requests.sum >= minRequests && g.late.sum < minLate*g.requests.sum {
+func (p *Planner) propose(now fleet.Instant, g *group, d sample) {
+	g.setContext(d)
+	prefill, decode := g.work(d)
+	work := prefill + decode
+	if work < engineSecondFloor {
 		return
 	}
-	short, middle := g.demandAtHorizon(now, shortHorizon), g.demandAtHorizon(now, middleHorizon)
-	work, share := g.work(middle)
+	share := prefill / work
 	division := p.division(g)
-	scratch := make([]option, 0, len(division)+1)
-	use := g.use(multiple(division, short))
-	before, beforeShort := carried(division, middle, use), carried(division, short, use)
-	if math.Min(before, beforeShort) > 1-minGain {
-		return
-	}
+	before := carried(division, d, share)
+	later := g.otherMixes(share)
+	laterBefore := p.carriedLater(g, division, nil, later)
 	var moves []move
 	best := 0.0
 	for _, e := range g.engines {
 		if !g.changeable(now, e) {
 			continue
 		}
-		for r := range fleet.Role(numberOfRoles) {
+		for _, r := range [...]fleet.Role{fleet.RolePrefill, fleet.RoleDecode} {
 			if r == e.Role {
 				continue
 			}
-			scratch = p.with(scratch, division, e, r)
-			rise := math.Min(carried(scratch, middle, use)-before, carried(scratch, short, use)-beforeShort)
+			with := division.with(p, e, r)
+			rise := carried(with, d, share) - before
 			if rise < minGain {
 				continue
 			}
+			rise += p.carriedLater(g, with, &move{engine: e, to: r}, later) - laterBefore
 			price := g.Weight * p.config.ChangeTime.Seconds() * g.relativeSpeed(e)
 			gain := rise*work*g.dwellSeconds - price
-			if gain > 0 {
+			if rise >= minGain && gain > 0 {
 				moves = append(moves, move{e, r, gain, rise})
 				best = math.Max(best, gain)
 			}
@@ -424,6 +349,65 @@
 	})
 }
 
+// mix is a demand in tokens per second and its prefill share.
+type mix struct {
+	demand sample
+	share  float64
+}
+
+// otherMixes returns the recent mixes that the present one may shift to.
+func (g *group) otherMixes(share float64) []mix {
+	var out []mix
+	for _, d := range g.past {
+		if s := g.share(d); math.Abs(s-share) > shiftDistance {
+			out = append(out, mix{d, s})
+		}
+	}
+	return out
+}
+
+// carriedLater returns the mean part of the given mixes that a division carries
+// after the changes that a shift allows. A division that is good now may be too
+// far from those that the next mixes need.
+func (p *Planner) carriedLater(g *group, d division, done *move, mixes []mix) float64 {
+	sum := 0.0
+	for _, m := range mixes {
+		sum += p.reach(g, d, done, m) / float64(len(mixes))
+	}
+	return sum
+}
+
+// reach returns the part of a mix that is carried after the best changes of one
+// shift, each chosen for itself. A move that was already made is given as done.
+func (p *Planner) reach(g *group, d division, done *move, m mix) float64 {
+	var changed [changesPerShift]*engine
+	best := carried(d, m.demand, m.share)
+	for i := range g.changesPerShift() {
+		next := d
+		var tried [numberOfRoles]int
+		for _, e := range g.engines {
+			role := e.Role
+			if done != nil && done.engine == e {
+				role = done.to
+			}
+			if !e.Available || slices.Contains(changed[:i], e) || tried[role] == reachEngines {
+				continue
+			}
+			tried[role]++
+			for _, r := range [...]fleet.Role{fleet.RolePrefill, fleet.RoleDecode} {
+				with := d
+				with.add(p, e, role, -1)
+				with.add(p, e, r, 1)
+				if c := carried(with, m.demand, m.share); c > best {
+					best, next, changed[i] = c, with, e
+				}
+			}
+		}
+		d = next
+	}
+	return best
+}
+
 // pickMove prefers the most lightly loaded engine among nearly equal gains.
 func pickMove(moves []move, best float64) move {
 	var out move
@@ -464,96 +448,57 @@
 	return (e.prefillRate*n/prefill + e.decodeRate*n/decode) / 2
 }
 
-// option is an engine's capacity if it only prefilled or only decoded.
-type option struct {
-	engine          *engine
-	prefill, decode float64
-	// advantage is the comparative advantage in prefill.
-	advantage float64
-}
-
-func (p *Planner) option(e *engine, role fleet.Role) option {
-	prefill, decode := p.efficiency(role)
-	prefill *= e.prefillRate
-	decode *= e.decodeRate
-	return option{e, prefill, decode, prefill / math.Max(decode, engineSecondFloor)}
-}
+// division is the capacity of the available engines in tokens per second. Work
+// outside an engine's role is left out: decode engines take longer over a long
+// prompt than its first-token target allows, and prefill engines exceed the
+// token gap. Mixed engines do either.
+type division struct{ prefill, decode, mixedPrefill, mixedDecode float64 }
 
-// division returns the available engines in order of comparative advantage.
-func (p *Planner) division(g *group) []option {
-	options := make([]option, 0, len(g.engines))
+func (p *Planner) division(g *group) division {
+	var d division
 	for _, e := range g.engines {
 		if e.Available {
-			options = append(options, p.option(e, e.Role))
+			d.add(p, e, e.Role, 1)
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.advantage, a.advantage) })
-	return options
+	return d
 }
 
-// with returns a division with one engine in another role. It fills scratch:
-// sorting again for each of two moves of 284 engines took 59 ms per evaluation.
-func (p *Planner) with(scratch, division []option, e *engine, to fleet.Role) []option {
-	scratch = scratch[:0]
-	changed, placed := p.option(e, to), false
-	for _, o := range division {
-		if o.engine == e {
-			continue
-		}
-		if !placed && changed.advantage > o.advantage {
-			scratch, placed = append(scratch, changed), true
-		}
-		scratch = append(scratch, o)
-	}
-	if !placed {
-		scratch = append(scratch, changed)
+func (d *division) add(p *Planner, e *engine, role fleet.Role, sign float64) {
+	switch role {
+	case fleet.RolePrefill:
+		d.prefill += sign * e.prefillRate
+	case fleet.RoleDecode:
+		d.decode += sign * e.decodeRate
+	default:
+		d.mixedPrefill += sign * p.config.MixedEfficiency * e.prefillRate
+		d.mixedDecode += sign * p.config.MixedEfficiency * e.decodeRate
 	}
-	return scratch
 }
 
-// carried returns the part of a demand that a division carries on time, 0 to 1.
-func carried(division []option, d demand, use float64) float64 {
-	return math.Min(1, use*multiple(division, d))
+// with returns the division after a change of one engine.
+func (d division) with(p *Planner, e *engine, to fleet.Role) division {
+	d.add(p, e, e.Role, -1)
+	d.add(p, e, to, 1)
+	return d
 }
 
-func (p *Planner) efficiency(role fleet.Role) (prefill, decode float64) {
-	switch role {
-	case fleet.RolePrefill:
-		return 1, p.config.OffRoleEfficiency
-	case fleet.RoleDecode:
-		return p.config.OffRoleEfficiency, 1
-	}
-	return p.config.MixedEfficiency, p.config.MixedEfficiency
-}
-
-// multiple returns the largest multiple of the demand that the engines, in order
-// of comparative advantage, can carry when each divides its time freely. It walks the frontier of possible
-// (prefill, decode) totals in order of comparative advantage.
-func multiple(options []option, d demand) float64 {
-	prefill, decode := 0.0, 0.0
-	for _, o := range options {
-		decode += o.decode
-	}
-	for _, o := range options {
-		// With a part x of this engine prefilling, the totals are in the
-		// proportion of the demand when
-		// (prefill + x*o.prefill)*d.output = (decode - x*o.decode)*d.prompt.
-		x := (decode*d.prompt - prefill*d.output) / math.Max(o.prefill*d.output+o.decode*d.prompt, engineSecondFloor)
-		if x <= 1 {
-			x = math.Max(x, 0)
-			prefill += x * o.prefill
-			decode -= x * o.decode
-			break
-		}
-		prefill += o.prefill
-		decode -= o.decode
+// carried returns the part of a demand, in tokens per second, that a division
+// carries on time, 0 to 1; share is the prefill share of the work.
+func carried(d division, demand sample, share float64) float64 {
+	prefillOn := func(part float64) float64 {
+		return math.Min(1, prefillUse*(d.prefill+part*d.mixedPrefill)/math.Max(demand.prompt, engineSecondFloor))
 	}
-	m := math.Inf(1)
-	if d.prompt > 0 {
-		m = math.Min(m, prefill/d.prompt)
+	decodeOn := func(part float64) float64 {
+		return math.Min(1, decodeUse*(d.decode+part*d.mixedDecode)/math.Max(demand.output, engineSecondFloor))
 	}
-	if d.output > 0 {
-		m = math.Min(m, decode/d.output)
+	best := 0.0
+	for i := range mixedSteps + 1 {
+		part := float64(i) / mixedSteps
+		best = math.Max(best, share*prefillOn(part)+(1-share)*math.Pow(decodeOn(1-part), decodeLoss))
+		if d.mixedPrefill == 0 {
+			break
+		}
 	}
-	return m
+	return best
 }
