core/role: judge the new mix from four samples and decode at its capacity

Cause: after 3 s the estimate of the new mix was noisy enough to choose a slow engine, and the value of a division allowed decode 15% above its capacity.

Change: four samples estimate the new mix, decode counts up to its capacity with a square loss above it. Table tests cover steady load, changes per shift, the time to a change, the last engine of a role, withdrawn engines, late reports and one change at a time. The test of the last engine of a role has shifts now, because without them the planner changes nothing.

--- a/core/role/history.go
+++ b/core/role/history.go
@@ -14,8 +14,9 @@
 	maxSamples = 64
 	// minSamples is how many samples the noise is estimated from at least.
 	minSamples = 16
-	// settleSamples is how many samples after a shift estimate the new mix.
-	settleSamples = 3
+	// settleSamples is how many samples after a shift estimate the new mix. With
+	// 3, goodput in MixShift at Hrafnsey was 73.4% instead of 78.7%.
+	settleSamples = 4
 	// shiftDistance is the least change of the prefill share that counts as a
 	// shift of the mix.
 	shiftDistance = 0.12
--- a/core/role/plan.go
+++ b/core/role/plan.go
@@ -50,14 +50,10 @@
 	// within its first-token targets: prefill queues up in bursts. In MixShift
 	// 0.63 to 0.74 of the demand's ratio to the prefill engines' time was carried.
 	prefillUse = 0.7
-	// decodeUse is the same for decode. It exceeds 1 because a part of the token
-	// gaps may be late and prefill engines decode some short answers; in MixShift
-	// decode engines kept up to a ratio of 1.1 and no longer at 1.2.
-	decodeUse = 1.15
 	// decodeLoss is the exponent of the carried part of the decode work. A batch
 	// above the token gap target makes all its answers late, while prefill above
 	// the capacity is refused one request at a time.
-	decodeLoss = 3
+	decodeLoss = 2
 	// minGain is the least rise of the carried part of the demand for which a
 	// change is made; smaller ones are within the error of the estimates.
 	minGain = 0.03
@@ -490,7 +486,7 @@
 		return math.Min(1, prefillUse*(d.prefill+part*d.mixedPrefill)/math.Max(demand.prompt, engineSecondFloor))
 	}
 	decodeOn := func(part float64) float64 {
-		return math.Min(1, decodeUse*(d.decode+part*d.mixedDecode)/math.Max(demand.output, engineSecondFloor))
+		return math.Min(1, (d.decode+part*d.mixedDecode)/math.Max(demand.output, engineSecondFloor))
 	}
 	best := 0.0
 	for i := range mixedSteps + 1 {
--- a/core/role/plan_test.go
+++ b/core/role/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +21,10 @@
 	seed    uint64
 	changes []role.Change
 	ends    map[int]fleet.Instant
+	// late is the role whose engines' reports are a minute old, if not mixed.
+	late fleet.Role
+	// never tells that changes do not end.
+	never bool
 }
 
 func newLoop(n int, weight float64, seed uint64) *fleetLoop {
@@ -58,11 +63,14 @@
 		}
 		l.p.Step(l.now, ev)
 		for i := range l.engines {
-			if until, ok := l.ends[i]; ok && l.now >= until {
+			if until, ok := l.ends[i]; ok && l.now >= until && !l.never {
 				delete(l.ends, i)
 				l.engines[i].Available = true
 			}
 			l.engines[i].At = l.now - time.Second
+			if l.late != fleet.RoleMixed && l.engines[i].Role == l.late {
+				l.engines[i].At = l.now - time.Minute
+			}
 			l.p.Step(l.now, l.engines[i])
 		}
 		for _, c := range l.p.Ready() {
@@ -133,16 +141,59 @@
 	}
 }
 
-// TestKeepsLastOfRole guards against a role that no available engine has, and
-// against changes at engines that are withdrawn or reported late.
-func TestKeepsLastOfRole(t *testing.T) {
-	l := newLoop(4, 1, 1)
-	l.engines[0].Available = false
-	l.run(20*time.Minute, 6, 200, 600)
-	for _, c := range l.changes {
-		if c.Upstream == "e00" || c.Upstream == "e02" {
-			t.Fatalf("changed %+v", c)
+// TestPrompt guards against changes that come too late in a phase of three
+// minutes, and against a shift that is met by the wrong direction.
+func TestPrompt(t *testing.T) {
+	for seed := uint64(1); seed <= 10; seed++ {
+		l := newLoop(12, 1, seed)
+		l.run(3*time.Minute, answerHeavyRate, answerHeavyPrompt, answerHeavyOutput)
+		shift := l.now
+		l.run(15*time.Second, promptHeavyRate, promptHeavyPrompt, promptHeavyOutput)
+		if len(l.changes) == 0 || l.changes[0].To != fleet.RolePrefill {
+			t.Errorf("seed %d: %+v within 15 s of the shift at %v", seed, l.changes, shift)
+		}
+	}
+}
+
+// TestChangeable guards against a role that no available engine has, and
+// against changes at engines that are withdrawn or whose reports are late.
+func TestChangeable(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(*fleetLoop)
+		barred  []fleet.UpstreamID
+	}{
+		{"one engine of a role is left", func(l *fleetLoop) { l.engines[0].Available = false }, []fleet.UpstreamID{"e00", "e02"}},
+		{"an engine is withdrawn", func(l *fleetLoop) { l.engines[0].Available = false }, []fleet.UpstreamID{"e00"}},
+		{"reports of a role are late", func(l *fleetLoop) { l.late = fleet.RolePrefill }, []fleet.UpstreamID{"e00", "e02"}},
+	} {
+		l := newLoop(4, 1, 1)
+		c.prepare(l)
+		l.run(4*time.Minute, 2, 6000, 100)
+		for range 3 {
+			l.run(4*time.Minute, 6, 200, 600)
+			l.run(4*time.Minute, 2, 6000, 100)
 		}
+		if len(l.changes) == 0 {
+			t.Errorf("%s: no change at the other engines", c.name)
+		}
+		for _, change := range l.changes {
+			if slices.Contains(c.barred, change.Upstream) {
+				t.Errorf("%s: %+v", c.name, change)
+			}
+		}
+	}
+}
+
+// TestOneChangeAtATime guards against a second change of a group before the
+// first has ended.
+func TestOneChangeAtATime(t *testing.T) {
+	l := newLoop(12, 1, 1)
+	l.never = true
+	l.run(3*time.Minute, answerHeavyRate, answerHeavyPrompt, answerHeavyOutput)
+	l.run(time.Minute, promptHeavyRate, promptHeavyPrompt, promptHeavyOutput)
+	if len(l.changes) != 1 {
+		t.Errorf("%d changes while the first goes on", len(l.changes))
 	}
 }
 
