--- a/mixshift/deployment.go
+++ b/mixshift/deployment.go
@@ -35,8 +35,11 @@
 	Delay time.Duration
 	// RoleChangeWeight is the declared weight of a role change.
 	RoleChangeWeight float64
-	long, wordy      kindSpec
-	short            kindSpec
+	// PrefillEngines are declared to prefill at the start, the others to decode.
+	// None selects the best division for the mean mix.
+	PrefillEngines []int
+	long, wordy    kindSpec
+	short          kindSpec
 }
 
 const (
@@ -73,9 +76,13 @@
 func Hrafnsey() Deployment {
 	return Deployment{
 		Name: "hrafnsey", Speeds: speeds(12), Delay: time.Millisecond, RoleChangeWeight: 3,
-		long:  kindSpec{Kind: kind("ledger", time.Second, 20*time.Second, 10), promptMin: 8000, promptMax: 24000, outputMin: 30, outputMax: 100, followUp: 0.25},
-		wordy: kindSpec{Kind: kind("advice", 2*time.Second, 60*time.Second, 5), promptMin: 200, promptMax: 1000, outputMin: 200, outputMax: 600},
-		short: kindSpec{Kind: kind("word", 4*time.Second, 30*time.Second, 0), promptMin: 50, promptMax: 300, outputMin: 10, outputMax: 60},
+		// One engine can change per shift, so the declared roles lean to decode: a
+		// shortage of prefill loses single requests, one of decode whole batches.
+		// Every data centre has one prefill engine for the time of a partition.
+		PrefillEngines: []int{0, 9, 10, 11},
+		long:           kindSpec{Kind: kind("ledger", time.Second, 20*time.Second, 10), promptMin: 8000, promptMax: 24000, outputMin: 30, outputMax: 100, followUp: 0.25},
+		wordy:          kindSpec{Kind: kind("advice", 2*time.Second, 60*time.Second, 5), promptMin: 200, promptMax: 1000, outputMin: 200, outputMax: 600},
+		short:          kindSpec{Kind: kind("word", 4*time.Second, 30*time.Second, 0), promptMin: 50, promptMax: 300, outputMin: 10, outputMax: 60},
 	}
 }
 
--- a/mixshift/policy.go
+++ b/mixshift/policy.go
@@ -8,7 +8,7 @@
 // Policies lists what the measurement compares; "full" is the product's.
 func Policies() []Policy {
 	return []Policy{
-		{Name: "full", scheduler: core, roles: bestFixedRoles, planner: newRolePlanner},
+		{Name: "full", scheduler: core, roles: declaredRoles, planner: newRolePlanner},
 		{Name: "round_robin", scheduler: baselineOf(roundRobin), roles: bestFixedRoles},
 		{Name: "least_in_flight", scheduler: baselineOf(leastInFlight), roles: bestFixedRoles},
 		{Name: "least_in_flight_mixed", scheduler: baselineOf(leastInFlight), roles: mixedRoles},
@@ -20,7 +20,7 @@
 // Ablations lists the product's policy with one mechanism off each.
 func Ablations() []Policy {
 	off := func(name string, a sched.Ablate) Policy {
-		return Policy{Name: name, scheduler: coreWith(a), roles: bestFixedRoles, planner: newRolePlanner}
+		return Policy{Name: name, scheduler: coreWith(a), roles: declaredRoles, planner: newRolePlanner}
 	}
 	return []Policy{
 		off("no_prefix", sched.Ablate{NoPrefix: true}),
@@ -30,7 +30,7 @@
 		off("no_split", sched.Ablate{NoSplit: true}),
 		off("no_learning", sched.Ablate{NoLearning: true}),
 		off("no_slack", sched.Ablate{NoSlack: true}),
-		{Name: "no_role_changes", scheduler: core, roles: bestFixedRoles},
+		{Name: "no_role_changes", scheduler: core, roles: declaredRoles},
 	}
 }
 
--- a/mixshift/run.go
+++ b/mixshift/run.go
@@ -30,6 +30,22 @@
 	return roles
 }
 
+// declaredRoles returns the roles that the operators of a deployment declare, or
+// the best fixed ones when they declare none.
+func declaredRoles(d Deployment) []fleet.Role {
+	if len(d.PrefillEngines) == 0 {
+		return bestFixedRoles(d)
+	}
+	roles := make([]fleet.Role, len(d.Speeds))
+	for i := range roles {
+		roles[i] = fleet.RoleDecode
+	}
+	for _, i := range d.PrefillEngines {
+		roles[i] = fleet.RolePrefill
+	}
+	return roles
+}
+
 func mixedRoles(d Deployment) []fleet.Role { return make([]fleet.Role, len(d.Speeds)) }
 
 // Result is the row that a run prints.
