core/role: remove counts of requests from the planner's demand

Cause: the planner detects shifts from tokens that arrive and no longer reads how many requests are late.

Change: Demand loses Requests and Late. The scheduler still counts both.

--- a/core/role/event.go
+++ b/core/role/event.go
@@ -49,8 +49,6 @@
 		// ContextTokens is the KV cache that the output tokens read: the sum
 		// over them of the tokens before each.
 		ContextTokens float64
-		// Requests arrived; Late of them were refused or missed a target.
-		Requests, Late float64
 	}
 	// Settled ends the change in progress of a group. Without it a change
 	// ends when the engine is available in its new role.
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -114,7 +114,7 @@
 	if d := r.demand[group]; d != nil {
 		r.planner.Step(now, role.Demand{
 			Group: group, PromptTokens: d.PromptTokens, OutputTokens: d.OutputTokens,
-			ContextTokens: d.ContextTokens, Requests: d.Requests, Late: d.Late,
+			ContextTokens: d.ContextTokens,
 		})
 	}
 }
--- a/mixshift/planner.go
+++ b/mixshift/planner.go
@@ -38,8 +38,6 @@
 		total.PromptTokens += d.PromptTokens
 		total.OutputTokens += d.OutputTokens
 		total.ContextTokens += d.ContextTokens
-		total.Requests += d.Requests
-		total.Late += d.Late
 	}
 	s.demand = s.demand[:0]
 	p.planner.Step(now, total)
