core/role: ignore idle periods and count changes made elsewhere

Cause: after an idle time the noise estimate was zero, so one request looked like a shift. A change made by another data centre's planner or an operator did not count against the changes of the shift.

Change: periods without demand are left out of the samples. A role that changes without a pending change of this planner takes one from the budget.

--- a/core/role/history.go
+++ b/core/role/history.go
@@ -47,7 +47,7 @@
 
 // history detects change points of the mix in the samples since the last one.
 type history struct {
-	// samples are the newest whole periods; open is the present one.
+	// samples are the newest whole periods with demand; open is the present one.
 	samples []sample
 	open    sample
 	openAt  fleet.Instant
@@ -70,19 +70,28 @@
 // close ends the periods before now.
 func (h *history) close(now fleet.Instant) {
 	for ; now-h.openAt >= samplePeriod; h.openAt += samplePeriod {
-		if len(h.samples) == maxSamples {
-			copy(h.samples, h.samples[1:])
-			h.samples = h.samples[:maxSamples-1]
-		}
-		h.samples = append(h.samples, h.open)
 		if h.count < maxSamples {
 			h.regime.add(h.open)
 			h.count++
 		}
+		h.keep(h.open)
 		h.open = sample{}
 	}
 }
 
+// keep adds a whole period. Empty ones say nothing about the mix, and the noise
+// of an idle time would make the first requests after it a shift.
+func (h *history) keep(s sample) {
+	if s == (sample{}) {
+		return
+	}
+	if len(h.samples) == maxSamples {
+		copy(h.samples, h.samples[1:])
+		h.samples = h.samples[:maxSamples-1]
+	}
+	h.samples = append(h.samples, s)
+}
+
 // current returns the tokens per second of the present mix; ok is false until
 // enough has been seen of it.
 func (h *history) current() (mean sample, ok bool) {
@@ -95,7 +104,7 @@
 // shifted reports a shift of the prefill share of the work with the mean of the
 // mix before it, and starts over with the samples after it.
 func (h *history) shifted(work func(sample) (prefill, decode float64)) (before sample, ok bool) {
-	if h.count < minSamples {
+	if len(h.samples) < minSamples {
 		return sample{}, false
 	}
 	prefill, decode := work(h.regime)
--- a/core/role/plan.go
+++ b/core/role/plan.go
@@ -179,6 +179,10 @@
 	if s.At < e.At {
 		return
 	}
+	known := e.Group != ""
+	if known && s.Role != e.Role && g.pending != s.Upstream {
+		g.changedElsewhere()
+	}
 	e.EngineState = s
 	g.setRates(e)
 	if g.pending == s.Upstream && s.Available && s.Role == g.pendingTo {
@@ -186,6 +190,12 @@
 	}
 }
 
+// changedElsewhere counts a change that another data centre's planner or an
+// operator made against the changes of this shift.
+func (g *group) changedElsewhere() {
+	g.budget = max(g.budget-1, 0)
+}
+
 // setRates computes the tokens per second of an engine that keeps the token gap
 // target with sequences of the group's mean context.
 func (g *group) setRates(e *engine) {
--- a/core/role/plan_test.go
+++ b/core/role/plan_test.go
@@ -110,6 +110,19 @@
 	}
 }
 
+// TestChangedElsewhere guards against more changes per shift than declared when
+// another planner has made them first.
+func TestChangedElsewhere(t *testing.T) {
+	l := newLoop(12, 1, 1)
+	l.run(3*time.Minute, answerHeavyRate, answerHeavyPrompt, answerHeavyOutput)
+	l.run(9*time.Second, promptHeavyRate, promptHeavyPrompt, promptHeavyOutput)
+	l.engines[11].Role = fleet.RoleMixed
+	l.run(3*time.Minute, promptHeavyRate, promptHeavyPrompt, promptHeavyOutput)
+	if len(l.changes) != 1 {
+		t.Errorf("%d changes besides one made elsewhere", len(l.changes))
+	}
+}
+
 // TestShifts guards against more changes per shift than declared, and against
 // a planner that never changes anything.
 func TestShifts(t *testing.T) {
