--- a/core/role/plan_test.go
+++ b/core/role/plan_test.go
@@ -210,19 +210,23 @@
 	}
 }
 
-// BenchmarkPlan measures one evaluation of an overloaded group with the
-// engines of the largest region at the two-year size. A planner evaluates every
-// two seconds at most.
+// BenchmarkPlan measures one evaluation of an overloaded group with the engines
+// of the largest region at the two-year size. The mix shifts every minute, so
+// that nearly all evaluations look for a change; the weight forbids it. A planner
+// evaluates every second at most.
 func BenchmarkPlan(b *testing.B) {
-	l := newLoop(284, 1e9, 1)
+	l := newLoop(284, 1, 1)
+	l.p.Step(0, role.Group{Name: "g", Weight: 1e9, TargetGap: 74 * time.Millisecond})
 	l.run(2*time.Minute, 600, answerHeavyPrompt, answerHeavyOutput)
-	for b.Loop() {
-		l.now += 2 * time.Second
-		for i := range l.engines {
-			l.engines[i].At = l.now
-		}
-		l.p.Step(l.now, role.Demand{Group: "g", PromptTokens: 1e6, OutputTokens: 1e6})
+	mixes := []role.Demand{
+		{Group: "g", PromptTokens: 4e6, OutputTokens: 1e5},
+		{Group: "g", PromptTokens: 5e5, OutputTokens: 4e5},
+	}
+	for i := 0; b.Loop(); i++ {
+		l.now += time.Second
+		l.p.Step(l.now, mixes[i/60%2])
 		for _, e := range l.engines {
+			e.At = l.now
 			l.p.Step(l.now, e)
 		}
 	}
