--- a/mixshift/deployment.go
+++ b/mixshift/deployment.go
@@ -78,7 +78,7 @@
 		Name: "hrafnsey", Speeds: speeds(12), Delay: time.Millisecond, RoleChangeWeight: 3,
 		// One engine can change per shift, so the declared roles lean to decode: a
 		// shortage of prefill loses single requests, one of decode whole batches.
-		// Every data centre has one prefill engine for the time of a partition.
+		// Every data centre has at least one for the time of a partition.
 		PrefillEngines: []int{0, 9, 10, 11},
 		long:           kindSpec{Kind: kind("ledger", time.Second, 20*time.Second, 10), promptMin: 8000, promptMax: 24000, outputMin: 30, outputMax: 100, followUp: 0.25},
 		wordy:          kindSpec{Kind: kind("advice", 2*time.Second, 60*time.Second, 5), promptMin: 200, promptMax: 1000, outputMin: 200, outputMax: 600},
