--- a/core/role/plan_test.go
+++ b/core/role/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +21,10 @@
 	seed    uint64
 	changes []role.Change
 	ends    map[int]fleet.Instant
+	// late is the role whose engines' reports are a minute old, if not mixed.
+	late fleet.Role
+	// never tells that changes do not end.
+	never bool
 }
 
 func newLoop(n int, weight float64, seed uint64) *fleetLoop {
@@ -58,11 +63,14 @@
 		}
 		l.p.Step(l.now, ev)
 		for i := range l.engines {
-			if until, ok := l.ends[i]; ok && l.now >= until {
+			if until, ok := l.ends[i]; ok && l.now >= until && !l.never {
 				delete(l.ends, i)
 				l.engines[i].Available = true
 			}
 			l.engines[i].At = l.now - time.Second
+			if l.late != fleet.RoleMixed && l.engines[i].Role == l.late {
+				l.engines[i].At = l.now - time.Minute
+			}
 			l.p.Step(l.now, l.engines[i])
 		}
 		for _, c := range l.p.Ready() {
@@ -102,6 +110,19 @@
 	}
 }
 
+// TestChangedElsewhere guards against more changes per shift than declared when
+// another planner has made them first.
+func TestChangedElsewhere(t *testing.T) {
+	l := newLoop(12, 1, 1)
+	l.run(3*time.Minute, answerHeavyRate, answerHeavyPrompt, answerHeavyOutput)
+	l.run(9*time.Second, promptHeavyRate, promptHeavyPrompt, promptHeavyOutput)
+	l.engines[11].Role = fleet.RoleMixed
+	l.run(3*time.Minute, promptHeavyRate, promptHeavyPrompt, promptHeavyOutput)
+	if len(l.changes) != 1 {
+		t.Errorf("%d changes besides one made elsewhere", len(l.changes))
+	}
+}
+
 // TestShifts guards against more changes per shift than declared, and against
 // a planner that never changes anything.
 func TestShifts(t *testing.T) {
@@ -133,32 +154,79 @@
 	}
 }
 
-// TestKeepsLastOfRole guards against a role that no available engine has, and
-// against changes at engines that are withdrawn or reported late.
-func TestKeepsLastOfRole(t *testing.T) {
-	l := newLoop(4, 1, 1)
-	l.engines[0].Available = false
-	l.run(20*time.Minute, 6, 200, 600)
-	for _, c := range l.changes {
-		if c.Upstream == "e00" || c.Upstream == "e02" {
-			t.Fatalf("changed %+v", c)
+// TestPrompt guards against changes that come too late in a phase of three
+// minutes, and against a shift that is met by the wrong direction.
+func TestPrompt(t *testing.T) {
+	for seed := uint64(1); seed <= 10; seed++ {
+		l := newLoop(12, 1, seed)
+		l.run(3*time.Minute, answerHeavyRate, answerHeavyPrompt, answerHeavyOutput)
+		shift := l.now
+		l.run(15*time.Second, promptHeavyRate, promptHeavyPrompt, promptHeavyOutput)
+		if len(l.changes) == 0 || l.changes[0].To != fleet.RolePrefill {
+			t.Errorf("seed %d: %+v within 15 s of the shift at %v", seed, l.changes, shift)
 		}
 	}
 }
 
-// BenchmarkPlan measures one evaluation of an overloaded group with the
-// engines of the largest region at the two-year size. A planner evaluates every
-// two seconds at most.
+// TestChangeable guards against a role that no available engine has, and
+// against changes at engines that are withdrawn or whose reports are late.
+func TestChangeable(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(*fleetLoop)
+		barred  []fleet.UpstreamID
+	}{
+		{"one engine of a role is left", func(l *fleetLoop) { l.engines[0].Available = false }, []fleet.UpstreamID{"e00", "e02"}},
+		{"an engine is withdrawn", func(l *fleetLoop) { l.engines[0].Available = false }, []fleet.UpstreamID{"e00"}},
+		{"reports of a role are late", func(l *fleetLoop) { l.late = fleet.RolePrefill }, []fleet.UpstreamID{"e00", "e02"}},
+	} {
+		l := newLoop(4, 1, 1)
+		c.prepare(l)
+		l.run(4*time.Minute, 2, 6000, 100)
+		for range 3 {
+			l.run(4*time.Minute, 6, 200, 600)
+			l.run(4*time.Minute, 2, 6000, 100)
+		}
+		if len(l.changes) == 0 {
+			t.Errorf("%s: no change at the other engines", c.name)
+		}
+		for _, change := range l.changes {
+			if slices.Contains(c.barred, change.Upstream) {
+				t.Errorf("%s: %+v", c.name, change)
+			}
+		}
+	}
+}
+
+// TestOneChangeAtATime guards against a second change of a group before the
+// first has ended.
+func TestOneChangeAtATime(t *testing.T) {
+	l := newLoop(12, 1, 1)
+	l.never = true
+	l.run(3*time.Minute, answerHeavyRate, answerHeavyPrompt, answerHeavyOutput)
+	l.run(time.Minute, promptHeavyRate, promptHeavyPrompt, promptHeavyOutput)
+	if len(l.changes) != 1 {
+		t.Errorf("%d changes while the first goes on", len(l.changes))
+	}
+}
+
+// BenchmarkPlan measures one evaluation of an overloaded group with the engines
+// of the largest region at the two-year size. The mix shifts every minute, so
+// that nearly all evaluations look for a change; the weight forbids it. A planner
+// evaluates every second at most.
 func BenchmarkPlan(b *testing.B) {
-	l := newLoop(284, 1e9, 1)
+	l := newLoop(284, 1, 1)
+	l.p.Step(0, role.Group{Name: "g", Weight: 1e9, TargetGap: 74 * time.Millisecond})
 	l.run(2*time.Minute, 600, answerHeavyPrompt, answerHeavyOutput)
-	for b.Loop() {
-		l.now += 2 * time.Second
-		for i := range l.engines {
-			l.engines[i].At = l.now
-		}
-		l.p.Step(l.now, role.Demand{Group: "g", PromptTokens: 1e6, OutputTokens: 1e6})
+	mixes := []role.Demand{
+		{Group: "g", PromptTokens: 4e6, OutputTokens: 1e5},
+		{Group: "g", PromptTokens: 5e5, OutputTokens: 4e5},
+	}
+	for i := 0; b.Loop(); i++ {
+		l.now += time.Second
+		l.p.Step(l.now, mixes[i/60%2])
 		for _, e := range l.engines {
+			e.At = l.now
 			l.p.Step(l.now, e)
 		}
 	}
