Decode plain chunks without the JSON library

Cause: the CPU cost of a streamed chunk was above its target of 20 us. A profile of the request's goroutine shows 17.4 us: 10.6 in the two sockets' system calls, 1.4 in the JSON library, the rest spread over the HTTP library.

Change: chunks in the common compact form are decoded by a scanner that allocates only the text; every other event still goes through the JSON library, and FuzzChunk compares both with the standard one. A chunk reads the clock once less, and the writer keeps its response instead of asking for it.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -162,7 +162,7 @@
 		if a.keep {
 			a.text.WriteString(c.Text)
 		}
-		if err := a.out.chunk(c.Text); err != nil {
+		if err := a.out.chunk(c.Text, a.lastAt); err != nil {
 			return errCallerGone
 		}
 	}
--- a/caller/completions.go
+++ b/caller/completions.go
@@ -86,7 +86,7 @@
 		shape = chatChunkShape
 	}
 	k.events = &sseWriter{
-		k: k, shape: shape, head: shape.head(k.id, model),
+		response: k.c.Response(), pacer: k.pacer, shape: shape, head: shape.head(k.id, model),
 		withUsage: body.StreamOptions.IncludeUsage,
 	}
 	return k.events
--- a/caller/format.go
+++ b/caller/format.go
@@ -9,12 +9,15 @@
 	"time"
 	"unicode/utf8"
 
+	"github.com/labstack/echo/v4"
+
 	"github.com/bramleywick/bramleywick/core/fleet"
 )
 
 // answerWriter sends an answer to the caller in one of two shapes.
 type answerWriter interface {
-	chunk(text string) error
+	// chunk sends the next piece of the text, which arrived at the given time.
+	chunk(text string, at time.Time) error
 	end(finish string, usage fleet.Usage) error
 }
 
@@ -59,22 +62,23 @@
 
 // sseWriter streams server-sent events.
 type sseWriter struct {
-	k     *call
-	shape answerShape
-	head  string
+	response *echo.Response
+	pacer    *pacer
+	shape    answerShape
+	head     string
 	// withUsage asks for an event with the usage before the end.
 	withUsage bool
 	buffer    []byte
 }
 
 func (w *sseWriter) begin() {
-	if w.k.c.Response().Committed {
+	if w.response.Committed {
 		return
 	}
-	header := w.k.c.Response().Header()
+	header := w.response.Header()
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-cache")
-	w.k.c.Response().WriteHeader(http.StatusOK)
+	w.response.WriteHeader(http.StatusOK)
 }
 
 func (w *sseWriter) event(text string, finish string) {
@@ -91,20 +95,20 @@
 	w.buffer = append(w.buffer, "}]}\n\n"...)
 }
 
-func (w *sseWriter) flush() error {
+func (w *sseWriter) flush(now time.Time) error {
 	w.begin()
-	w.k.pacer.extend()
-	_, err := w.k.c.Response().Write(w.buffer)
+	w.pacer.extendAt(now)
+	_, err := w.response.Write(w.buffer)
 	w.buffer = w.buffer[:0]
 	if err != nil {
 		return err
 	}
-	return w.k.pacer.control.Flush()
+	return w.pacer.control.Flush()
 }
 
-func (w *sseWriter) chunk(text string) error {
+func (w *sseWriter) chunk(text string, at time.Time) error {
 	w.event(text, "")
-	return w.flush()
+	return w.flush(at)
 }
 
 func (w *sseWriter) end(finish string, usage fleet.Usage) error {
@@ -117,7 +121,7 @@
 		w.buffer = append(w.buffer, "}\n\n"...)
 	}
 	w.buffer = append(w.buffer, "data: [DONE]\n\n"...)
-	return w.flush()
+	return w.flush(time.Now())
 }
 
 // fail ends a stream that has begun with an error event.
@@ -125,7 +129,7 @@
 	w.buffer = append(w.buffer[:0], "event: error\ndata: "...)
 	w.buffer = append(w.buffer, body...)
 	w.buffer = append(w.buffer, "\n\n"...)
-	return w.flush()
+	return w.flush(time.Now())
 }
 
 // wholeWriter sends the answer as one JSON document. The text is collected by
@@ -137,7 +141,7 @@
 	text  *strings.Builder
 }
 
-func (w *wholeWriter) chunk(string) error { return nil }
+func (w *wholeWriter) chunk(string, time.Time) error { return nil }
 
 func (w *wholeWriter) end(finish string, usage fleet.Usage) error {
 	body := make([]byte, 0, len(w.head)+w.text.Len()+256)
--- a/caller/limits.go
+++ b/caller/limits.go
@@ -139,8 +139,9 @@
 	return &pacer{control: http.NewResponseController(c.Response().Writer), timeout: timeout}
 }
 
-func (p *pacer) extend() {
-	now := time.Now()
+func (p *pacer) extend() { p.extendAt(time.Now()) }
+
+func (p *pacer) extendAt(now time.Time) {
 	if now.Sub(p.set) < p.timeout/4 {
 		return
 	}
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -39,6 +39,7 @@
 // Stream is one open answer of an engine. Not safe for concurrent use.
 type Stream struct {
 	address string
+	id      fleet.RequestID
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	dog     *watchdog
@@ -53,7 +54,7 @@
 	if err != nil {
 		return nil, &Error{Step: StepComplete, Peer: address, NeverSent: true, Reason: retry.ReasonNotSent, cause: err}
 	}
-	s := &Stream{address: address}
+	s := &Stream{address: address, id: in.RequestID}
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	s.dog = newWatchdog(c.StallTimeout, s.cancel)
 	resp, err := c.post(s.ctx, StepComplete, address, "/v1/completions", raw)
@@ -78,7 +79,7 @@
 	if err != nil {
 		return Chunk{}, transportError(s.ctx, StepStream, s.address, false, err)
 	}
-	chunk, err := decodeChunk(data)
+	chunk, err := decodeChunk(data, s.id)
 	if err != nil {
 		return Chunk{}, transportError(s.ctx, StepStream, s.address, false, err)
 	}
--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -27,7 +27,7 @@
 			if len(data) > maxChunkBytes || cap(r.long) > 4*maxChunkBytes {
 				t.Fatalf("event of %d bytes, buffer of %d", len(data), cap(r.long))
 			}
-			_, _ = decodeChunk(data)
+			_, _ = decodeChunk(data, "r")
 		}
 	})
 }
@@ -36,13 +36,15 @@
 // the standard one.
 func FuzzChunk(f *testing.F) {
 	f.Add([]byte(`{"request_id":"r","seq":31,"text":"a\u00fc\n","tokens":1,"finish":"stop","usage":{"prompt_tokens":1}}`))
+	f.Add([]byte(`{"request_id":"r","seq":31,"text":"a b ","tokens":1}`))
+	f.Add([]byte(`{"request_id":"r","seq":031,"text":"a\\","tokens":1}`))
 	f.Add([]byte(`{"seq":"1"}`))
 	f.Add([]byte(`{"seq":1}x`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		if !utf8.Valid(raw) {
 			return
 		}
-		got, err := decodeChunk(raw)
+		got, err := decodeChunk(raw, "r")
 		var want Chunk
 		wantErr := json.Unmarshal(raw, &want)
 		if err == nil && wantErr != nil {
--- a/upstream/sse.go
+++ b/upstream/sse.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/segmentio/encoding/json"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
 )
 
 // maxChunkBytes bounds one server-sent event of an engine.
@@ -61,9 +63,17 @@
 	return r.long, err
 }
 
-// decodeChunk decodes one event of an engine. It runs once per token; this JSON
-// library takes 0.9 us for a chunk where the standard one takes 2.4 us.
-func decodeChunk(data []byte) (Chunk, error) {
+// decodeChunk decodes one event in the answer to the request with the given id.
+func decodeChunk(data []byte, id fleet.RequestID) (Chunk, error) {
+	if c, ok := decodePlain(data, id); ok {
+		return c, nil
+	}
+	return decodeJSON(data)
+}
+
+// decodeJSON decodes any event. This JSON library takes 0.9 us for a chunk where
+// the standard one takes 2.4 us.
+func decodeJSON(data []byte) (Chunk, error) {
 	var c Chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Chunk{}, errDecode
