Even out the exchange, shorten its frames and carry token counters

Cause: with 11 data centres the busiest daemon exceeded 22 KB/s and 1.5% of a core. The parts, in the order of their size: - Instances of other data centres, heard every 5 s, turned suspect after 3 s, and each such turn computed all assignments and partners again, which made sessions change as well. - Partners, owners of totals and pollers were drawn independently, so that one daemon had up to five times the mean of each. - Totals from other data centres were passed on one by one as they arrived. The benchmark hid this, because all its daemons sent them together. - Costs, member names, dispatches and estimates took more bytes than needed. PrefilledTotal and GeneratedTotal reached only the instance that polls an engine.

Change: only instances of the own data centre change assignments with their state. Partners are paired by rank; slots and polls go to at most the mean, rounded up. Totals are passed on once in a round, whose phase is random. Items are sorted and sent as differences of numbers in runs of one group, costs in three bytes, estimates in one. The counters go from /v1/load through the poll and the exchange in four bytes per report: the low two bytes of each, whole when the peer may know a value too old for that.

The benchmark now has turns, demand, counters, rounds that do not fall together, and 20 instead of 6 daemons per other data centre of the region.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -4,6 +4,7 @@
 package exchange
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -98,9 +99,13 @@
 	reports  map[fleet.UpstreamID]*stampedReport
 	marks    map[membership.Mark]uint64
 	// stamp numbers the changes of reports and marks.
-	stamp     uint64
-	pushes    uint64
-	owners    [slots]fleet.InstanceID
+	stamp  uint64
+	pushes uint64
+	// owners are those of this data centre, far those of the others.
+	owners ownership
+	far    map[fleet.DataCentre]*ownership
+	// inbound holds totals from other data centres until they are passed on.
+	inbound   map[itemKey]float64
 	planAt    fleet.Instant
 	roundAt   fleet.Instant
 	fetchAt   fleet.Instant
@@ -134,11 +139,12 @@
 	generation  uint64
 	incarnation fleet.Incarnation
 	kvCapacity  int
+	counters    counters
 }
 
 // New returns an exchange without peers.
 func New(config Config) *Exchange {
-	return &Exchange{
+	e := &Exchange{
 		config:   config,
 		names:    NewNames(&declare.Declaration{}),
 		random:   membership.Hash(strconv.FormatUint(config.Seed, 16), strconv.FormatUint(config.Incarnation, 16)) | 1,
@@ -146,10 +152,15 @@
 		origins:  map[fleet.InstanceID]*origin{},
 		handles:  map[uint64]*origin{},
 		outbound: map[fleet.DataCentre]map[itemKey]float64{},
+		far:      map[fleet.DataCentre]*ownership{},
+		inbound:  map[itemKey]float64{},
 		reports:  map[fleet.UpstreamID]*stampedReport{},
 		marks:    map[membership.Mark]uint64{},
 		asks:     maxAsks,
 	}
+	// Instances that start together must not send their totals together.
+	e.roundAt = fleet.Instant(e.next() % uint64(FarPeriod))
+	return e
 }
 
 // Step applies one event at the given time. Times must not decrease.
@@ -182,6 +193,7 @@
 		e.introduced(now, ev.Payload)
 	case Leave:
 		e.leaving = true
+		e.passTotals()
 		e.hurry(now)
 		e.tick(now)
 	case Tick:
@@ -258,7 +270,7 @@
 	maps.DeleteFunc(e.reports, func(id fleet.UpstreamID, _ *stampedReport) bool { return !e.names.knows(id) })
 	maps.DeleteFunc(e.marks, func(m membership.Mark, _ uint64) bool { return !e.names.knows(m.Upstream) })
 	for _, s := range e.sessions {
-		maps.DeleteFunc(s.spelt, func(id fleet.UpstreamID, _ uint64) bool { return !e.names.knows(id) })
+		maps.DeleteFunc(s.spelt, func(id fleet.UpstreamID, _ told) bool { return !e.names.knows(id) })
 	}
 	e.hurry(now)
 }
@@ -301,9 +313,10 @@
 	if now-e.planAt >= Period {
 		e.plan(now)
 	}
-	if now-e.roundAt >= FarPeriod {
-		e.roundAt = now
+	if now >= e.roundAt {
+		e.roundAt = now + e.jitter(FarPeriod)
 		e.assignTotals(now)
+		e.passTotals()
 	}
 	for _, s := range e.order {
 		e.sendDue(now, s)
@@ -336,9 +349,10 @@
 			s.period = Period
 		}
 	}
-	for dc := range others {
+	for _, dc := range slices.Sorted(maps.Keys(others)) {
 		e.choosePartners(now, dc)
 	}
+	maps.DeleteFunc(e.far, func(dc fleet.DataCentre, _ *ownership) bool { return !others[dc] })
 	maps.DeleteFunc(e.outbound, func(dc fleet.DataCentre, _ map[itemKey]float64) bool { return !others[dc] })
 	for dc := range others {
 		if e.outbound[dc] == nil {
@@ -349,9 +363,7 @@
 }
 
 func (e *Exchange) choosePartners(now fleet.Instant, dc fleet.DataCentre) {
-	key := "partner " + string(e.config.Self.ID)
-	for rank, id := range membership.Owners(key, 2, e.candidates(now, dc)) {
-		s := e.sessions[id]
+	for rank, s := range e.partners(now, dc) {
 		switch {
 		case s.period > 0:
 		case rank == 1:
@@ -364,6 +376,45 @@
 	}
 }
 
+// partners returns the partner in another data centre and the stand-by one.
+// The instances of both data centres are paired by rank: with independent
+// random choices one of 35 instances was the partner of five others, and passed
+// their reports on to all its peers.
+func (e *Exchange) partners(now fleet.Instant, dc fleet.DataCentre) []*session {
+	rank, own := 0, 1
+	var there []*session
+	for _, s := range e.order {
+		switch {
+		case e.local(s):
+			own++
+			if s.ID < e.config.Self.ID {
+				rank++
+			}
+		case s.DataCentre == dc:
+			there = append(there, s)
+		}
+	}
+	if len(there) == 0 {
+		return nil
+	}
+	slices.SortFunc(there, func(a, b *session) int { return cmp.Compare(a.ID, b.ID) })
+	// The offset keeps one instance from being the first of every pairing.
+	offset := membership.Hash(string(e.config.Self.DataCentre), string(dc)) % uint64(len(there))
+	first := (rank*len(there)/own + int(offset)) % len(there)
+	there = slices.Concat(there[first:], there[:first])
+	good := slices.DeleteFunc(slices.Clone(there), func(s *session) bool { return !usable(now, s) })
+	if len(good) == 0 {
+		good = there
+	}
+	return good[:min(2, len(good))]
+}
+
+// usable tells whether a peer answered last time, or failed long enough ago to
+// be tried again.
+func usable(now fleet.Instant, s *session) bool {
+	return s.failures < badAfter || now-s.failedAt > retryBad
+}
+
 // candidates are the instances of a data centre that answered last time, or
 // all when none did.
 func (e *Exchange) candidates(now fleet.Instant, dc fleet.DataCentre) []fleet.InstanceID {
@@ -373,7 +424,7 @@
 			continue
 		}
 		all = append(all, s.ID)
-		if s.failures < badAfter || now-s.failedAt > retryBad {
+		if usable(now, s) {
 			good = append(good, s.ID)
 		}
 	}
@@ -399,12 +450,37 @@
 	if len(members) == 0 {
 		members = append(members, e.config.Self.ID)
 	}
-	for slot := range e.owners {
-		e.owners[slot] = membership.Owner(slotKey(slot), members)
+	e.owners.assign(members)
+}
+
+// ownership divides the slots among the instances of a data centre.
+type ownership struct {
+	members []fleet.InstanceID
+	slots   []fleet.InstanceID
+}
+
+// slotKeys are hashed with every instance of a data centre.
+var slotKeys = func() (keys []string) {
+	for slot := range slots {
+		keys = append(keys, "slot "+strconv.Itoa(slot))
+	}
+	return keys
+}()
+
+// assign divides the slots again if the instances have changed.
+func (o *ownership) assign(members []fleet.InstanceID) {
+	if o.slots == nil || !slices.Equal(o.members, members) {
+		o.members, o.slots = members, membership.Balanced(slotKeys, members)
 	}
 }
 
-func slotKey(slot int) string { return "slot " + strconv.Itoa(slot) }
+// of returns the owner of a member, or "" before the first assignment.
+func (o *ownership) of(member fleet.MemberID) fleet.InstanceID {
+	if o.slots == nil {
+		return ""
+	}
+	return o.slots[slotOf(member)]
+}
 
 func slotOf(member fleet.MemberID) int { return int(membership.Hash(string(member)) % slots) }
 
@@ -412,7 +488,7 @@
 func (e *Exchange) work(shared sched.Shared) {
 	e.turns = shared.Turns
 	for _, service := range shared.Service {
-		owner := e.owners[slotOf(service.Member)]
+		owner := e.owners.of(service.Member)
 		if owner == e.config.Self.ID {
 			e.aggregate(itemKey{service.Member, service.Group, classTotal}, service.Cost)
 		}
@@ -473,13 +549,12 @@
 		if len(totals) == 0 {
 			continue
 		}
-		candidates := e.candidates(now, dc)
-		var owners [slots]*session
-		for slot := range owners {
-			owners[slot] = e.sessions[membership.Owner(slotKey(slot), candidates)]
+		if e.far[dc] == nil {
+			e.far[dc] = &ownership{}
 		}
+		e.far[dc].assign(e.candidates(now, dc))
 		for key, cost := range totals {
-			s := owners[slotOf(key.member)]
+			s := e.sessions[e.far[dc].of(key.member)]
 			if s == nil {
 				continue
 			}
@@ -496,3 +571,18 @@
 		}
 	}
 }
+
+// passTotals hands the totals from other data centres to the peers of this
+// one. Their owners send at different instants; passed on one by one, the same
+// members would go to every peer up to ten times in a round.
+func (e *Exchange) passTotals() {
+	for _, s := range e.order {
+		if !s.open || !e.local(s) {
+			continue
+		}
+		for key, cost := range e.inbound {
+			e.add(s.pending, key, cost)
+		}
+	}
+	clear(e.inbound)
+}
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -402,7 +402,7 @@
 		// The first partner of a0 in each data centre fails without notice.
 		dead := map[fleet.InstanceID]bool{}
 		for _, dc := range []fleet.DataCentre{"b", "c"} {
-			dead[membership.Owner("partner a0", w.nodes["a0"].candidates(w.now, dc))] = true
+			dead[w.nodes["a0"].partners(w.now, dc)[0].ID] = true
 		}
 		begin := w.now
 		w.nodes["a0"].Step(w.now, Marked{Mark: mark})
--- a/core/exchange/frame.go
+++ b/core/exchange/frame.go
@@ -1,6 +1,10 @@
 package exchange
 
 import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/membership"
 	"github.com/bramleywick/bramleywick/core/sched"
@@ -67,17 +71,24 @@
 
 type wireReport struct {
 	membership.Report
-	// named tells that the incarnation and its KV capacity are spelt out;
-	// otherwise they are those last spelt out for this generation.
+	// named tells that the incarnation, its KV capacity and its counters are
+	// spelt out; otherwise the first two are those last spelt out for this
+	// generation, and the counters low bytes.
 	named bool
+	// counters are those received, counted tells that there are any.
+	counters counters
+	counted  bool
 }
 
 // Units of estimates on the wire. Each saves a byte per value; their errors are
 // far below those of the estimates themselves.
 const (
-	promptUnit = 64
-	outputUnit = 16
-	kvUnit     = 1024
+	kvUnit = 1024
+	// prefilledUnit and generatedUnit are those of an engine's counters. Two
+	// reports a second apart are compared, in which a slow engine generates
+	// 200 tokens.
+	prefilledUnit = 16
+	generatedUnit = 4
 )
 
 // encode writes times as ages at the time now.
@@ -101,19 +112,8 @@
 	for _, r := range f.reports {
 		w.report(now, r)
 	}
-	w.count(len(f.service))
-	for _, i := range f.service {
-		w.name(names.members, string(i.member))
-		w.group(names.groups, i)
-		w.cost(i.cost)
-	}
-	w.count(len(f.dispatches))
-	for _, d := range f.dispatches {
-		w.name(names.upstreams, string(d.Upstream))
-		w.age(now - d.At)
-		w.coarse(d.PromptTokens, promptUnit)
-		w.coarse(d.OutputTokens, outputUnit)
-	}
+	w.service(f.service)
+	w.dispatches(now, f.dispatches)
 	w.count(len(f.turns))
 	for _, t := range f.turns {
 		w.turn(t)
@@ -125,10 +125,84 @@
 	return w.out
 }
 
+type numberedItem struct {
+	item
+	number uint64
+}
+
+// service writes runs of items of one group and class, in the order of their
+// members' numbers, as differences of the numbers.
+func (w *writer) service(unordered []item) {
+	items := make([]numberedItem, len(unordered))
+	for i, it := range unordered {
+		items[i] = numberedItem{it, w.number(w.names.members, string(it.member))}
+	}
+	slices.SortFunc(items, func(a, b numberedItem) int {
+		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.class, b.class), cmp.Compare(a.number, b.number))
+	})
+	for len(items) > 0 {
+		run := 1
+		for run < len(items) && items[run].group == items[0].group && items[run].class == items[0].class {
+			run++
+		}
+		w.count(run)
+		w.group(w.names.groups, items[0].item)
+		last := uint64(0)
+		for _, i := range items[:run] {
+			last = w.next(last, i.number, string(i.member))
+			w.cost(i.cost)
+		}
+		items = items[run:]
+	}
+	w.count(0)
+}
+
+func (r *reader) service() (out []item) {
+	for n := r.length(); n > 0; n = r.length() {
+		group, class := r.group(r.names.groups)
+		last := uint64(0)
+		for range n {
+			var name string
+			name, last = r.next(last, r.names.members)
+			out = append(out, item{itemKey{fleet.MemberID(name), group, class}, r.cost()})
+		}
+	}
+	return out
+}
+
+// dispatches are written in the order of their upstreams' numbers.
+func (w *writer) dispatches(now fleet.Instant, ds []sched.PeerDispatch) {
+	ds = slices.Clone(ds)
+	slices.SortStableFunc(ds, func(a, b sched.PeerDispatch) int {
+		return cmp.Compare(w.number(w.names.upstreams, string(a.Upstream)), w.number(w.names.upstreams, string(b.Upstream)))
+	})
+	w.count(len(ds))
+	last := uint64(0)
+	for _, d := range ds {
+		last = w.next(last, w.number(w.names.upstreams, string(d.Upstream)), string(d.Upstream))
+		w.age(now - d.At)
+		w.estimate(d.PromptTokens)
+		w.estimate(d.OutputTokens)
+	}
+}
+
+func (r *reader) dispatches(now fleet.Instant) (out []sched.PeerDispatch) {
+	last := uint64(0)
+	for range r.length() {
+		var name string
+		name, last = r.next(last, r.names.upstreams)
+		out = append(out, sched.PeerDispatch{
+			Upstream: fleet.UpstreamID(name), At: now - r.age(),
+			PromptTokens: r.estimate(), OutputTokens: r.estimate(),
+		})
+	}
+	return out
+}
+
 func (w *writer) turn(t sched.PeerTurn) {
 	w.group(w.names.groups, item{itemKey: itemKey{group: t.Group}})
 	w.flags(t.Backlogged)
-	w.cost(t.Start)
+	w.precise(t.Start)
 	w.cost(t.PrefillCost)
 	w.cost(t.TokenCost)
 }
@@ -137,7 +211,7 @@
 	group, _ := r.group(r.names.groups)
 	return sched.PeerTurn{
 		Group: group, Backlogged: r.flags()[0],
-		Start: r.cost(), PrefillCost: r.cost(), TokenCost: r.cost(),
+		Start: r.precise(), PrefillCost: r.cost(), TokenCost: r.cost(),
 	}
 }
 
@@ -183,7 +257,8 @@
 func (w *writer) report(now fleet.Instant, r wireReport) {
 	l := r.Load
 	w.name(w.names.upstreams, string(l.Upstream))
-	w.flags(r.Unreachable, l.Leaving, r.named, l.Role&1 != 0, l.Role&2 != 0)
+	counted := l.PrefilledTotal+l.GeneratedTotal > 0
+	w.flags(r.Unreachable, l.Leaving, r.named, l.Role&1 != 0, l.Role&2 != 0, counted)
 	w.uint(r.Generation)
 	w.age(now - l.At)
 	if r.named {
@@ -195,8 +270,72 @@
 	}
 	w.count(l.Running)
 	w.count(l.Waiting)
-	w.coarse(l.WaitingPromptTokens, promptUnit)
+	w.estimate(l.WaitingPromptTokens)
 	w.coarse(l.KVUsedTokens, kvUnit)
+	if counted {
+		for _, v := range countersOf(l) {
+			w.counter(v, r.named)
+		}
+	}
+}
+
+// counters are an engine's totals in their units.
+type counters [2]uint64
+
+func countersOf(l sched.LoadReport) counters {
+	return counters{uint64(max(l.PrefilledTotal, 0)) / prefilledUnit, uint64(max(l.GeneratedTotal, 0)) / generatedUnit}
+}
+
+func (c counters) fill(l *sched.LoadReport) {
+	l.PrefilledTotal, l.GeneratedTotal = int64(c[0]*prefilledUnit), int64(c[1]*generatedUnit)
+}
+
+// counterSpan is what the two bytes of a counter can tell apart. A whole one
+// takes four to five bytes, which every report would carry to 34 peers.
+const counterSpan = 1 << 16
+
+// maxCounter keeps totals within int64.
+const maxCounter = 1 << 56
+
+// counter writes a whole counter, or its low two bytes for a receiver that
+// knows a value less than counterSpan below it.
+func (w *writer) counter(v uint64, whole bool) {
+	if whole {
+		w.uint(v)
+		return
+	}
+	w.out = binary.LittleEndian.AppendUint16(w.out, uint16(v))
+}
+
+func (r *reader) counter(whole bool) uint64 {
+	if whole {
+		return min(r.uint(), maxCounter)
+	}
+	raw := r.bytes(2)
+	if raw == nil {
+		return 0
+	}
+	return uint64(binary.LittleEndian.Uint16(raw))
+}
+
+// extend completes counters of which the low two bytes arrived: each is the
+// least value with these that is not below the known one.
+func (c counters) extend(known counters) counters {
+	for i := range c {
+		c[i] = min(known[i]+uint64(uint16(c[i])-uint16(known[i])), maxCounter)
+	}
+	return c
+}
+
+// follows tells whether two bytes are enough for a receiver that knows a value
+// from low to high.
+func (c counters) follows(low, high counters) bool {
+	for i := range c {
+		if c[i] < high[i] || c[i]-low[i] >= counterSpan {
+			return false
+		}
+	}
+	return true
 }
 
 // decodeHead reads a frame up to the names that may be numbered.
@@ -229,17 +368,8 @@
 	for range r.length() {
 		f.reports = append(f.reports, r.report(now))
 	}
-	for range r.length() {
-		f.service = append(f.service, r.item())
-	}
-	for range r.length() {
-		f.dispatches = append(f.dispatches, sched.PeerDispatch{
-			Upstream:     fleet.UpstreamID(r.name(r.names.upstreams)),
-			At:           now - r.age(),
-			PromptTokens: r.count() * promptUnit,
-			OutputTokens: r.count() * outputUnit,
-		})
-	}
+	f.service = r.service()
+	f.dispatches = r.dispatches(now)
 	for range r.length() {
 		f.turns = append(f.turns, r.turn())
 	}
@@ -248,14 +378,6 @@
 	}
 }
 
-func (r *reader) item() item {
-	var i item
-	i.member = fleet.MemberID(r.name(r.names.members))
-	i.group, i.class = r.group(r.names.groups)
-	i.cost = r.cost()
-	return i
-}
-
 func (r *reader) report(now fleet.Instant) wireReport {
 	var out wireReport
 	l := &out.Load
@@ -274,8 +396,13 @@
 	}
 	l.Running = r.count()
 	l.Waiting = r.count()
-	l.WaitingPromptTokens = r.count() * promptUnit
+	l.WaitingPromptTokens = r.estimate()
 	l.KVUsedTokens = r.count() * kvUnit
+	if out.counted = bits[5]; out.counted {
+		for i := range out.counters {
+			out.counters[i] = r.counter(out.named)
+		}
+	}
 	return out
 }
 
--- a/core/exchange/frame_test.go
+++ b/core/exchange/frame_test.go
@@ -1,11 +1,15 @@
 package exchange
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/bramleywick/bramleywick/core/declare"
+	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/membership"
 	"github.com/bramleywick/bramleywick/core/sched"
 )
@@ -35,3 +39,92 @@
 		}
 	}
 }
+
+// TestCountersReachPeer guards against token counters that are lost or wrong at
+// a peer because only their low bytes are sent: after lost pushes and answers,
+// long silences, and counters that went back.
+func TestCountersReachPeer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld("a1", "a2")
+		w.settle(3 * time.Second)
+		load := sched.LoadReport{Upstream: "engine-1", Incarnation: "x"}
+		generation := uint64(1)
+		poll := func(at fleet.Instant) {
+			load.At = at
+			w.nodes["a1"].Step(w.now, Polled{Report: membership.Report{Generation: generation, Load: load}})
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"count": func(t *rapid.T) {
+				load.PrefilledTotal += rapid.Int64Range(0, 3<<20).Draw(t, "prefilled")
+				load.GeneratedTotal += rapid.Int64Range(0, 1<<20).Draw(t, "generated")
+				poll(w.now)
+			},
+			"back": func(t *rapid.T) {
+				load.PrefilledTotal /= 2
+				load.GeneratedTotal /= 2
+				if rapid.Bool().Draw(t, "restart") {
+					generation++
+				}
+				poll(w.now)
+			},
+			"push": func(t *rapid.T) {
+				w.advance(1200 * time.Millisecond)
+				for len(w.calls) > 0 {
+					c := w.take(0)
+					switch rapid.SampledFrom([]string{"arrives", "lost", "answer lost"}).Draw(t, "fate") {
+					case "arrives":
+						w.finish(c, w.serve(c))
+					case "answer lost":
+						w.serve(c)
+						w.finish(c, nil)
+					default:
+						w.finish(c, nil)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				for _, got := range w.reports("a2") {
+					if got.Load.PrefilledTotal%prefilledUnit+got.Load.GeneratedTotal%generatedUnit != 0 {
+						t.Fatalf("got parts of a unit: %+v", got.Load)
+					}
+				}
+			},
+		})
+		poll(w.now + time.Millisecond)
+		w.settle(5 * time.Second)
+		all := w.reports("a2")
+		got := all[len(all)-1].Load
+		if got.PrefilledTotal != load.PrefilledTotal/prefilledUnit*prefilledUnit ||
+			got.GeneratedTotal != load.GeneratedTotal/generatedUnit*generatedUnit {
+			t.Fatalf("the peer has %d and %d, want %d and %d", got.PrefilledTotal, got.GeneratedTotal, load.PrefilledTotal, load.GeneratedTotal)
+		}
+	})
+}
+
+// TestPartnersAndOwnersEven guards against one instance that carries several
+// times the reports or totals between data centres.
+func TestPartnersAndOwnersEven(t *testing.T) {
+	var ids []fleet.InstanceID
+	for i := range 35 {
+		ids = append(ids, fleet.InstanceID(fmt.Sprintf("a%02d", i)), fleet.InstanceID(fmt.Sprintf("b%02d", i)))
+	}
+	w := newWorld(ids...)
+	partners, owned := map[fleet.InstanceID]int{}, map[fleet.InstanceID]int{}
+	for _, id := range ids {
+		n := w.nodes[id]
+		n.plan(w.now)
+		dc := fleet.DataCentre("a")
+		if n.profile.DataCentre == dc {
+			dc = "b"
+		}
+		partners[n.partners(w.now, dc)[0].ID]++
+	}
+	for _, owner := range membership.Balanced(slotKeys, ids[:35]) {
+		owned[owner]++
+	}
+	for _, id := range ids {
+		if partners[id] != 1 || owned[id] > 1 {
+			t.Errorf("%s is the partner of %d instances and owns %d slots", id, partners[id], owned[id])
+		}
+	}
+}
--- a/core/exchange/receive.go
+++ b/core/exchange/receive.go
@@ -114,13 +114,20 @@
 		if !e.names.knows(id) {
 			continue
 		}
+		known := o.spelt[id]
 		if r.named {
-			o.spelt[id] = spelling{r.Generation, r.Load.Incarnation, r.Load.KVCapacityTokens}
+			known = spelling{r.Generation, r.Load.Incarnation, r.Load.KVCapacityTokens, r.counters}
 		}
-		known := o.spelt[id]
 		if known.generation != r.Generation {
 			continue
 		}
+		if r.counted && !r.named {
+			known.counters = r.counters.extend(known.counters)
+		}
+		o.spelt[id] = known
+		if r.counted {
+			known.counters.fill(&r.Load)
+		}
 		r.Load.Incarnation, r.Load.KVCapacityTokens = known.incarnation, known.kvCapacity
 		e.learn(membership.Reported{Report: r.Report})
 		if f.relay {
@@ -172,11 +179,7 @@
 		e.aggregate(i.itemKey, i.cost)
 	case classTotal:
 		i.class = classPlain
-		for _, s := range e.order {
-			if s.open && e.local(s) {
-				e.add(s.pending, i.itemKey, i.cost)
-			}
-		}
+		e.add(e.inbound, i.itemKey, i.cost)
 	}
 }
 
--- a/core/exchange/session.go
+++ b/core/exchange/session.go
@@ -43,15 +43,22 @@
 	// stamp is the last change of reports and marks that the peer confirmed,
 	// sent the last one in the outstanding push.
 	stamp, sent uint64
-	// spelt holds the generations whose incarnation the peer has seen,
-	// spelling those in the outstanding push.
-	spelt, spelling map[fleet.UpstreamID]uint64
+	// spelt holds what the peer was told of upstreams, spelling what the
+	// outstanding push tells.
+	spelt, spelling map[fleet.UpstreamID]told
+}
+
+// told is what a peer knows of an upstream: the generation whose incarnation
+// it has seen, and counters from confirmed to sent.
+type told struct {
+	generation      uint64
+	confirmed, sent counters
 }
 
 func newSession(due fleet.Instant) *session {
 	return &session{
 		due: due, sequence: 1,
-		pending: map[itemKey]float64{}, spelt: map[fleet.UpstreamID]uint64{},
+		pending: map[itemKey]float64{}, spelt: map[fleet.UpstreamID]told{}, spelling: map[fleet.UpstreamID]told{},
 	}
 }
 
@@ -178,7 +185,7 @@
 	slices.SortFunc(f.marks, func(a, b membership.Mark) int {
 		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
-	s.spelling = nil
+	clear(s.spelling)
 	if !e.local(s) && !(e.regional(s) && s.period == Period) {
 		return
 	}
@@ -187,15 +194,30 @@
 		if r.stamp <= s.stamp || (r.foreign && !e.local(s)) {
 			continue
 		}
-		named := s.spelt[id] != r.Generation || r.Generation == 0
+		f.reports = append(f.reports, wireReport{Report: r.Report, named: s.tell(r.Report)})
+	}
+}
+
+// tell records a report in the outstanding push and tells whether it must be
+// spelt out.
+func (s *session) tell(r membership.Report) (named bool) {
+	id, was := r.Load.Upstream, s.spelt[r.Load.Upstream]
+	named = was.generation != r.Generation || r.Generation == 0
+	if r.Unreachable {
+		// It carries no counters; the peer keeps those that it knows.
 		if named {
-			if s.spelling == nil {
-				s.spelling = map[fleet.UpstreamID]uint64{}
-			}
-			s.spelling[id] = r.Generation
+			s.spelling[id] = told{generation: r.Generation}
 		}
-		f.reports = append(f.reports, wireReport{Report: r.Report, named: named})
+		return named
+	}
+	now := countersOf(r.Load)
+	named = named || !now.follows(was.confirmed, was.sent)
+	s.spelling[id] = told{r.Generation, now, now}
+	if !named {
+		was.sent = now
+		s.spelt[id] = was
 	}
+	return named
 }
 
 func (e *Exchange) replied(now fleet.Instant, ev Replied) {
--- a/core/exchange/wire.go
+++ b/core/exchange/wire.go
@@ -44,11 +44,58 @@
 	w.text(s)
 }
 
-// cost writes a cost in four bytes; the relative error is below 1e-7.
+// number returns a name's number, or 0 if it is spelt out.
+func (w *writer) number(t table, s string) uint64 {
+	if w.spell {
+		return 0
+	}
+	return t.number[s]
+}
+
+// next writes a name as the difference of its number from that of the name
+// before, which must not be larger, and returns the number.
+func (w *writer) next(last, number uint64, s string) uint64 {
+	if number == 0 {
+		w.uint(0)
+		w.text(s)
+		return last
+	}
+	w.uint(number - last + 1)
+	return number
+}
+
+// cost writes a cost in three bytes, rounded to 16 significant bits: its
+// relative error of 1e-5 is small against a share error of 5%.
 func (w *writer) cost(v float64) {
+	bits := math.Float32bits(float32(v)) + 1<<7
+	w.out = append(w.out, byte(bits>>8), byte(bits>>16), byte(bits>>24))
+}
+
+// precise writes a number that grows for the life of a process in four bytes.
+func (w *writer) precise(v float64) {
 	w.out = binary.LittleEndian.AppendUint32(w.out, math.Float32bits(float32(v)))
 }
 
+// estimateSteps per factor of two give estimates a relative error of 2.2%, below
+// that of any estimate of tokens, in one byte up to a million tokens.
+const (
+	estimateSteps = 16
+	estimateScale = 16.0
+)
+
+func (w *writer) estimate(v int) {
+	steps := math.Round(estimateSteps * math.Log2(1+float64(max(v, 0))/estimateScale))
+	w.out = append(w.out, byte(min(steps, math.MaxUint8)))
+}
+
+func (r *reader) estimate() int {
+	raw := r.bytes(1)
+	if raw == nil {
+		return 0
+	}
+	return int(math.Round(estimateScale * (math.Exp2(float64(raw[0])/estimateSteps) - 1)))
+}
+
 // ageUnit lets ages up to 1.27 s fit in one byte. Reports are older than that
 // by the time they are used.
 const ageUnit = 10 * time.Millisecond
@@ -157,12 +204,38 @@
 	return s
 }
 
+// next reads a name and its number, given that of the name before.
+func (r *reader) next(last uint64, t table) (string, uint64) {
+	difference := r.uint()
+	if difference == 0 {
+		return r.text(), last
+	}
+	number := last + difference - 1
+	s, ok := t.name(number)
+	if !ok {
+		r.fail()
+	}
+	return s, number
+}
+
 func (r *reader) cost() float64 {
+	raw := r.bytes(3)
+	if raw == nil {
+		return 0
+	}
+	return r.finite(uint32(raw[0])<<8 | uint32(raw[1])<<16 | uint32(raw[2])<<24)
+}
+
+func (r *reader) precise() float64 {
 	raw := r.bytes(4)
 	if raw == nil {
 		return 0
 	}
-	v := float64(math.Float32frombits(binary.LittleEndian.Uint32(raw)))
+	return r.finite(binary.LittleEndian.Uint32(raw))
+}
+
+func (r *reader) finite(bits uint32) float64 {
+	v := float64(math.Float32frombits(bits))
 	// Costs may be negative: a correction can exceed what was served meanwhile.
 	if math.IsNaN(v) || math.IsInf(v, 0) {
 		r.fail()
--- a/core/membership/assign.go
+++ b/core/membership/assign.go
@@ -43,6 +43,29 @@
 	return best
 }
 
+// Balanced assigns each key to an instance by rendezvous hash, at most
+// ceil(keys/candidates) keys to one: plain rendezvous gave one of 35 instances
+// five times the mean. A removed candidate moves its own keys and the few that
+// no longer fit where they move to. Without candidates the owners are "".
+func Balanced(keys []string, candidates []fleet.InstanceID) []fleet.InstanceID {
+	owners := make([]fleet.InstanceID, len(keys))
+	if len(candidates) == 0 {
+		return owners
+	}
+	limit := (len(keys) + len(candidates) - 1) / len(candidates)
+	load := map[fleet.InstanceID]int{}
+	free := slices.Clone(candidates)
+	for i, key := range keys {
+		owner := Owner(key, free)
+		owners[i] = owner
+		load[owner]++
+		if load[owner] == limit {
+			free = slices.DeleteFunc(free, func(id fleet.InstanceID) bool { return id == owner })
+		}
+	}
+	return owners
+}
+
 // Owners returns up to n instances that a key is assigned to, best first.
 func Owners(key string, n int, candidates []fleet.InstanceID) []fleet.InstanceID {
 	rest := slices.Clone(candidates)
--- a/core/membership/event.go
+++ b/core/membership/event.go
@@ -139,7 +139,8 @@
 // Peer is one instance to exchange with.
 type Peer struct {
 	Profile
-	// Live tells that the instance was heard recently and is not leaving.
+	// Live tells, of an instance of the own data centre, that it was heard
+	// recently and is not leaving. Of others it is not kept up to date.
 	Live bool
 }
 
--- a/core/membership/instances.go
+++ b/core/membership/instances.go
@@ -158,8 +158,13 @@
 	if status == i.status {
 		return
 	}
+	// Only the instances of this data centre share its work. Those of others
+	// that exchange rarely alternate between live and suspect, and an
+	// assignment for each took a quarter of the control's processor time.
+	if i.DataCentre == m.config.Self.DataCentre || status == InstanceGone || i.status == InstanceGone {
+		m.changed = true
+	}
 	i.status = status
-	m.changed = true
 	m.emit(InstanceChanged{ID: i.ID, Status: status})
 }
 
@@ -216,8 +221,9 @@
 
 func (m *Machine) assignPolling(now fleet.Instant, members []fleet.InstanceID) {
 	var polling []fleet.UpstreamID
+	owners := m.pollers(now, members)
 	for _, u := range m.order {
-		if m.polls(now, u, members) {
+		if m.polls(u, owners[u.ID], members) {
 			polling = append(polling, u.ID)
 		}
 	}
@@ -227,23 +233,56 @@
 	}
 }
 
-// polls tells whether this instance polls an upstream: the owner within the
-// upstream's data centre does. When that data centre has no entry instance in
-// reach, each other data centre of the region polls for itself.
-func (m *Machine) polls(now fleet.Instant, u *upstream, members []fleet.InstanceID) bool {
+// pollers assigns the upstreams of each data centre that this one polls to its
+// instances. A report goes to every peer, so an instance with three times the mean
+// number of upstreams would send three times the reports.
+func (m *Machine) pollers(now fleet.Instant, members []fleet.InstanceID) map[fleet.UpstreamID]fleet.InstanceID {
+	keys := map[fleet.DataCentre][]string{}
+	ids := map[fleet.DataCentre][]fleet.UpstreamID{}
+	polled := map[fleet.DataCentre]bool{}
+	for _, u := range m.order {
+		if _, known := polled[u.DataCentre]; !known {
+			polled[u.DataCentre] = m.pollsCentre(now, u.DataCentre)
+		}
+		if polled[u.DataCentre] {
+			keys[u.DataCentre] = append(keys[u.DataCentre], pollKey(u.ID))
+			ids[u.DataCentre] = append(ids[u.DataCentre], u.ID)
+		}
+	}
+	owners := map[fleet.UpstreamID]fleet.InstanceID{}
+	for dc := range keys {
+		for i, owner := range Balanced(keys[dc], members) {
+			owners[ids[dc][i]] = owner
+		}
+	}
+	return owners
+}
+
+func pollKey(id fleet.UpstreamID) string { return "poll " + string(id) }
+
+// pollsCentre tells whether this data centre polls the upstreams of another one:
+// when that one has no entry instance in reach, each other data centre of the
+// region polls for itself.
+func (m *Machine) pollsCentre(now fleet.Instant, dc fleet.DataCentre) bool {
+	return dc == m.config.Self.DataCentre ||
+		!m.reach[dc] && now-m.started >= lateAfter && !m.otherRegion(dc)
+}
+
+// polls tells whether this instance polls an upstream. The owner is "" when
+// this data centre does not poll it.
+func (m *Machine) polls(u *upstream, owner fleet.InstanceID, members []fleet.InstanceID) bool {
 	if u.late {
 		return true
 	}
-	if u.DataCentre != m.config.Self.DataCentre {
-		if m.reach[u.DataCentre] || now-m.started < lateAfter || m.otherRegion(u.DataCentre) {
-			return false
-		}
+	if owner == "" {
+		return false
 	}
-	pollers := 1
-	if u.disputed {
-		pollers = 2
+	self := m.config.Self.ID
+	if owner == self || !u.disputed {
+		return owner == self
 	}
-	return slices.Contains(Owners("poll "+string(u.ID), pollers, members), m.config.Self.ID)
+	others := slices.DeleteFunc(slices.Clone(members), func(id fleet.InstanceID) bool { return id == owner })
+	return Owner(pollKey(u.ID), others) == self
 }
 
 // otherRegion tells whether a data centre is known to be in another region.
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -24,6 +24,8 @@
 	watching bool
 	spread   []Mark
 	peers    []Peer
+	// assigned counts the assignments.
+	assigned int
 }
 
 var testUpstreams = []declare.Upstream{
@@ -61,6 +63,7 @@
 				r.spread = append(r.spread, c.Mark)
 			case Peers:
 				r.peers = c.Peers
+				r.assigned++
 			}
 		}
 	}
@@ -395,3 +398,46 @@
 		}
 	})
 }
+
+// TestAssignedEvenly guards against an instance that polls several times the
+// mean number of upstreams.
+func TestAssignedEvenly(t *testing.T) {
+	for _, n := range []int{1, 3, 34, 35, 100} {
+		var ids []fleet.InstanceID
+		for i := range n {
+			ids = append(ids, fleet.InstanceID(fmt.Sprint("entry-", i)))
+		}
+		var keys []string
+		for i := range 71 {
+			keys = append(keys, fmt.Sprint("poll engine-", i))
+		}
+		count := map[fleet.InstanceID]int{}
+		for _, owner := range Balanced(keys, ids) {
+			count[owner]++
+		}
+		for id, got := range count {
+			if !slices.Contains(ids, id) || got > (71+n-1)/n {
+				t.Errorf("with %d instances %q has %d of 71 keys", n, id, got)
+			}
+		}
+	}
+}
+
+// TestRareRemoteChangesNothing guards against assignments being computed each
+// time that an instance of another data centre, heard every 5 s, turns suspect.
+func TestRareRemoteChangesNothing(t *testing.T) {
+	r := newRig("a1")
+	r.do(heard("b1", "b", 1))
+	// Reaching data centre b and the missing reports are changes.
+	r.pass(5*time.Second, heard("a2", "a", 1))
+	r.assigned = 0
+	for range 6 {
+		for range 5 {
+			r.pass(time.Second, heard("a2", "a", 1))
+		}
+		r.do(heard("b1", "b", 1))
+	}
+	if r.assigned > 0 {
+		t.Errorf("assigned %d times in 30 s without a change", r.assigned)
+	}
+}
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -23,11 +23,14 @@
 )
 
 const (
-	benchMembers   = 1300
-	benchUpstreams = 71 // in each data centre
-	benchRequests  = 8.7
+	benchMembers  = 1300
+	benchRequests = 8.7
+	// benchPrefill and benchGenerated are tokens per second of an engine.
+	benchPrefill   = 22_000
+	benchGenerated = 950
 	benchWarmUp    = 8 * time.Second
-	benchTime      = 10 * time.Second
+	// benchTime covers two rounds of totals between data centres.
+	benchTime = 10 * time.Second
 )
 
 // traffic counts the bytes of one daemon at its sockets.
@@ -71,9 +74,11 @@
 	node     *peer.Node
 	traffic  traffic
 	requests float64
-	start    time.Time
-	mu       sync.Mutex
-	polled   []fleet.UpstreamID
+	// engines are the upstreams that it routes to.
+	engines []fleet.UpstreamID
+	start   time.Time
+	mu      sync.Mutex
+	polled  []fleet.UpstreamID
 }
 
 func (l *load) now() fleet.Instant { return time.Since(l.start) }
@@ -86,10 +91,18 @@
 			Member: memberName(rand.IntN(benchMembers)), Group: "language-models", Cost: rand.Float64() * 9,
 		})
 		out.Dispatches = append(out.Dispatches, sched.PeerDispatch{
-			Upstream: fleet.UpstreamID(fmt.Sprint("dc-0-engine-", rand.IntN(benchUpstreams))), At: l.now(),
+			Upstream: l.engines[rand.IntN(len(l.engines))], At: l.now(),
 			PromptTokens: rand.IntN(40_000), OutputTokens: rand.IntN(2_000),
 		})
 	}
+	out.Turns = []sched.PeerTurn{{
+		Group: "language-models", Start: 1e6 * rand.Float64(), Backlogged: true,
+		PrefillCost: rand.Float64(), TokenCost: rand.Float64(),
+	}}
+	out.Demand = []sched.GroupDemand{{
+		Group: "language-models", PromptTokens: 1e5 * rand.Float64(), OutputTokens: 1e4 * rand.Float64(),
+		ContextTokens: 1e6 * rand.Float64(), Requests: float64(len(out.Service)), Late: 1,
+	}}
 	return out
 }
 
@@ -104,6 +117,7 @@
 				Upstream: id, Incarnation: fleet.Incarnation("3f1c6a52-" + id), At: l.now(), Running: rand.IntN(64),
 				Waiting: rand.IntN(16), WaitingPromptTokens: rand.IntN(400_000),
 				KVUsedTokens: rand.IntN(4_000_000), KVCapacityTokens: 4_000_000,
+				PrefilledTotal: int64(l.now().Seconds() * benchPrefill), GeneratedTotal: int64(l.now().Seconds() * benchGenerated),
 			}})
 		}
 	}
@@ -111,14 +125,14 @@
 
 func memberName(i int) fleet.MemberID { return fleet.MemberID(fmt.Sprintf("member-team-%04d", i)) }
 
-func benchDeclaration(dcs int) *declare.Declaration {
+func benchDeclaration(c benchCase) *declare.Declaration {
 	d := &declare.Declaration{Groups: []declare.Group{{Name: "language-models"}}}
 	for i := range benchMembers {
 		d.Members = append(d.Members, declare.Member{ID: memberName(i)})
 	}
-	for dc := range dcs {
+	for dc := range c.dcs {
 		name := fmt.Sprintf("dc-%d", dc)
-		for i := range benchUpstreams {
+		for i := range c.upstreams {
 			d.Upstreams = append(d.Upstreams, declare.Upstream{
 				ID: fleet.UpstreamID(fmt.Sprint(name, "-engine-", i)), DataCentre: fleet.DataCentre(name), Address: fmt.Sprintf("192.0.2.%d:%d", dc, i),
 			})
@@ -155,30 +169,44 @@
 	go l.poll(ctx)
 }
 
-// regionDaemons is the number of daemons that stand for another data centre of
-// the region; one daemon stands for a data centre of another region. Together
-// they carry the work of all daemons of their data centre.
-const regionDaemons = 6
+const (
+	// regionCentres is the number of data centres in a region.
+	regionCentres = 4
+	// regionDaemons bounds the daemons of another data centre of the region.
+	// With 35 of each, the connections of all daemons exceed the 20,000 files
+	// that a process may open, and pushes fail.
+	regionDaemons = 20
+)
+
+// benchCase is a size: daemons and upstreams of each data centre, and requests
+// per daemon and second.
+type benchCase struct {
+	peers, dcs, upstreams int
+	requests              float64
+}
 
 type place struct {
 	dc, region string
 	requests   float64
 }
 
-func places(daemons, dcs int) []place {
+// places lists the daemons. One daemon stands for a data centre of another
+// region. The daemons that stand for a data centre carry the work of all its
+// daemons.
+func places(c benchCase) []place {
 	var out []place
-	for dc := range dcs {
-		count, region := 1, dc/4
+	for dc := range c.dcs {
+		count, region := c.peers, dc/regionCentres
 		switch {
-		case dc == 0:
-			count = daemons
-		case region == 0:
-			count = regionDaemons
+		case region > 0:
+			count = 1
+		case dc > 0:
+			count = min(count, regionDaemons)
 		}
 		for range count {
 			out = append(out, place{
 				fmt.Sprintf("dc-%d", dc), fmt.Sprintf("region-%d", region),
-				benchRequests * float64(daemons) / float64(count),
+				c.requests * float64(c.peers) / float64(count),
 			})
 		}
 	}
@@ -187,12 +215,17 @@
 
 // startFleet starts the daemons of data centre dc-0 and those that stand for
 // the other data centres.
-func startFleet(ctx context.Context, b *testing.B, daemons, dcs int) []*load {
+func startFleet(ctx context.Context, b *testing.B, c benchCase) []*load {
 	var loads []*load
 	var rows []membership.Row
 	var profiles []membership.Profile
 	var listeners []net.Listener
-	for i, at := range places(daemons, dcs) {
+	declaration := benchDeclaration(c)
+	var engines []fleet.UpstreamID
+	for _, u := range declaration.Upstreams[:min(c.dcs, regionCentres)*c.upstreams] {
+		engines = append(engines, u.ID)
+	}
+	for i, at := range places(c) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			b.Fatal(err)
@@ -202,9 +235,8 @@
 			Region: at.region, Address: listener.Addr().String(),
 		}
 		rows = append(rows, membership.Row{ID: string(p.ID), Address: p.Address, DataCentre: p.DataCentre})
-		loads, profiles, listeners = append(loads, &load{requests: at.requests}), append(profiles, p), append(listeners, listener)
+		loads, profiles, listeners = append(loads, &load{requests: at.requests, engines: engines}), append(profiles, p), append(listeners, listener)
 	}
-	declaration := benchDeclaration(dcs)
 	for i, l := range loads {
 		startLoad(ctx, b, l, profiles[i], listeners[i])
 		l.node.Configure(1, declaration)
@@ -213,6 +245,13 @@
 	return loads
 }
 
+func failedPushes(loads []*load) (n uint64) {
+	for _, l := range loads {
+		n += l.node.Stats().PushFailures
+	}
+	return n
+}
+
 func cpuTime() time.Duration {
 	var u syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
@@ -220,35 +259,41 @@
 }
 
 // BenchmarkExchange measures the control cost of one daemon. peers is the
-// number of daemons in the data centre. The budget at peers=35 is 22 KB/s,
-// 1.5% of a core and 64 MB. With other data centres, processor time and memory
-// of all daemons of the process are divided by their number.
+// number of daemons in the data centre. The budget of the busiest daemon at
+// peers=35 is 22 KB/s with both directions added, 1.5% of a core and 64 MB.
+// Processor time and memory of all daemons of the process are divided by their
+// number. The first case is the size of today.
 func BenchmarkExchange(b *testing.B) {
-	for _, c := range []struct{ peers, dcs int }{{8, 1}, {16, 1}, {35, 1}, {35, 11}} {
+	for _, c := range []benchCase{
+		{3, 3, 7, 30}, {8, 11, 16, benchRequests}, {16, 11, 32, benchRequests}, {35, 11, 71, benchRequests},
+	} {
 		b.Run(fmt.Sprintf("peers=%d/data_centres=%d", c.peers, c.dcs), func(b *testing.B) {
 			for range b.N {
-				measure(b, c.peers, c.dcs)
+				measure(b, c)
 			}
 		})
 	}
 }
 
-func measure(b *testing.B, peers, dcs int) {
+func measure(b *testing.B, c benchCase) {
+	peers := c.peers
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	loads := startFleet(ctx, b, peers, dcs)
+	loads := startFleet(ctx, b, c)
 	time.Sleep(benchWarmUp)
 	for _, l := range loads {
 		l.traffic.sent.Store(0)
 		l.traffic.received.Store(0)
 	}
+	failed := failedPushes(loads)
 	cpu, start := cpuTime(), time.Now()
 	time.Sleep(benchTime)
 	seconds := time.Since(start).Seconds()
 	cpu = cpuTime() - cpu
+	failures := failedPushes(loads) - failed
 	var out, in, most int64
 	for _, l := range loads[:peers] {
 		o, n := l.traffic.sent.Load(), l.traffic.received.Load()
@@ -263,5 +308,6 @@
 	b.ReportMetric(float64(most)/seconds, "most_sent+received_B/s")
 	b.ReportMetric(100*cpu.Seconds()/seconds/all, "core_%")
 	b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/all/1e6, "MB")
+	b.ReportMetric(float64(failures), "failed_pushes")
 	b.ReportMetric(0, "ns/op")
 }
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -91,6 +91,7 @@
 	pending sched.Shared
 	got     map[fleet.MemberID]float64
 	leaving map[fleet.UpstreamID]time.Time
+	report  func(sched.LoadReport)
 }
 
 func (m *member) Record() config.Record {
@@ -119,6 +120,10 @@
 	switch ev := ev.(type) {
 	case sched.PeerService:
 		m.got[ev.Member] += ev.Cost
+	case sched.Report:
+		if m.report != nil {
+			m.report(ev.Load)
+		}
 	case sched.UpstreamState:
 		if ev.Leaving {
 			m.leaving[ev.Upstream] = time.Now()
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -128,6 +128,7 @@
 		Running: max(l.Running, 0), Waiting: max(l.Waiting, 0),
 		WaitingPromptTokens: max(l.WaitingPromptTokens, 0),
 		KVUsedTokens:        max(l.KVUsedTokens, 0), KVCapacityTokens: max(l.KVCapacityTokens, 0),
+		PrefilledTotal: max(l.PrefilledTokensTotal, 0), GeneratedTotal: max(l.GeneratedTokensTotal, 0),
 		Leaving: l.Leaving,
 	}
 }
--- a/poll/poll_test.go
+++ b/poll/poll_test.go
@@ -69,10 +69,10 @@
 		failed  bool
 		want    sched.LoadReport
 	}{
-		{"a report", answer(200, `{"incarnation":"x","role":"decode","running":3,"waiting":2,"waiting_prompt_tokens":9,"kv_used_tokens":5,"leaving":true}`), false,
-			sched.LoadReport{Incarnation: "x", Role: fleet.RoleDecode, Running: 3, Waiting: 2, WaitingPromptTokens: 9, KVUsedTokens: 5, Leaving: true}},
+		{"a report", answer(200, `{"incarnation":"x","role":"decode","running":3,"waiting":2,"waiting_prompt_tokens":9,"prefilled_tokens_total":700,"generated_tokens_total":80,"kv_used_tokens":5,"leaving":true}`), false,
+			sched.LoadReport{Incarnation: "x", Role: fleet.RoleDecode, Running: 3, Waiting: 2, WaitingPromptTokens: 9, KVUsedTokens: 5, PrefilledTotal: 700, GeneratedTotal: 80, Leaving: true}},
 		{"unknown role and fields", answer(200, `{"incarnation":"x","role":"both","more":1}`), false, sched.LoadReport{Incarnation: "x"}},
-		{"negative counts", answer(200, `{"incarnation":"x","running":-4,"age_ms":-50}`), false, sched.LoadReport{Incarnation: "x"}},
+		{"negative counts", answer(200, `{"incarnation":"x","running":-4,"age_ms":-50,"generated_tokens_total":-1}`), false, sched.LoadReport{Incarnation: "x"}},
 		{"an old report", answer(200, `{"incarnation":"x","age_ms":60000}`), false, sched.LoadReport{Incarnation: "x", At: -time.Minute}},
 		{"an error", answer(503, `{"incarnation":"x"}`), true, sched.LoadReport{}},
 		{"no JSON", answer(200, `<html>`), true, sched.LoadReport{}},
--- a/standin/engine/departure.go
+++ b/standin/engine/departure.go
@@ -43,6 +43,8 @@
 	s.orders.replace(next)
 	s.life.leaving, s.life.silent = false, false
 	s.life.sequence, s.life.events = 0, nil
+	s.prefilled.Store(0)
+	s.generated.Store(0)
 }
 
 // PublishCache adds a cache event; lost skips that many sequence numbers first.
@@ -85,6 +87,8 @@
 		Running:          int(s.running.Load()),
 		KVCapacityTokens: kvCapacityTokens,
 		Leaving:          s.life.leaving,
+
+		PrefilledTokensTotal: s.prefilled.Load(), GeneratedTokensTotal: s.generated.Load(),
 	})
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -37,6 +37,8 @@
 	life    lifecycle
 	orders  *orderState
 	starts  atomic.Int64
+	// prefilled and generated count the tokens of this incarnation.
+	prefilled, generated atomic.Int64
 
 	mu      sync.Mutex
 	fault   Fault
@@ -136,6 +138,9 @@
 	if !s.wait(f.r, s.config.FirstToken) {
 		return
 	}
+	if in.KVFrom == nil {
+		s.prefilled.Add(int64(len(strings.Fields(in.Prompt))))
+	}
 	tokens := Answer(in.Prompt, in.MaxTokens)
 	seq := max(in.ResumeFrom, 1)
 	from := min(int(seq-1), len(tokens))
@@ -147,6 +152,7 @@
 			return
 		}
 		seq++
+		s.generated.Add(1)
 		if !s.wait(f.r, s.config.TokenGap) {
 			return
 		}
@@ -168,6 +174,7 @@
 	if !s.wait(r, s.config.FirstToken) {
 		return
 	}
+	s.prefilled.Add(int64(len(strings.Fields(in.Prompt))))
 	s.mu.Lock()
 	s.exports++
 	handle := upstream.KVHandle{Address: r.Host, ID: fmt.Sprintf("kv-%d", s.exports)}
--- a/upstream/wire.go
+++ b/upstream/wire.go
@@ -68,7 +68,12 @@
 	WaitingPromptTokens int               `json:"waiting_prompt_tokens"`
 	KVUsedTokens        int               `json:"kv_used_tokens"`
 	KVCapacityTokens    int               `json:"kv_capacity_tokens"`
-	Leaving             bool              `json:"leaving"`
+	// PrefilledTokensTotal and GeneratedTokensTotal count the prompt and output
+	// tokens processed by this incarnation; absent when the upstream does not
+	// count them.
+	PrefilledTokensTotal int64 `json:"prefilled_tokens_total,omitempty"`
+	GeneratedTokensTotal int64 `json:"generated_tokens_total,omitempty"`
+	Leaving              bool  `json:"leaving"`
 	// AgeMS is how old the report was when it was sent, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
 }
