Keep polling, watching and totals away from the order holder

Cause: the daemon that holds its data centre's order lease has work of its own; together with a poller's share it exceeds 1.5% of a core and 22 KB/s.

Change: an instance says in its pushes that it holds the lease. Polls, watches and totals go to the others of its data centre, and to it only if it is alone.

Measured: the race tests of exchange, membership, peer, authority and daemon pass, among them the takeover of a killed poller and the departure bounds.

--- a/authority/authority.go
+++ b/authority/authority.go
@@ -301,6 +301,13 @@
 	order.Status
 }
 
+// Holds tells whether this instance holds the order lease.
+func (a *Authority) Holds() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lease.Authority().Fence > 0
+}
+
 // Status returns the lease and the engines' orders as this instance knows them.
 func (a *Authority) Status() (lease.Authority, []EngineStatus) {
 	a.mu.Lock()
--- a/core/exchange/event.go
+++ b/core/exchange/event.go
@@ -21,6 +21,8 @@
 	Work struct{ Shared sched.Shared }
 	// Polled is a report of an upstream polled by this instance.
 	Polled struct{ Report membership.Report }
+	// Holder tells whether this instance holds its data centre's order lease.
+	Holder struct{ On bool }
 	// Marked is a leaving mark to spread at once.
 	Marked struct{ Mark membership.Mark }
 	// Unmarked ends the spreading of a mark.
@@ -47,6 +49,7 @@
 func (Configured) isEvent() {}
 func (Work) isEvent()       {}
 func (Polled) isEvent()     {}
+func (Holder) isEvent()     {}
 func (Marked) isEvent()     {}
 func (Unmarked) isEvent()   {}
 func (Replied) isEvent()    {}
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -91,6 +91,7 @@
 	version  int64
 	names    *Names
 	leaving  bool
+	holder   bool
 	random   uint64
 	sessions map[fleet.InstanceID]*session
 	// order lists the sessions by peer, so that outputs do not depend on map
@@ -178,6 +179,8 @@
 		e.work(ev.Shared)
 	case Polled:
 		e.keepReport(ev.Report, false)
+	case Holder:
+		e.holder = ev.On
 	case Marked:
 		e.spread(now, ev.Mark)
 	case Unmarked:
@@ -443,11 +446,11 @@
 // neither count twice nor leave out.
 func (e *Exchange) chooseOwners() {
 	var members []fleet.InstanceID
-	if !e.leaving {
+	if !e.leaving && !e.holder {
 		members = append(members, e.config.Self.ID)
 	}
 	for _, s := range e.order {
-		if e.local(s) && s.Live && s.open && s.failures == 0 {
+		if e.local(s) && s.Live && !s.Holder && s.open && s.failures == 0 {
 			members = append(members, s.ID)
 		}
 	}
--- a/core/exchange/frame.go
+++ b/core/exchange/frame.go
@@ -52,6 +52,8 @@
 	push, sequence uint64
 	configVersion  int64
 	leaving        bool
+	// holder tells that the sender holds its data centre's order lease.
+	holder bool
 	// relay asks the receiver to pass the reports on in its data centre.
 	relay bool
 	// askPeers asks for the instances that the receiver knows.
@@ -94,7 +96,7 @@
 // encode writes times as ages at the time now.
 func (f *frame) encode(now fleet.Instant, names *Names) []byte {
 	w := &writer{names: names, spell: !f.numbered}
-	w.flags(f.leaving, f.relay, f.askPeers, f.profile != nil, f.numbered)
+	w.flags(f.leaving, f.relay, f.askPeers, f.profile != nil, f.numbered, f.holder)
 	if f.profile != nil {
 		w.profile(*f.profile)
 		w.uint(f.incarnation)
@@ -349,7 +351,7 @@
 func decodeHead(r *reader) *frame {
 	f := &frame{}
 	bits := r.flags()
-	f.leaving, f.relay, f.askPeers, f.numbered = bits[0], bits[1], bits[2], bits[4]
+	f.leaving, f.relay, f.askPeers, f.numbered, f.holder = bits[0], bits[1], bits[2], bits[4], bits[5]
 	if bits[3] {
 		p := r.profile()
 		f.profile, f.incarnation = &p, r.uint()
--- a/core/exchange/frame_test.go
+++ b/core/exchange/frame_test.go
@@ -23,7 +23,7 @@
 	})
 	for _, numbered := range []bool{true, false} {
 		in := &frame{
-			profile: &membership.Profile{ID: "i"}, numbered: numbered, digest: names.digest,
+			profile: &membership.Profile{ID: "i"}, numbered: numbered, digest: names.digest, holder: true,
 			service: []item{{itemKey{member: "m", group: "g"}, -0.5}},
 			turns:   []sched.PeerTurn{{Group: "g", Start: 2.5, Backlogged: true, PrefillCost: 0.25, TokenCost: 0.5}},
 			demand:  []sched.GroupDemand{{Group: "g", PromptTokens: 1024, OutputTokens: 8, ContextTokens: 64, Requests: 2, Late: 1}},
@@ -34,7 +34,7 @@
 		if r.err != nil {
 			t.Fatal(r.err)
 		}
-		if !reflect.DeepEqual(in.service, out.service) || !reflect.DeepEqual(in.turns, out.turns) || !reflect.DeepEqual(in.demand, out.demand) {
+		if !out.holder || !reflect.DeepEqual(in.service, out.service) || !reflect.DeepEqual(in.turns, out.turns) || !reflect.DeepEqual(in.demand, out.demand) {
 			t.Errorf("numbered %v: got %+v", numbered, out)
 		}
 	}
--- a/core/exchange/receive.go
+++ b/core/exchange/receive.go
@@ -100,6 +100,7 @@
 	}
 	e.learn(membership.Heard{
 		Profile: o.profile, Incarnation: o.incarnation, ConfigVersion: f.configVersion, Leaving: f.leaving,
+		Holder: f.holder,
 	})
 	e.seeVersion(now, o.profile.ID, o.profile.Address, f.configVersion)
 }
--- a/core/exchange/session.go
+++ b/core/exchange/session.go
@@ -145,7 +145,7 @@
 	e.pushes++
 	return &frame{
 		incarnation: e.config.Incarnation, push: e.pushes,
-		configVersion: e.version, leaving: e.leaving, digest: e.names.digest,
+		configVersion: e.version, leaving: e.leaving, holder: e.holder, digest: e.names.digest,
 	}
 }
 
@@ -321,6 +321,7 @@
 func (e *Exchange) hearReply(s *session, a *reply) {
 	heard := membership.Heard{
 		Profile: s.Profile, Incarnation: s.incarnation, ConfigVersion: a.configVersion, Leaving: a.leaving,
+		Holder: s.Holder,
 	}
 	if a.welcome != nil {
 		e.greet(a)
@@ -331,9 +332,11 @@
 
 // greet learns from the answer to a frame with a profile.
 func (e *Exchange) greet(a *reply) {
+	known := e.sessions[a.welcome.profile.ID]
 	e.learn(membership.Heard{
 		Profile: a.welcome.profile, Incarnation: a.welcome.incarnation,
 		ConfigVersion: a.configVersion, Leaving: a.leaving,
+		Holder: known != nil && known.Holder,
 	})
 	if len(a.welcome.peers) > 0 {
 		e.asks = 0
--- a/core/membership/event.go
+++ b/core/membership/event.go
@@ -58,7 +58,11 @@
 		Incarnation   uint64
 		ConfigVersion int64
 		Leaving       bool
+		// Holder tells that the instance holds the order lease.
+		Holder bool
 	}
+	// Holder tells whether this instance holds its data centre's order lease.
+	Holder struct{ On bool }
 	// Introduced are instances that a peer knows.
 	Introduced struct{ Profiles []Profile }
 	// Declared replaces the set of upstreams.
@@ -90,6 +94,7 @@
 
 func (Listed) isEvent()     {}
 func (Heard) isEvent()      {}
+func (Holder) isEvent()     {}
 func (Introduced) isEvent() {}
 func (Declared) isEvent()   {}
 func (Polled) isEvent()     {}
@@ -142,6 +147,8 @@
 	// Live tells, of an instance of the own data centre, that it was heard
 	// recently and is not leaving. Of others it is not kept up to date.
 	Live bool
+	// Holder tells that it holds the order lease of the own data centre.
+	Holder bool
 }
 
 func (UpstreamChanged) isCommand() {}
--- a/core/membership/instances.go
+++ b/core/membership/instances.go
@@ -37,6 +37,7 @@
 	since   fleet.Instant
 	listed  bool
 	leaving bool
+	holder  bool
 }
 
 // InstanceInfo describes one instance for operators.
@@ -132,6 +133,9 @@
 	if p := ev.Profile; p.Address != "" && p != i.Profile {
 		i.Profile, m.changed = p, true
 	}
+	if i.holder != ev.Holder {
+		i.holder, m.changed = ev.Holder, true
+	}
 	i.incarnation = ev.Incarnation
 	i.configVersion = max(i.configVersion, ev.ConfigVersion)
 	i.heard, i.heardAt = true, now
@@ -186,17 +190,29 @@
 	}
 }
 
-// members returns the instances of this data centre that share its work.
+// members returns the instances of this data centre that share its work. The
+// order holder has work of its own and shares only if it is alone: with both,
+// one daemon would exceed the budget of 1.5% of a core.
 func (m *Machine) members() []fleet.InstanceID {
-	var ids []fleet.InstanceID
+	var ids, holders []fleet.InstanceID
+	add := func(id fleet.InstanceID, holder bool) {
+		if holder {
+			holders = append(holders, id)
+		} else {
+			ids = append(ids, id)
+		}
+	}
 	if !m.leaving {
-		ids = append(ids, m.config.Self.ID)
+		add(m.config.Self.ID, m.holder)
 	}
 	for _, i := range m.instances {
 		if i.DataCentre == m.config.Self.DataCentre && i.status == InstanceLive {
-			ids = append(ids, i.ID)
+			add(i.ID, i.holder)
 		}
 	}
+	if len(ids) == 0 {
+		ids = holders
+	}
 	slices.Sort(ids)
 	return ids
 }
@@ -213,7 +229,7 @@
 	var peers []Peer
 	for _, info := range m.Instances() {
 		if info.Status != InstanceGone || m.instances[info.ID].listed {
-			peers = append(peers, Peer{Profile: info.Profile, Live: info.Status == InstanceLive})
+			peers = append(peers, Peer{Profile: info.Profile, Live: info.Status == InstanceLive, Holder: m.instances[info.ID].holder})
 		}
 	}
 	m.emit(Peers{Peers: peers})
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -64,6 +64,7 @@
 	started   fleet.Instant
 	running   bool
 	leaving   bool
+	holder    bool
 	instances map[fleet.InstanceID]*instance
 	upstreams map[fleet.UpstreamID]*upstream
 	// order is the declared order of upstreams, so that outputs do not depend
@@ -103,6 +104,9 @@
 		m.list(now, ev.Rows)
 	case Heard:
 		m.hear(now, ev)
+	case Holder:
+		m.changed = m.changed || m.holder != ev.On
+		m.holder = ev.On
 	case Introduced:
 		for _, p := range ev.Profiles {
 			m.introduce(now, p)
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -441,3 +441,23 @@
 		t.Errorf("assigned %d times in 30 s without a change", r.assigned)
 	}
 }
+
+// TestHolderSharesNoWork guards against an order holder that also polls and
+// watches, and against upstreams that nobody polls when it is alone.
+func TestHolderSharesNoWork(t *testing.T) {
+	Convey("An order holder leaves polling and watching to the others", t, func() {
+		holder := heard("a2", "a", 1)
+		holder.Holder = true
+		r := newRig("a1")
+		r.pass(2*time.Second, holder)
+		So(r.polled, ShouldContain, fleet.UpstreamID("engine-1"))
+		r.do(Holder{On: true}, heard("a2", "a", 1))
+		So(r.polled, ShouldNotContain, fleet.UpstreamID("engine-1"))
+		So(r.watching, ShouldBeFalse)
+		// The other one falls silent, and the last report is not late yet.
+		r.do(r.answer("x", false))
+		r.pass(SuspectAfter + 400*time.Millisecond)
+		So(r.polled, ShouldContain, fleet.UpstreamID("engine-1"))
+		So(r.watching, ShouldBeTrue)
+	})
+}
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -101,6 +101,7 @@
 			Demand:   d.roles.arrived,
 			Poll:     d.cluster.poller.Set,
 			Watch:    d.cluster.watches.Store,
+			Holder:   d.authority.Holds,
 		},
 	}
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -54,6 +54,9 @@
 	Poll func([]fleet.UpstreamID)
 	// Watch switches the watch on the configuration.
 	Watch func(on bool)
+	// Holder tells whether this instance holds the order lease. It is called
+	// without the node's lock; it may be nil.
+	Holder func() bool
 }
 
 // ConfigSource is the configuration in force. Its methods are called without
@@ -156,6 +159,7 @@
 			}
 			if now.Sub(members) >= memberPeriod {
 				members = now
+				n.holder()
 				n.Member(membership.Tick{})
 			}
 			n.tick()
@@ -171,6 +175,17 @@
 	n.step(exchange.Tick{})
 }
 
+func (n *Node) holder() {
+	if n.options.Hooks.Holder == nil {
+		return
+	}
+	on := n.options.Hooks.Holder()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.member(membership.Holder{On: on})
+	n.step(exchange.Holder{On: on})
+}
+
 func (n *Node) share() {
 	shared := n.options.Hooks.Shared()
 	if len(shared.Service)+len(shared.Dispatches)+len(shared.Turns)+len(shared.Demand) == 0 {
