Spell reports out again to a peer with a new configuration

Cause: a peer ignores a report of an upstream that it does not know yet, but confirms the push. The sender took the incarnation for known and never spelt it out again, so after the peer's configuration had arrived its reports stayed unusable until the upstream's next incarnation.

Change: when a peer's numbering changes, everything is sent to it anew.

Measured: TestReportsAfterLateDeclaration fails without the change and passes with it; go test -race ./core/exchange passes.

--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -485,6 +485,30 @@
 	return out
 }
 
+// TestReportsAfterLateDeclaration guards against reports of a newly declared
+// upstream being useless for good to a peer that learns the declaration later.
+func TestReportsAfterLateDeclaration(t *testing.T) {
+	names := NewNames(&declare.Declaration{
+		Groups:    []declare.Group{{Name: "language"}},
+		Upstreams: []declare.Upstream{{ID: "engine-1"}, {ID: "engine-2"}, {ID: "engine-3"}},
+	})
+	w := newWorld("a1", "a2")
+	w.settle(3 * time.Second)
+	poll := func() {
+		w.nodes["a1"].Step(w.now, Polled{Report: membership.Report{Generation: 1, Load: sched.LoadReport{Upstream: "engine-3", Incarnation: "x", At: w.now}}})
+		w.settle(2 * time.Second)
+	}
+	w.nodes["a1"].Step(w.now, Configured{Version: 2, Names: names})
+	poll()
+	poll()
+	w.nodes["a2"].Step(w.now, Configured{Version: 2, Names: names})
+	poll()
+	poll()
+	if got := w.reports("a2"); len(got) == 0 {
+		t.Error("the peer learnt no report of the new upstream")
+	}
+}
+
 // TestPartitionHealsWithoutFlood guards against unbounded memory during a
 // partition and against a flood afterwards: what is sent is bounded by the
 // number of members, not by the length of the partition.
--- a/core/exchange/session.go
+++ b/core/exchange/session.go
@@ -237,7 +237,8 @@
 		return
 	}
 	s.inFlight, s.failures = false, 0
-	if a.digest != 0 {
+	renumbered := a.digest != 0 && a.digest != s.digest
+	if renumbered {
 		s.digest = a.digest
 	}
 	e.hearReply(s, a)
@@ -259,6 +260,12 @@
 	case a.applied >= s.sequence:
 		e.confirmed(now, s)
 	}
+	if renumbered {
+		// The peer has another configuration and may have ignored reports of
+		// upstreams that it did not know.
+		clear(s.spelt)
+		s.stamp = 0
+	}
 	e.seeVersion(now, s.ID, s.Address, a.configVersion)
 	e.sendDue(now, s)
 }
