--- a/capacity/meter/standin.go
+++ b/capacity/meter/standin.go
@@ -76,7 +76,7 @@
 	return s.out.Text()
 }
 
-// Serve serves the stand-ins that make returns for a number of upstreams until
+// Serve serves the stand-ins that create returns for a number of upstreams until
 // the process that called Start ends them. In any other process it returns at
 // once. counts tells the calls read and written; it may be nil.
 func Serve(create func(n int) (servers []Server, counts func() (reads, writes int))) {
