--- a/core/exchange/session.go
+++ b/core/exchange/session.go
@@ -34,6 +34,7 @@
 	queued      []sched.PeerDispatch
 	// demand is part of the batch, arrived what came since it was frozen.
 	demand, arrived []sched.GroupDemand
+	demandAt        fleet.Instant
 	inFlight        bool
 	due             fleet.Instant
 	failures        int
@@ -43,15 +44,22 @@
 	// stamp is the last change of reports and marks that the peer confirmed,
 	// sent the last one in the outstanding push.
 	stamp, sent uint64
-	// spelt holds the generations whose incarnation the peer has seen,
-	// spelling those in the outstanding push.
-	spelt, spelling map[fleet.UpstreamID]uint64
+	// spelt holds what the peer was told of upstreams, spelling what the
+	// outstanding push tells.
+	spelt, spelling map[fleet.UpstreamID]told
+}
+
+// told is what a peer knows of an upstream: the generation whose incarnation
+// it has seen, and counters from confirmed to sent.
+type told struct {
+	generation      uint64
+	confirmed, sent counters
 }
 
 func newSession(due fleet.Instant) *session {
 	return &session{
 		due: due, sequence: 1,
-		pending: map[itemKey]float64{}, spelt: map[fleet.UpstreamID]uint64{},
+		pending: map[itemKey]float64{}, spelt: map[fleet.UpstreamID]told{}, spelling: map[fleet.UpstreamID]told{},
 	}
 }
 
@@ -109,7 +117,11 @@
 		}
 	}
 	s.queued = s.queued[:0]
-	s.demand, s.arrived = s.arrived, nil
+	s.demand = nil
+	if now >= s.demandAt {
+		s.demand, s.arrived = s.arrived, nil
+		s.demandAt = now + demandPeriod
+	}
 }
 
 // keepDemand adds demand by group, so that a silent peer costs no memory.
@@ -133,7 +145,7 @@
 	e.pushes++
 	return &frame{
 		incarnation: e.config.Incarnation, push: e.pushes,
-		configVersion: e.version, leaving: e.leaving, digest: e.names.digest,
+		configVersion: e.version, leaving: e.leaving, holder: e.holder, digest: e.names.digest,
 	}
 }
 
@@ -178,7 +190,7 @@
 	slices.SortFunc(f.marks, func(a, b membership.Mark) int {
 		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
-	s.spelling = nil
+	clear(s.spelling)
 	if !e.local(s) && !(e.regional(s) && s.period == Period) {
 		return
 	}
@@ -187,15 +199,30 @@
 		if r.stamp <= s.stamp || (r.foreign && !e.local(s)) {
 			continue
 		}
-		named := s.spelt[id] != r.Generation || r.Generation == 0
+		f.reports = append(f.reports, wireReport{Report: r.Report, named: s.tell(r.Report)})
+	}
+}
+
+// tell records a report in the outstanding push and tells whether it must be
+// spelt out.
+func (s *session) tell(r membership.Report) (named bool) {
+	id, was := r.Load.Upstream, s.spelt[r.Load.Upstream]
+	named = was.generation != r.Generation || r.Generation == 0
+	if r.Unreachable {
+		// It carries no counters; the peer keeps those that it knows.
 		if named {
-			if s.spelling == nil {
-				s.spelling = map[fleet.UpstreamID]uint64{}
-			}
-			s.spelling[id] = r.Generation
+			s.spelling[id] = told{generation: r.Generation}
 		}
-		f.reports = append(f.reports, wireReport{Report: r.Report, named: named})
+		return named
+	}
+	now := countersOf(r.Load)
+	named = named || !now.follows(was.confirmed, was.sent)
+	s.spelling[id] = told{r.Generation, now, now}
+	if !named {
+		was.sent = now
+		s.spelt[id] = was
 	}
+	return named
 }
 
 func (e *Exchange) replied(now fleet.Instant, ev Replied) {
@@ -210,7 +237,8 @@
 		return
 	}
 	s.inFlight, s.failures = false, 0
-	if a.digest != 0 {
+	renumbered := a.digest != 0 && a.digest != s.digest
+	if renumbered {
 		s.digest = a.digest
 	}
 	e.hearReply(s, a)
@@ -232,6 +260,12 @@
 	case a.applied >= s.sequence:
 		e.confirmed(now, s)
 	}
+	if renumbered {
+		// The peer has another configuration and may have ignored reports of
+		// upstreams that it did not know.
+		clear(s.spelt)
+		s.stamp = 0
+	}
 	e.seeVersion(now, s.ID, s.Address, a.configVersion)
 	e.sendDue(now, s)
 }
@@ -294,6 +328,7 @@
 func (e *Exchange) hearReply(s *session, a *reply) {
 	heard := membership.Heard{
 		Profile: s.Profile, Incarnation: s.incarnation, ConfigVersion: a.configVersion, Leaving: a.leaving,
+		Holder: s.Holder,
 	}
 	if a.welcome != nil {
 		e.greet(a)
@@ -304,9 +339,11 @@
 
 // greet learns from the answer to a frame with a profile.
 func (e *Exchange) greet(a *reply) {
+	known := e.sessions[a.welcome.profile.ID]
 	e.learn(membership.Heard{
 		Profile: a.welcome.profile, Incarnation: a.welcome.incarnation,
 		ConfigVersion: a.configVersion, Leaving: a.leaving,
+		Holder: known != nil && known.Holder,
 	})
 	if len(a.welcome.peers) > 0 {
 		e.asks = 0
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -128,6 +128,7 @@
 		Running: max(l.Running, 0), Waiting: max(l.Waiting, 0),
 		WaitingPromptTokens: max(l.WaitingPromptTokens, 0),
 		KVUsedTokens:        max(l.KVUsedTokens, 0), KVCapacityTokens: max(l.KVCapacityTokens, 0),
+		PrefilledTotal: max(l.PrefilledTokensTotal, 0), GeneratedTotal: max(l.GeneratedTokensTotal, 0),
 		Leaving: l.Leaving,
 	}
 }
@@ -140,6 +141,8 @@
 	if err != nil {
 		return errors.Wrapf(err, "poll %s", url)
 	}
+	// The default value would be a fifth of the request's bytes.
+	req.Header["User-Agent"] = nil
 	resp, err := p.http.Do(req)
 	if err != nil {
 		return errors.Wrapf(err, "poll %s", url)
