Run the exchange between instances over mutual TLS

Cause: settings refused [tls peers] although the transport had hooks for it, so anyone who reached a peers' listener could read the configuration, push reports and hold engines. Change: [tls peers] takes certificate, key and ca. Both sides present a certificate that an authority of the other side signed. All TLS files are read when settings are checked, and a file that cannot be used is reported with its line. Modification times are compared per file, because a replacement may be older than another file of the listener.

--- a/daemon/certificate.go
+++ b/daemon/certificate.go
@@ -12,22 +12,28 @@
 	"github.com/bramleywick/bramleywick/settings"
 )
 
-// certificateCheck is the shortest time between two looks at the files.
-const certificateCheck = 10 * time.Second
+// certificateCheck is the shortest time between two looks at the files. Tests
+// shorten it.
+var certificateCheck = 10 * time.Second
 
-// certificate is a listener's certificate, read again when its files change.
-// Safe for concurrent use.
+// certificate is the TLS material of a listener, read again when its files
+// change. Safe for concurrent use.
 type certificate struct {
 	files  settings.TLS
 	log    *zap.Logger
 	period time.Duration
 
 	mu      sync.Mutex
-	current *tls.Certificate
-	changed time.Time // the later modification time of the two files
+	current *settings.Material
+	seen    fileTimes
 	checked time.Time
 }
 
+// fileTimes are the modification times of certificate, key and authorities. Each
+// is compared on its own: a file may be replaced with one that is older than
+// another of the three.
+type fileTimes [3]time.Time
+
 func newCertificate(files settings.TLS, log *zap.Logger) (*certificate, error) {
 	c := &certificate{files: files, log: log, period: certificateCheck}
 	if err := c.reload(); err != nil {
@@ -36,9 +42,14 @@
 	return c, nil
 }
 
-// get implements tls.Config.GetCertificate. Files that cannot be read leave the
-// current certificate in use.
+// get implements tls.Config.GetCertificate.
 func (c *certificate) get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	return &c.material().Certificate, nil
+}
+
+// material returns what the files hold. Files that cannot be used leave the
+// current material in use. A changed material is another pointer.
+func (c *certificate) material() *settings.Material {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if time.Since(c.checked) >= c.period {
@@ -46,37 +57,38 @@
 			c.log.Warn("certificate not reloaded", zap.String("file", c.files.CertificateFile), zap.Error(err))
 		}
 	}
-	return c.current, nil
+	return c.current
 }
 
 func (c *certificate) reload() error {
 	c.checked = time.Now()
-	changed, err := c.modified()
+	seen, err := c.modified()
 	if err != nil {
 		return err
 	}
-	if c.current != nil && changed.Equal(c.changed) {
+	if c.current != nil && seen == c.seen {
 		return nil
 	}
-	pair, err := tls.LoadX509KeyPair(c.files.CertificateFile, c.files.KeyFile)
+	material, err := c.files.Load()
 	if err != nil {
 		return errors.Wrap(err, "load certificate")
 	}
-	c.current, c.changed = &pair, changed
-	c.log.Info("certificate loaded", zap.String("file", c.files.CertificateFile), zap.Time("not_after", pair.Leaf.NotAfter))
+	c.current, c.seen = &material, seen
+	c.log.Info("certificate loaded", zap.String("file", c.files.CertificateFile),
+		zap.Time("not_after", material.Certificate.Leaf.NotAfter))
 	return nil
 }
 
-func (c *certificate) modified() (time.Time, error) {
-	var latest time.Time
-	for _, file := range []string{c.files.CertificateFile, c.files.KeyFile} {
+func (c *certificate) modified() (times fileTimes, err error) {
+	for i, file := range []string{c.files.CertificateFile, c.files.KeyFile, c.files.CAFile} {
+		if file == "" {
+			continue
+		}
 		info, err := os.Stat(file)
 		if err != nil {
-			return time.Time{}, errors.Wrap(err, "read certificate")
-		}
-		if info.ModTime().After(latest) {
-			latest = info.ModTime()
+			return times, errors.Wrap(err, "read certificate")
 		}
+		times[i] = info.ModTime()
 	}
-	return latest, nil
+	return times, nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,7 +56,8 @@
 	interruptOnce sync.Once
 	// Addresses are the bound addresses of the listeners, by purpose.
 	Addresses Addresses
-	// PeerTransport carries the exchange with peers; set it before Start.
+	// PeerTransport carries the exchange with peers. One that is set before
+	// Start replaces that of the settings.
 	PeerTransport peer.Transport
 }
 
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -92,8 +92,14 @@
 
 // ask sends one streamed request and tells whether the whole answer arrived.
 func (i *instance) ask(client *http.Client, tokens int) bool {
+	return ask(client, i.Addresses.Callers, tokens)
+}
+
+// ask sends one streamed request to a callers' listener and tells whether the
+// whole answer arrived.
+func ask(client *http.Client, callers string, tokens int) bool {
 	body := fmt.Sprintf(`{"prompt":"one two","max_tokens":%d,"stream":true}`, tokens)
-	req, _ := http.NewRequest(http.MethodPost, "http://"+i.Addresses.Callers+"/v1/completions", strings.NewReader(body))
+	req, _ := http.NewRequest(http.MethodPost, "http://"+callers+"/v1/completions", strings.NewReader(body))
 	req.Header.Set("Authorization", "Bearer "+dev.MemberKey)
 	resp, err := client.Do(req)
 	if err != nil {
@@ -101,7 +107,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(resp.Body)
-	return err == nil && strings.HasSuffix(string(raw), "data: [DONE]\n\n")
+	return err == nil && strings.HasSuffix(string(raw), "data: [DONE]\n\n") &&
+		strings.Count(string(raw), "one ")+strings.Count(string(raw), "two ") == tokens
 }
 
 // Times of the load balancer in TestStopUnderLoad. The lag is longer than a
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -17,6 +17,7 @@
 	"github.com/bramleywick/bramleywick/peer"
 	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/poll"
+	"github.com/bramleywick/bramleywick/settings"
 )
 
 // defaultPeerListen is used when the settings name no listener for peers.
@@ -42,6 +43,10 @@
 	if address == "" {
 		address = defaultPeerListen
 	}
+	var err error
+	if d.PeerTransport, err = d.peerTransport(); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen for peers on %s", address)
@@ -53,6 +58,8 @@
 	if d.PeerTransport.Wrap != nil {
 		listener = d.PeerTransport.Wrap(listener)
 	}
+	d.log.Info("listening", zap.String("for", string(settings.ListenerPeers)),
+		zap.String("address", d.Addresses.Peers), zap.Bool("tls", d.PeerTransport.Wrap != nil))
 	ctx, stop := context.WithCancel(ctx)
 	d.cluster.listener, d.cluster.stop = listener, stop
 	d.cluster.poller = poll.New(ctx, d.pollHooks())
--- a/daemon/membership_test.go
+++ b/daemon/membership_test.go
@@ -28,6 +28,9 @@
 // departure.
 const departureBound = 3 * time.Second
 
+// changeTime is how long an order takes a stand-in engine out of service.
+const changeTime = 300 * time.Millisecond
+
 // site is a fleet of daemons with stand-ins.
 type site struct {
 	ctx      context.Context
@@ -38,16 +41,21 @@
 	daemons  []*daemon.Daemon
 	// cut are the daemons that do not reach the platform.
 	cut []*atomic.Bool
+	// adjust changes a daemon's settings before it starts; it may be nil.
+	adjust func(*settings.Settings)
 }
 
 // newSite starts the platform and two engines in each data centre.
 func newSite(ctx context.Context, dcs ...string) *site {
 	s := &site{ctx: ctx, platform: standin.New()}
 	var text strings.Builder
-	text.WriteString("[member shea]\nkinds = ledger\n\n[kind ledger]\ngroup = language\nfirst_token = 1s\ntoken_gap = 74ms\ndeadline = 60s\nmax_prompt_tokens = 100000\nmax_output_tokens = 4000\nrepeatable = true\n\n[group language]\ntype = engine\nmodel = m\n")
+	text.WriteString("[member shea]\nkey_sha256 = " + declare.HashKey(dev.MemberKey) + "\nkinds = ledger\n\n[kind ledger]\ngroup = language\nfirst_token = 1s\ntoken_gap = 74ms\ndeadline = 60s\nmax_prompt_tokens = 100000\nmax_output_tokens = 4000\nrepeatable = true\n\n[group language]\ntype = engine\nmodel = m\n")
 	for _, dc := range dcs {
 		for i := range 2 {
-			e := engine.New(engine.Config{Incarnation: fleet.Incarnation(fmt.Sprint(dc, i))})
+			e := engine.New(engine.Config{
+				Incarnation: fleet.Incarnation(fmt.Sprint(dc, i)), TokenGap: 5 * time.Millisecond,
+				Orders: &engine.Orders{Model: "m", ChangeTime: changeTime},
+			})
 			address, err := dev.Serve(ctx, "127.0.0.1:0", e.Handler())
 			So(err, ShouldBeNil)
 			s.engines = append(s.engines, e)
@@ -71,11 +79,15 @@
 		handler.ServeHTTP(w, r)
 	}))
 	context.AfterFunc(s.ctx, server.CloseClientConnections)
-	d := daemon.New(&settings.Settings{
+	config := &settings.Settings{
 		Instance: fleet.InstanceID(id), DataCentre: fleet.DataCentre(id[:1]), Platform: server.URL, PeerSeeds: seeds,
 		CallerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
 		OperatorKeyHashes: []string{declare.HashKey(dev.OperatorKey)}, DrainLimit: time.Second,
-	}, zap.NewNop())
+	}
+	if s.adjust != nil {
+		s.adjust(config)
+	}
+	d := daemon.New(config, zap.NewNop())
 	So(d.Start(s.ctx), ShouldBeNil)
 	s.rows = append(s.rows, platform.InstanceInfo{ID: id, Address: d.Addresses.Peers, DataCentre: id[:1]})
 	s.platform.SetInstances(s.rows)
--- /dev/null
+++ b/daemon/peertls.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/peer"
+	"github.com/bramleywick/bramleywick/settings"
+)
+
+// refusedLogPeriod spaces the log lines about refused connections: a peer with
+// a bad certificate tries again every second.
+const refusedLogPeriod = 10 * time.Second
+
+// peerTransport returns the transport for peers that the settings ask for,
+// unless one was set before.
+func (d *Daemon) peerTransport() (peer.Transport, error) {
+	files, secure := d.settings.TLS[settings.ListenerPeers]
+	if !secure || d.PeerTransport.Dial != nil {
+		return d.PeerTransport, nil
+	}
+	if files.CAFile == "" {
+		return peer.Transport{}, errors.New("TLS between peers needs the authorities that sign their certificates")
+	}
+	certificate, err := newCertificate(files, d.log)
+	if err != nil {
+		return peer.Transport{}, errors.Wrap(err, "listen for peers")
+	}
+	return peer.TLS(identities(certificate), d.peerRefused()), nil
+}
+
+// identities returns the material of a certificate in the form of package peer.
+// The pointer changes exactly when the material does.
+func identities(c *certificate) peer.Identities {
+	type known struct {
+		material *settings.Material
+		identity *peer.Identity
+	}
+	var last atomic.Pointer[known]
+	return func() *peer.Identity {
+		m := c.material()
+		k := last.Load()
+		if k == nil || k.material != m {
+			k = &known{m, &peer.Identity{Certificate: m.Certificate, Authorities: m.Authorities}}
+			last.Store(k)
+		}
+		return k.identity
+	}
+}
+
+// peerRefused counts and logs connections of peers whose handshake failed.
+func (d *Daemon) peerRefused() func(net.Addr, error) {
+	var count atomic.Int64
+	var logged atomic.Int64 // Unix time in nanoseconds
+	d.metrics.Register(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "bramleywick_peer_handshakes_refused_total", Help: "Connections to the peers' listener without a valid certificate.",
+	}, func() float64 { return float64(count.Load()) }))
+	return func(remote net.Addr, err error) {
+		total := count.Add(1)
+		now, last := time.Now().UnixNano(), logged.Load()
+		if now-last < int64(refusedLogPeriod) || !logged.CompareAndSwap(last, now) {
+			return
+		}
+		d.log.Warn("connection of a peer refused", zap.Stringer("remote", remote), zap.Int64("refused", total), zap.Error(err))
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,6 +48,9 @@
 	MaxConnections int
 }
 
+// kindTLS is the kind of the sections [tls LISTENER].
+const kindTLS = "tls"
+
 // defaultMaxConnections allows each open request a connection and as many idle
 // ones.
 const defaultMaxConnections = 8192
@@ -76,7 +80,7 @@
 	var faults inifile.Faults
 	s := &Settings{PlatformLimits: platform.DefaultLimits()}
 	seen := map[string]bool{}
-	for _, section := range file.Sections {
+	for _, section := range inOrder(file.Sections) {
 		seen[section.Kind] = true
 		s.decode(name, section, &faults)
 	}
@@ -88,11 +92,27 @@
 	return s, faults.Err()
 }
 
+// inOrder puts the TLS sections last, because a certificate is checked against
+// the addresses of the other sections.
+func inOrder(sections []inifile.Section) []inifile.Section {
+	sorted := slices.Clone(sections)
+	slices.SortStableFunc(sorted, func(a, b inifile.Section) int {
+		switch {
+		case a.Kind != kindTLS && b.Kind == kindTLS:
+			return -1
+		case a.Kind == kindTLS && b.Kind != kindTLS:
+			return 1
+		}
+		return 0
+	})
+	return sorted
+}
+
 // decode reads one section. A section has no name besides its kind.
 func (s *Settings) decode(file string, section inifile.Section, faults *inifile.Faults) {
 	dec := inifile.NewDecoder(file, section, faults)
 	kind := section.Kind
-	if section.Name != "" && kind != "tls" {
+	if section.Name != "" && kind != kindTLS {
 		kind += " " + section.Name
 	}
 	switch kind {
@@ -112,7 +132,7 @@
 	case "peers":
 		s.PeerSeeds = dec.Strings("seeds")
 		s.PeerAddress = dec.Address("address", "")
-	case "tls":
+	case kindTLS:
 		s.decodeTLS(file, section, dec, faults)
 	case "platform":
 		s.Platform = baseURL(dec, "url")
--- a/settings/tls.go
+++ b/settings/tls.go
@@ -1,6 +1,15 @@
 package settings
 
-import "github.com/bramleywick/bramleywick/inifile"
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/netip"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleywick/bramleywick/inifile"
+)
 
 // Listener names a listener in the settings, such as in [tls callers].
 type Listener string
@@ -13,36 +22,145 @@
 	ListenerAdmin     Listener = "admin"
 )
 
-// TLS names the PEM files of a listener's certificate chain and private key.
-// The files are read again when they change.
+// TLS names the PEM files of a listener. The files are read again when they
+// change.
 type TLS struct {
+	// CertificateFile and KeyFile hold the certificate chain and its key.
 	CertificateFile string
 	KeyFile         string
+	// CAFile holds the authorities that sign the certificates of peers. It is
+	// set for the peers' listener only, where both sides present a certificate.
+	CAFile string
+}
+
+// Keys of a section [tls LISTENER].
+const (
+	keyCertificate = "certificate"
+	keyPrivateKey  = "key"
+	keyCA          = "ca"
+)
+
+// Material is the content of the files of a TLS section.
+type Material struct {
+	Certificate tls.Certificate
+	// Authorities is nil for a listener without CAFile.
+	Authorities *x509.CertPool
+}
+
+// FileError is a file that cannot be used; Key is the key that names it.
+type FileError struct {
+	Key string
+	Err error
+}
+
+// Error implements error.
+func (e *FileError) Error() string { return e.Key + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Err }
+
+// Load reads the files. With CAFile, the certificate must be one that the
+// authorities signed for both sides of a connection. Every error is a
+// *FileError.
+func (t TLS) Load() (Material, error) {
+	var m Material
+	var err error
+	for _, f := range []struct{ key, path string }{{keyCertificate, t.CertificateFile}, {keyPrivateKey, t.KeyFile}} {
+		if _, err := os.ReadFile(f.path); err != nil {
+			return m, &FileError{f.key, err}
+		}
+	}
+	if m.Certificate, err = tls.LoadX509KeyPair(t.CertificateFile, t.KeyFile); err != nil {
+		return m, &FileError{keyCertificate, err}
+	}
+	if t.CAFile == "" {
+		return m, nil
+	}
+	text, err := os.ReadFile(t.CAFile)
+	if err != nil {
+		return m, &FileError{keyCA, err}
+	}
+	m.Authorities = x509.NewCertPool()
+	if !m.Authorities.AppendCertsFromPEM(text) {
+		return m, &FileError{keyCA, errors.New("no certificate found")}
+	}
+	return m, m.verify()
 }
 
-// decodeTLS reads a section [tls LISTENER].
+// verify checks that peers with the same authorities accept the certificate.
+func (m Material) verify() error {
+	chain := x509.NewCertPool()
+	for _, raw := range m.Certificate.Certificate[1:] {
+		if c, err := x509.ParseCertificate(raw); err == nil {
+			chain.AddCert(c)
+		}
+	}
+	for _, usage := range []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth} {
+		_, err := m.Certificate.Leaf.Verify(x509.VerifyOptions{
+			Roots: m.Authorities, Intermediates: chain, KeyUsages: []x509.ExtKeyUsage{usage},
+		})
+		if err != nil {
+			return &FileError{keyCertificate, err}
+		}
+	}
+	return nil
+}
+
+// decodeTLS reads a section [tls LISTENER] and its files.
 func (s *Settings) decodeTLS(name string, section inifile.Section, dec *inifile.Decoder, faults *inifile.Faults) {
 	listener := Listener(section.Name)
 	switch listener {
-	case ListenerCallers, ListenerOperators, ListenerAdmin:
-	case ListenerPeers:
-		// Accepting the section without using it would leave the exchange
-		// plain while the settings say otherwise.
-		*faults = append(*faults, inifile.Fault{
-			File: name, Line: section.Line, Message: "[tls peers] is not supported yet: the exchange between instances is not encrypted",
-			Expected: "[tls callers], [tls operators] or [tls admin]",
-		})
+	case ListenerCallers, ListenerOperators, ListenerPeers, ListenerAdmin:
 	default:
 		*faults = append(*faults, inifile.Fault{
 			File: name, Line: section.Line, Message: "unknown listener [tls " + section.Name + "]",
-			Expected: "[tls callers], [tls operators] or [tls admin]",
+			Expected: "[tls callers], [tls operators], [tls peers] or [tls admin]",
 		})
 	}
 	if s.TLS == nil {
 		s.TLS = map[Listener]TLS{}
 	}
-	s.TLS[listener] = TLS{
-		CertificateFile: dec.Required("certificate", "a PEM file with the certificate chain"),
-		KeyFile:         dec.Required("key", "a PEM file with the private key"),
+	files := TLS{
+		CertificateFile: dec.Required(keyCertificate, "a PEM file with the certificate chain"),
+		KeyFile:         dec.Required(keyPrivateKey, "a PEM file with the private key"),
+	}
+	if listener == ListenerPeers {
+		files.CAFile = dec.Required(keyCA, "a PEM file with the authorities that sign the peers' certificates")
+	}
+	s.TLS[listener] = files
+	if files.CertificateFile == "" || files.KeyFile == "" || listener == ListenerPeers && files.CAFile == "" {
+		return
+	}
+	s.checkFiles(listener, files, dec)
+}
+
+// checkFiles reports files that the listener could not use.
+func (s *Settings) checkFiles(listener Listener, files TLS, dec *inifile.Decoder) {
+	m, err := files.Load()
+	var bad *FileError
+	if errors.As(err, &bad) {
+		dec.Fault(bad.Key, "a usable PEM file: "+bad.Err.Error())
+		return
+	}
+	if listener != ListenerPeers {
+		return
+	}
+	if host, known := s.peerHost(); known {
+		if err := m.Certificate.Leaf.VerifyHostname(host); err != nil {
+			dec.Fault(keyCertificate, "a certificate for the address that peers connect to: "+err.Error())
+		}
+	}
+}
+
+// peerHost returns the IP address at which peers reach this instance.
+func (s *Settings) peerHost() (string, bool) {
+	address := s.PeerAddress
+	if address == "" {
+		address = s.PeerListen
+	}
+	at, err := netip.ParseAddrPort(address)
+	if err != nil || at.Addr().IsUnspecified() {
+		return "", false
 	}
+	return at.Addr().String(), true
 }
--- /dev/null
+++ b/standin/ca/ca.go
@@ -0,0 +1,91 @@
+// Package ca is a small certificate authority for development and tests.
+package ca
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Authority signs certificates for loopback.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// New returns an authority with a key of its own.
+func New(name string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "make the authority's key")
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(24 * time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, errors.Wrap(err, "sign the authority's certificate")
+	}
+	cert, err := x509.ParseCertificate(raw)
+	return &Authority{cert: cert, key: key}, errors.Wrap(err, "parse the authority's certificate")
+}
+
+// Pool returns the pool that trusts the given authorities.
+func Pool(authorities ...*Authority) *x509.CertPool {
+	pool := x509.NewCertPool()
+	for _, a := range authorities {
+		pool.AddCert(a.cert)
+	}
+	return pool
+}
+
+// PEM returns the certificates of the given authorities.
+func PEM(authorities ...*Authority) []byte {
+	var text []byte
+	for _, a := range authorities {
+		text = append(text, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw})...)
+	}
+	return text
+}
+
+// Issue signs a certificate for 127.0.0.1 that either side of a connection may
+// present, valid for the given time from now.
+func (a *Authority) Issue(serial int64, valid time.Duration) (tls.Certificate, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return tls.Certificate{}, errors.Wrap(err, "make a key")
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(valid), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, a.cert, key.Public(), a.key)
+	return tls.Certificate{Certificate: [][]byte{raw}, PrivateKey: key}, errors.Wrap(err, "sign a certificate")
+}
+
+// Write writes a certificate that Issue returned and its key as PEM files.
+func Write(c tls.Certificate, certificateFile, keyFile string) error {
+	key, err := x509.MarshalPKCS8PrivateKey(c.PrivateKey)
+	if err != nil {
+		return errors.Wrap(err, "encode the key")
+	}
+	if err := writePEM(keyFile, "PRIVATE KEY", key); err != nil {
+		return err
+	}
+	return writePEM(certificateFile, "CERTIFICATE", c.Certificate[0])
+}
+
+func writePEM(path, kind string, raw []byte) error {
+	return errors.Wrap(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600), "write PEM file")
+}
