Compare certificate contents and start the exchange before the configuration

Cause: files were compared by modification time, so one that was read while it was being replaced could stay in use half read. The keeper of the configuration started before the exchange, which is told of a version once; a version that arrived in between left the instance without upstreams until the next one. Change: certificates are reloaded when the contents of the files differ. The exchange starts first. A fleet that does not come together in a test prints what each daemon knows.

--- a/daemon/certificate.go
+++ b/daemon/certificate.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"os"
 	"sync"
 	"time"
 
@@ -25,15 +24,10 @@
 
 	mu      sync.Mutex
 	current *settings.Material
-	seen    fileTimes
+	texts   settings.Texts
 	checked time.Time
 }
 
-// fileTimes are the modification times of certificate, key and authorities. Each
-// is compared on its own: a file may be replaced with one that is older than
-// another of the three.
-type fileTimes [3]time.Time
-
 func newCertificate(files settings.TLS, log *zap.Logger) (*certificate, error) {
 	c := &certificate{files: files, log: log, period: certificateCheck}
 	if err := c.reload(); err != nil {
@@ -60,35 +54,23 @@
 	return c.current
 }
 
+// reload compares contents: the modification time of a file that is replaced
+// while it is read, or by an older one, need not tell.
 func (c *certificate) reload() error {
 	c.checked = time.Now()
-	seen, err := c.modified()
+	texts, err := c.files.Read()
 	if err != nil {
-		return err
+		return errors.Wrap(err, "read certificate")
 	}
-	if c.current != nil && seen == c.seen {
+	if c.current != nil && texts == c.texts {
 		return nil
 	}
-	material, err := c.files.Load()
+	material, err := texts.Parse()
 	if err != nil {
 		return errors.Wrap(err, "load certificate")
 	}
-	c.current, c.seen = &material, seen
+	c.current, c.texts = &material, texts
 	c.log.Info("certificate loaded", zap.String("file", c.files.CertificateFile),
 		zap.Time("not_after", material.Certificate.Leaf.NotAfter))
 	return nil
 }
-
-func (c *certificate) modified() (times fileTimes, err error) {
-	for i, file := range []string{c.files.CertificateFile, c.files.KeyFile, c.files.CAFile} {
-		if file == "" {
-			continue
-		}
-		info, err := os.Stat(file)
-		if err != nil {
-			return times, errors.Wrap(err, "read certificate")
-		}
-		times[i] = info.ModTime()
-	}
-	return times, nil
-}
--- a/daemon/certificate_test.go
+++ b/daemon/certificate_test.go
@@ -63,6 +63,9 @@
 		// A pair that was made earlier than the one that it replaces.
 		p.write(4, began.Add(-time.Minute))
 		So(serial(c), ShouldEqual, 4)
+		// A pair with the times of the one that it replaces.
+		p.write(5, began.Add(-time.Minute))
+		So(serial(c), ShouldEqual, 5)
 	})
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -148,9 +148,14 @@
 	if d.Addresses.Admin, err = d.listenBeside(settings.ListenerAdmin, d.settings.AdminListen, d.adminHandler()); err != nil {
 		return err
 	}
+	go d.dispatcher.Run(context.WithoutCancel(ctx))
+	// The exchange is there before the first configuration arrives, because it
+	// is told of a version only once.
+	if err := d.startCluster(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
 	go d.keeper.Run(ctx, d.watchesConfiguration)
 	d.startAuthority(ctx)
 	go d.planRoles(ctx)
-	go d.dispatcher.Run(context.WithoutCancel(ctx))
-	return d.startCluster(context.WithoutCancel(ctx))
+	return nil
 }
--- a/daemon/membership_test.go
+++ b/daemon/membership_test.go
@@ -118,9 +118,15 @@
 // apply puts the declaration in force everywhere and waits for first reports.
 func (s *site) apply() {
 	s.put(s.text)
-	So(s.eventually(15*time.Second, func(d *daemon.Daemon) bool {
+	took := s.eventually(15*time.Second, func(d *daemon.Daemon) bool {
 		return len(d.Instances()) == len(s.daemons)-1 && all(d, membership.UpstreamLive)
-	}), ShouldBeLessThan, 15*time.Second)
+	})
+	for _, d := range s.daemons {
+		if took == 15*time.Second {
+			Printf("%s knows %+v and %+v\n", d.Addresses.Peers, d.Instances(), d.Upstreams())
+		}
+	}
+	So(took, ShouldBeLessThan, 15*time.Second)
 	time.Sleep(time.Second)
 }
 
--- a/settings/tls.go
+++ b/settings/tls.go
@@ -59,29 +59,46 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Err }
 
-// Load reads the files. With CAFile, the certificate must be one that the
-// authorities signed for both sides of a connection. Every error is a
+// Texts are the contents of the files of a TLS section; two reads of unchanged
+// files are equal.
+type Texts struct{ certificate, key, ca string }
+
+// Read reads the files. Every error is a *FileError.
+func (t TLS) Read() (Texts, error) {
+	var out Texts
+	for _, f := range []struct {
+		key, path string
+		text      *string
+	}{{keyCertificate, t.CertificateFile, &out.certificate}, {keyPrivateKey, t.KeyFile, &out.key}, {keyCA, t.CAFile, &out.ca}} {
+		if f.key == keyCA && f.path == "" {
+			continue
+		}
+		text, err := os.ReadFile(f.path)
+		if err != nil {
+			return out, &FileError{f.key, err}
+		}
+		if len(text) == 0 {
+			return out, &FileError{f.key, errors.New("the file is empty")}
+		}
+		*f.text = string(text)
+	}
+	return out, nil
+}
+
+// Parse returns what the files hold. With authorities, the certificate must be
+// one that they signed for both sides of a connection. Every error is a
 // *FileError.
-func (t TLS) Load() (Material, error) {
+func (x Texts) Parse() (Material, error) {
 	var m Material
 	var err error
-	for _, f := range []struct{ key, path string }{{keyCertificate, t.CertificateFile}, {keyPrivateKey, t.KeyFile}} {
-		if _, err := os.ReadFile(f.path); err != nil {
-			return m, &FileError{f.key, err}
-		}
-	}
-	if m.Certificate, err = tls.LoadX509KeyPair(t.CertificateFile, t.KeyFile); err != nil {
+	if m.Certificate, err = tls.X509KeyPair([]byte(x.certificate), []byte(x.key)); err != nil {
 		return m, &FileError{keyCertificate, err}
 	}
-	if t.CAFile == "" {
+	if x.ca == "" {
 		return m, nil
 	}
-	text, err := os.ReadFile(t.CAFile)
-	if err != nil {
-		return m, &FileError{keyCA, err}
-	}
 	m.Authorities = x509.NewCertPool()
-	if !m.Authorities.AppendCertsFromPEM(text) {
+	if !m.Authorities.AppendCertsFromPEM([]byte(x.ca)) {
 		return m, &FileError{keyCA, errors.New("no certificate found")}
 	}
 	return m, m.verify()
@@ -136,7 +153,11 @@
 
 // checkFiles reports files that the listener could not use.
 func (s *Settings) checkFiles(listener Listener, files TLS, dec *inifile.Decoder) {
-	m, err := files.Load()
+	var m Material
+	texts, err := files.Read()
+	if err == nil {
+		m, err = texts.Parse()
+	}
 	var bad *FileError
 	if errors.As(err, &bad) {
 		dec.Fault(bad.Key, "a usable PEM file: "+bad.Err.Error())
