--- a/daemon/certificate.go
+++ b/daemon/certificate.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"os"
 	"sync"
 	"time"
 
@@ -12,19 +11,20 @@
 	"github.com/bramleywick/bramleywick/settings"
 )
 
-// certificateCheck is the shortest time between two looks at the files.
-const certificateCheck = 10 * time.Second
+// certificateCheck is the shortest time between two looks at the files. Tests
+// shorten it.
+var certificateCheck = 10 * time.Second
 
-// certificate is a listener's certificate, read again when its files change.
-// Safe for concurrent use.
+// certificate is the TLS material of a listener, read again when its files
+// change. Safe for concurrent use.
 type certificate struct {
 	files  settings.TLS
 	log    *zap.Logger
 	period time.Duration
 
 	mu      sync.Mutex
-	current *tls.Certificate
-	changed time.Time // the later modification time of the two files
+	current *settings.Material
+	texts   settings.Texts
 	checked time.Time
 }
 
@@ -36,9 +36,14 @@
 	return c, nil
 }
 
-// get implements tls.Config.GetCertificate. Files that cannot be read leave the
-// current certificate in use.
+// get implements tls.Config.GetCertificate.
 func (c *certificate) get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	return &c.material().Certificate, nil
+}
+
+// material returns what the files hold. Files that cannot be used leave the
+// current material in use. A changed material is another pointer.
+func (c *certificate) material() *settings.Material {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if time.Since(c.checked) >= c.period {
@@ -46,37 +51,26 @@
 			c.log.Warn("certificate not reloaded", zap.String("file", c.files.CertificateFile), zap.Error(err))
 		}
 	}
-	return c.current, nil
+	return c.current
 }
 
+// reload compares contents: the modification time of a file that is replaced
+// while it is read, or by an older one, need not tell.
 func (c *certificate) reload() error {
 	c.checked = time.Now()
-	changed, err := c.modified()
+	texts, err := c.files.Read()
 	if err != nil {
-		return err
+		return errors.Wrap(err, "read certificate")
 	}
-	if c.current != nil && changed.Equal(c.changed) {
+	if c.current != nil && texts == c.texts {
 		return nil
 	}
-	pair, err := tls.LoadX509KeyPair(c.files.CertificateFile, c.files.KeyFile)
+	material, err := texts.Parse()
 	if err != nil {
 		return errors.Wrap(err, "load certificate")
 	}
-	c.current, c.changed = &pair, changed
-	c.log.Info("certificate loaded", zap.String("file", c.files.CertificateFile), zap.Time("not_after", pair.Leaf.NotAfter))
+	c.current, c.texts = &material, texts
+	c.log.Info("certificate loaded", zap.String("file", c.files.CertificateFile),
+		zap.Time("not_after", material.Certificate.Leaf.NotAfter))
 	return nil
 }
-
-func (c *certificate) modified() (time.Time, error) {
-	var latest time.Time
-	for _, file := range []string{c.files.CertificateFile, c.files.KeyFile} {
-		info, err := os.Stat(file)
-		if err != nil {
-			return time.Time{}, errors.Wrap(err, "read certificate")
-		}
-		if info.ModTime().After(latest) {
-			latest = info.ModTime()
-		}
-	}
-	return latest, nil
-}
--- a/daemon/certificate_test.go
+++ b/daemon/certificate_test.go
@@ -1,14 +1,7 @@
 package daemon
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -19,51 +12,60 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/settings"
+	"github.com/bramleywick/bramleywick/standin/ca"
 )
 
-// writeCertificate writes a new pair with the given serial number and date.
-func writeCertificate(files settings.TLS, serial int64, modified time.Time) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	So(err, ShouldBeNil)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	So(err, ShouldBeNil)
-	raw, err := x509.MarshalECPrivateKey(key)
+// pki signs the certificates of one directory.
+type pki struct {
+	dir    string
+	signer *ca.Authority
+}
+
+func newPKI(t *testing.T) *pki {
+	signer, err := ca.New("fleet")
 	So(err, ShouldBeNil)
-	for path, block := range map[string]*pem.Block{
-		files.CertificateFile: {Type: "CERTIFICATE", Bytes: der}, files.KeyFile: {Type: "EC PRIVATE KEY", Bytes: raw},
-	} {
-		So(os.WriteFile(path, pem.EncodeToMemory(block), 0o600), ShouldBeNil)
-		So(os.Chtimes(path, modified, modified), ShouldBeNil)
-	}
+	return &pki{t.TempDir(), signer}
+}
+
+// write writes a new pair with the given serial number and date.
+func (p *pki) write(serial int64, modified time.Time) settings.TLS {
+	f := ca.FilesIn(p.dir, "i")
+	So(f.Issue(p.signer, serial, time.Hour), ShouldBeNil)
+	So(f.Trust(p.signer), ShouldBeNil)
+	So(os.Chtimes(f.Certificate, modified, modified), ShouldBeNil)
+	So(os.Chtimes(f.Key, modified, modified), ShouldBeNil)
+	return settings.TLS{CertificateFile: f.Certificate, KeyFile: f.Key}
 }
 
 // TestCertificateReload guards against a listener that keeps an old
 // certificate, or loses its certificate to a broken file.
 func TestCertificateReload(t *testing.T) {
 	Convey("A certificate", t, func() {
-		dir := t.TempDir()
-		files := settings.TLS{CertificateFile: filepath.Join(dir, "c.pem"), KeyFile: filepath.Join(dir, "k.pem")}
+		p := newPKI(t)
 		serial := func(c *certificate) int64 {
 			current, err := c.get(nil)
 			So(err, ShouldBeNil)
 			return current.Leaf.SerialNumber.Int64()
 		}
 		began := time.Now()
-		writeCertificate(files, 1, began)
+		files := p.write(1, began)
 		c, err := newCertificate(files, zap.NewNop())
 		So(err, ShouldBeNil)
 		c.period = 0
 		So(serial(c), ShouldEqual, 1)
-		writeCertificate(files, 2, began.Add(time.Second))
+		p.write(2, began.Add(time.Second))
 		So(serial(c), ShouldEqual, 2)
 		So(os.WriteFile(files.KeyFile, []byte("broken"), 0o600), ShouldBeNil)
 		So(os.Chtimes(files.KeyFile, began, began.Add(2*time.Second)), ShouldBeNil)
 		So(serial(c), ShouldEqual, 2)
-		writeCertificate(files, 3, began.Add(3*time.Second))
+		p.write(3, began.Add(3*time.Second))
 		So(serial(c), ShouldEqual, 3)
+		// A pair that was made earlier than the one that it replaces.
+		p.write(4, began.Add(-time.Minute))
+		So(serial(c), ShouldEqual, 4)
+		// A pair with the times of the one that it replaces.
+		p.write(5, began.Add(-time.Minute))
+		So(serial(c), ShouldEqual, 5)
 	})
 }
 
@@ -71,14 +73,14 @@
 // starts without its certificate.
 func TestTLSListeners(t *testing.T) {
 	Convey("With TLS in the settings", t, func() {
-		dir := t.TempDir()
-		files := settings.TLS{CertificateFile: filepath.Join(dir, "c.pem"), KeyFile: filepath.Join(dir, "k.pem")}
+		p := newPKI(t)
+		files := p.write(6, time.Now())
 		for _, purpose := range []settings.Listener{settings.ListenerCallers, settings.ListenerOperators, settings.ListenerPeers, settings.ListenerAdmin} {
 			d := New(&settings.Settings{TLS: map[settings.Listener]settings.TLS{purpose: files}}, zap.NewNop())
-			_ = os.Remove(files.CertificateFile)
+			So(os.Remove(files.CertificateFile), ShouldBeNil)
 			_, _, err := d.listen(purpose, "127.0.0.1:0", http.NotFoundHandler())
 			So(err, ShouldNotBeNil)
-			writeCertificate(files, 7, time.Now())
+			p.write(7, time.Now())
 			server, address, err := d.listen(purpose, "127.0.0.1:0", http.NotFoundHandler())
 			So(err, ShouldBeNil)
 			conn, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true})
@@ -90,14 +92,35 @@
 	})
 	Convey("Settings name the files, and faults name the line", t, func() {
 		const base = "[instance]\nid = i\ndata_centre = a\n[listen]\n[platform]\nurl = http://127.0.0.1:7000\n"
-		s, err := settings.Parse("f", []byte(base+"[tls callers]\ncertificate = c\nkey = k\n"))
+		files := newPKI(t).write(1, time.Now())
+		trusted := ca.FilesIn(filepath.Dir(files.KeyFile), "i").Authorities
+		strange := newPKI(t)
+		strange.write(1, time.Now())
+		pair := "certificate = " + files.CertificateFile + "\nkey = " + files.KeyFile + "\n"
+		s, err := settings.Parse("f", []byte(base+"[tls callers]\n"+pair))
+		So(err, ShouldBeNil)
+		So(s.TLS[settings.ListenerCallers], ShouldResemble, files)
+		s, err = settings.Parse("f", []byte(base+"[tls peers]\n"+pair+"ca = "+trusted))
 		So(err, ShouldBeNil)
-		So(s.TLS[settings.ListenerCallers], ShouldResemble, settings.TLS{CertificateFile: "c", KeyFile: "k"})
-		_, err = settings.Parse("f", []byte(base+"[tls caller]\ncertificate = c\nkey = k\n"))
-		So(err.Error(), ShouldContainSubstring, "f:7: unknown listener [tls caller]")
-		_, err = settings.Parse("f", []byte(base+"[tls callers]\ncertificate = c\n"))
-		So(err.Error(), ShouldContainSubstring, "lacks key")
-		_, err = settings.Parse("f", []byte(base+"[tls peers]\ncertificate = c\nkey = k\n"))
-		So(err.Error(), ShouldContainSubstring, "f:7: [tls peers] is not supported yet")
+		files.CAFile = trusted
+		So(s.TLS[settings.ListenerPeers], ShouldResemble, files)
+		for _, c := range []struct{ text, want string }{
+			{"[tls caller]\n" + pair, "f:7: unknown listener [tls caller]"},
+			{"[tls callers]\ncertificate = " + trusted, "lacks key"},
+			{"[tls callers]\ncertificate = /no\nkey = " + files.KeyFile, "f:8: certificate = "},
+			{"[tls admin]\ncertificate = " + trusted + "\nkey = /no", "f:9: key = "},
+			{"[tls admin]\ncertificate = " + trusted + "\nkey = " + files.KeyFile, "f:8: certificate = "},
+			{"[tls callers]\n" + pair + "ca = " + trusted, `f:10: unknown key "ca" in [tls callers]`},
+			{"[tls peers]\n" + pair, "[tls peers] lacks ca"},
+			{"[tls peers]\n" + pair + "ca = /no", "f:10: ca = "},
+			{"[tls peers]\n" + pair + "ca = " + files.KeyFile, "no certificate found"},
+			{"[tls peers]\n" + pair + "ca = " + ca.FilesIn(strange.dir, "i").Authorities, "f:8: certificate = "},
+			{"[tls peers]\n" + pair + "ca = " + trusted + "\n[peers]\naddress = 127.0.0.2:1", "valid for 127.0.0.1"},
+		} {
+			_, err = settings.Parse("f", []byte(base+c.text+"\n"))
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldStartWith, "f:")
+			So(err.Error(), ShouldContainSubstring, c.want)
+		}
 	})
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -45,6 +45,7 @@
 	authorityDone chan struct{}
 	cluster       cluster
 	roles         *roles
+	listing       *listing
 	calls         *caller.Server
 	// callers serves callers; servers are the other listeners, which stay open
 	// until the callers' answers are finished.
@@ -56,7 +57,8 @@
 	interruptOnce sync.Once
 	// Addresses are the bound addresses of the listeners, by purpose.
 	Addresses Addresses
-	// PeerTransport carries the exchange with peers; set it before Start.
+	// PeerTransport carries the exchange with peers. One that is set before
+	// Start replaces that of the settings.
 	PeerTransport peer.Transport
 }
 
@@ -67,7 +69,7 @@
 
 // New provisions a daemon without starting anything.
 func New(s *settings.Settings, log *zap.Logger) *Daemon {
-	d := &Daemon{settings: s, log: log, metrics: metrics.New(), roles: newRoles(), interrupt: make(chan struct{})}
+	d := &Daemon{settings: s, log: log, metrics: metrics.New(), roles: newRoles(), listing: newListing(), interrupt: make(chan struct{})}
 	d.engines = upstream.NewEngineClient(upstream.NewTransport())
 	d.dispatcher = dispatch.New(sched.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Seed: seedOf(s.Instance),
@@ -85,6 +87,12 @@
 	d.metrics.Gauge("bramleywick_open_requests", "Requests without a complete answer.", func() float64 {
 		return float64(len(d.calls.Open()))
 	})
+	d.metrics.Gauge("bramleywick_ready", "1 while the instance takes requests, else 0.", func() float64 {
+		if ready, _ := d.readiness(); ready {
+			return 1
+		}
+		return 0
+	})
 	d.metrics.Gauge("bramleywick_ejected_upstreams", "Upstreams that this instance has ejected.", func() float64 {
 		return float64(d.dispatcher.Ejected())
 	})
@@ -140,9 +148,14 @@
 	if d.Addresses.Admin, err = d.listenBeside(settings.ListenerAdmin, d.settings.AdminListen, d.adminHandler()); err != nil {
 		return err
 	}
+	go d.dispatcher.Run(context.WithoutCancel(ctx))
+	// The exchange is there before the first configuration arrives, because it
+	// is told of a version only once.
+	if err := d.startCluster(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
 	go d.keeper.Run(ctx, d.watchesConfiguration)
 	d.startAuthority(ctx)
 	go d.planRoles(ctx)
-	go d.dispatcher.Run(context.WithoutCancel(ctx))
-	return d.startCluster(context.WithoutCancel(ctx))
+	return nil
 }
--- a/daemon/membership_test.go
+++ b/daemon/membership_test.go
@@ -20,6 +20,7 @@
 	"github.com/bramleywick/bramleywick/dev"
 	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/settings"
+	"github.com/bramleywick/bramleywick/standin/caller"
 	"github.com/bramleywick/bramleywick/standin/engine"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
 )
@@ -28,6 +29,9 @@
 // departure.
 const departureBound = 3 * time.Second
 
+// changeTime is how long an order takes a stand-in engine out of service.
+const changeTime = 300 * time.Millisecond
+
 // site is a fleet of daemons with stand-ins.
 type site struct {
 	ctx      context.Context
@@ -38,16 +42,23 @@
 	daemons  []*daemon.Daemon
 	// cut are the daemons that do not reach the platform.
 	cut []*atomic.Bool
+	// adjust changes a daemon's settings before it starts; it may be nil.
+	adjust func(*settings.Settings)
+	// unlisted keeps daemons that start out of the platform's list.
+	unlisted bool
 }
 
 // newSite starts the platform and two engines in each data centre.
 func newSite(ctx context.Context, dcs ...string) *site {
 	s := &site{ctx: ctx, platform: standin.New()}
 	var text strings.Builder
-	text.WriteString("[member shea]\nkinds = ledger\n\n[kind ledger]\ngroup = language\nfirst_token = 1s\ntoken_gap = 74ms\ndeadline = 60s\nmax_prompt_tokens = 100000\nmax_output_tokens = 4000\nrepeatable = true\n\n[group language]\ntype = engine\nmodel = m\n")
+	text.WriteString("[member shea]\nkey_sha256 = " + declare.HashKey(dev.MemberKey) + "\nkinds = ledger\n\n[kind ledger]\ngroup = language\nfirst_token = 1s\ntoken_gap = 74ms\ndeadline = 60s\nmax_prompt_tokens = 100000\nmax_output_tokens = 4000\nrepeatable = true\n\n[group language]\ntype = engine\nmodel = m\nroles = fixed\n")
 	for _, dc := range dcs {
 		for i := range 2 {
-			e := engine.New(engine.Config{Incarnation: fleet.Incarnation(fmt.Sprint(dc, i))})
+			e := engine.New(engine.Config{
+				Incarnation: fleet.Incarnation(fmt.Sprint(dc, i)), TokenGap: 5 * time.Millisecond,
+				Orders: &engine.Orders{Model: "m", ChangeTime: changeTime},
+			})
 			address, err := dev.Serve(ctx, "127.0.0.1:0", e.Handler())
 			So(err, ShouldBeNil)
 			s.engines = append(s.engines, e)
@@ -71,25 +82,51 @@
 		handler.ServeHTTP(w, r)
 	}))
 	context.AfterFunc(s.ctx, server.CloseClientConnections)
-	d := daemon.New(&settings.Settings{
+	config := &settings.Settings{
 		Instance: fleet.InstanceID(id), DataCentre: fleet.DataCentre(id[:1]), Platform: server.URL, PeerSeeds: seeds,
 		CallerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
 		OperatorKeyHashes: []string{declare.HashKey(dev.OperatorKey)}, DrainLimit: time.Second,
-	}, zap.NewNop())
+	}
+	if s.adjust != nil {
+		s.adjust(config)
+	}
+	d := daemon.New(config, zap.NewNop())
 	So(d.Start(s.ctx), ShouldBeNil)
 	s.rows = append(s.rows, platform.InstanceInfo{ID: id, Address: d.Addresses.Peers, DataCentre: id[:1]})
-	s.platform.SetInstances(s.rows)
+	if !s.unlisted {
+		s.platform.SetInstances(s.rows)
+	}
 	s.daemons = append(s.daemons, d)
 	context.AfterFunc(s.ctx, d.Kill)
 	return d
 }
 
+// load starts streams of each length through every daemon.
+func (s *site) load(tokens ...int) *caller.Load {
+	var addresses []string
+	for _, d := range s.daemons {
+		addresses = append(addresses, d.Addresses.Callers)
+	}
+	return caller.Start(dev.MemberKey, addresses, tokens...)
+}
+
+// put makes text the next version.
+func (s *site) put(text string) {
+	So(dev.Apply(s.ctx, s.daemons[0].Addresses.Operators, text), ShouldBeNil)
+}
+
 // apply puts the declaration in force everywhere and waits for first reports.
 func (s *site) apply() {
-	So(dev.Apply(s.ctx, s.daemons[0].Addresses.Operators, s.text), ShouldBeNil)
-	So(s.eventually(15*time.Second, func(d *daemon.Daemon) bool {
+	s.put(s.text)
+	took := s.eventually(15*time.Second, func(d *daemon.Daemon) bool {
 		return len(d.Instances()) == len(s.daemons)-1 && all(d, membership.UpstreamLive)
-	}), ShouldBeLessThan, 15*time.Second)
+	})
+	for _, d := range s.daemons {
+		if took == 15*time.Second {
+			Printf("%s knows %+v and %+v\n", d.Addresses.Peers, d.Instances(), d.Upstreams())
+		}
+	}
+	So(took, ShouldBeLessThan, 15*time.Second)
 	time.Sleep(time.Second)
 }
 
--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
-	"math/big"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,59 +12,80 @@
 
 	"github.com/bramleywick/bramleywick/config"
 	"github.com/bramleywick/bramleywick/peer"
+	"github.com/bramleywick/bramleywick/standin/ca"
 )
 
-// certificate returns a self-signed certificate for loopback and the pool that
-// trusts it.
-func certificate() (tls.Certificate, *x509.CertPool) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+// identity has a certificate of the signer and trusts it and others.
+func identity(valid time.Duration, signer *ca.Authority, trusted ...*ca.Authority) *peer.Identity {
+	certificate, err := signer.Issue(1, valid)
 	So(err, ShouldBeNil)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	raw, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	So(err, ShouldBeNil)
-	parsed, err := x509.ParseCertificate(raw)
-	So(err, ShouldBeNil)
-	pool := x509.NewCertPool()
-	pool.AddCert(parsed)
-	return tls.Certificate{Certificate: [][]byte{raw}, PrivateKey: key}, pool
+	return &peer.Identity{Certificate: certificate, Authorities: ca.Pool(append(trusted, signer)...)}
 }
 
 // TestMutualTLS guards against an instance that talks to a peer without a
-// certificate of the fleet.
+// certificate of the fleet, and against a connection that outlives the
+// certificate with which it was opened.
 func TestMutualTLS(t *testing.T) {
 	Convey("With an instance that requires certificates", t, func() {
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
-		own, pool := certificate()
-		transport := peer.TLS(
-			&tls.Config{Certificates: []tls.Certificate{own}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool},
-			&tls.Config{Certificates: []tls.Certificate{own}, RootCAs: pool},
-		)
-		plain, err := net.Listen("tcp", "127.0.0.1:0")
+		fleetCA, err := ca.New("fleet")
+		So(err, ShouldBeNil)
+		otherCA, err := ca.New("other")
 		So(err, ShouldBeNil)
+		var server atomic.Pointer[peer.Identity]
+		server.Store(identity(time.Hour, fleetCA))
+		var refusals atomic.Int64
 		m := (&network{faults: map[[2]string]fault{}}).start(ctx, t, "a1")
 		So(m.Offer(config.Record{Stamp: config.Stamp{Version: 1}, Text: "one"}), ShouldBeNil)
-		listener := transport.Wrap(plain)
-		go func() { _ = m.Serve(listener) }()
-		defer func() { _ = listener.Close() }()
-		ask := func(conn net.Conn, err error) error {
+		serve := func(host string) string {
+			plain, err := net.Listen("tcp", host+":0")
+			So(err, ShouldBeNil)
+			listener := peer.TLS(server.Load, func(net.Addr, error) { refusals.Add(1) }).Wrap(plain)
+			go func() { _ = m.Serve(listener) }()
+			context.AfterFunc(ctx, func() { _ = listener.Close() })
+			return plain.Addr().String()
+		}
+		address := serve("127.0.0.1")
+		// call returns a function that calls over one connection.
+		call := func(conn net.Conn, err error) func() error {
 			if err != nil {
-				return err
+				return func() error { return err }
 			}
 			client := rpc.NewClient(conn)
-			defer func() { _ = client.Close() }()
-			return client.Call("Exchange.Config", peer.ConfigArgs{}, &peer.ConfigReply{})
+			context.AfterFunc(ctx, func() { _ = client.Close() })
+			return func() error { return client.Call("Exchange.Config", peer.ConfigArgs{}, &peer.ConfigReply{}) }
 		}
-		address := plain.Addr().String()
-		So(ask(transport.Dial(ctx, address)), ShouldBeNil)
-		stranger, _ := certificate()
-		for _, c := range []*tls.Config{{RootCAs: pool}, {RootCAs: pool, Certificates: []tls.Certificate{stranger}}} {
-			So(ask(peer.TLS(nil, c).Dial(ctx, address)), ShouldNotBeNil)
+		dial := func(i *peer.Identity, address string) func() error {
+			return call(peer.TLS(func() *peer.Identity { return i }, nil).Dial(ctx, address))
 		}
-		So(ask(net.Dial("tcp", address)), ShouldNotBeNil)
-		So(ask(peer.TLS(nil, &tls.Config{Certificates: []tls.Certificate{own}}).Dial(ctx, address)), ShouldNotBeNil)
+		within := func(holds func() bool) { So(eventually(9*time.Second, holds), ShouldBeLessThan, 9*time.Second) }
+		own := identity(time.Hour, fleetCA)
+
+		Convey("only a peer of the fleet is answered, and a silent connection is closed", func() {
+			So(dial(own, address)(), ShouldBeNil)
+			So(dial(&peer.Identity{Authorities: ca.Pool(fleetCA)}, address)(), ShouldNotBeNil)
+			So(dial(identity(time.Hour, otherCA, fleetCA), address)(), ShouldNotBeNil)
+			So(dial(identity(-time.Minute, fleetCA), address)(), ShouldNotBeNil)
+			So(call(net.Dial("tcp", address))(), ShouldNotBeNil)
+			silent, err := net.Dial("tcp", address)
+			So(err, ShouldBeNil)
+			within(func() bool { return refusals.Load() == 5 })
+			_ = silent.Close()
+		})
+		Convey("a peer does not talk to a stranger or at another address", func() {
+			So(dial(identity(time.Hour, otherCA), address)(), ShouldNotBeNil)
+			So(dial(own, serve("127.0.0.2"))().Error(), ShouldContainSubstring, "valid for 127.0.0.1")
+		})
+		Convey("an open connection goes on exactly while its certificate is valid", func() {
+			again, short := dial(own, address), dial(identity(2*time.Second, fleetCA), address)
+			So(again(), ShouldBeNil)
+			So(short(), ShouldBeNil)
+			within(func() bool { return short() != nil })
+			server.Store(identity(time.Hour, fleetCA, otherCA))
+			So(again(), ShouldBeNil)
+			server.Store(identity(time.Hour, otherCA))
+			So(again(), ShouldNotBeNil)
+		})
 	})
 }
