Plan token gaps for what joins an engine later

Cause: the learned tail relates gaps to the batch at the time of the sample. On a steady full engine it falls to 1, and answers get mean gaps 4 to 7% above the expectation at their choice, about 10% where the load rises.

Change: the tail that is planned for is 1.1 times the learned one.

--- a/core/route/engine.go
+++ b/core/route/engine.go
@@ -129,6 +129,10 @@
 	gapQuantile = 0.99
 	// initialGapTail is assumed until gaps have been observed.
 	initialGapTail = 1 / targetMargin
+	// gapGrowth is the factor on the tail for what joins an engine after the
+	// choice: answers get mean gaps 4 to 7% above the expected ones, 10% where
+	// the load rises.
+	gapGrowth = 1.1
 	// gapTailStep is the largest change of the logarithm of the tail per sample.
 	gapTailStep = 0.03
 	// maxGapTail bounds the tail. An iteration with a whole prefill chunk takes
@@ -139,19 +143,22 @@
 // ObserveLongestGap learns from the longest of n token gaps, in seconds. A
 // mean over the gaps would hide the iterations that prefill lengthens.
 func (e *Engine) ObserveLongestGap(now fleet.Instant, n int, longest float64) {
-	tail := e.tail()
+	if e.gapTail == 0 {
+		e.gapTail = initialGapTail / gapGrowth
+	}
 	step := gapTailStep * math.Pow(gapQuantile, float64(n))
-	if longest <= tail*e.GapWith(now, now, 0, 0) {
+	if longest <= e.gapTail*e.GapWith(now, now, 0, 0) {
 		step -= gapTailStep
 	}
-	e.gapTail = math.Min(math.Max(tail*math.Exp(step), 1), maxGapTail)
+	e.gapTail = math.Min(math.Max(e.gapTail*math.Exp(step), 1), maxGapTail)
 }
 
+// tail is the factor on an expected gap that is planned for.
 func (e *Engine) tail() float64 {
 	if e.gapTail == 0 {
 		return initialGapTail
 	}
-	return e.gapTail
+	return e.gapTail * gapGrowth
 }
 
 // Corrected returns a speed whose decode step includes the recent gap error of
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -159,12 +159,13 @@
 
 // TestGapsWithinTarget guards against an engine that is filled until its mean
 // token gap is the target, which holds for 95 in 100 gaps. Longest is the longest
-// of 16 gaps over the mean: prefill lengthens a few iterations by much.
+// of 16 gaps over the mean: prefill lengthens a few iterations by much. Steady
+// gaps near the target leave no room for what joins the engine later.
 func TestGapsWithinTarget(t *testing.T) {
 	for _, c := range []struct {
 		part, longest float64
 		fits          bool
-	}{{0.7, 0, true}, {0.9, 0, false}, {1.1, 0, false}, {0.5, 1.1, true}, {0.5, 4, false}} {
+	}{{0.7, 0, true}, {0.9, 0, false}, {1.1, 0, false}, {0.5, 1.1, true}, {0.5, 4, false}, {0.95, 1, false}} {
 		q, speed := query(), cost.DefaultSpeed
 		running := (c.part*q.Gap-speed.Context*q.Prompt-speed.Base)/speed.Slope - 1
 		r := route.New(1)
