--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -163,14 +163,15 @@
 }
 
 // soon waits for a condition that other goroutines bring about.
-func soon(condition func() bool) bool {
-	for range 200 {
+func soon(condition func() bool) bool { return within(2*time.Second, condition) }
+
+func within(limit time.Duration, condition func() bool) bool {
+	for began := time.Now(); time.Since(began) < limit; time.Sleep(10 * time.Millisecond) {
 		if condition() {
 			return true
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
-	return false
+	return condition()
 }
 
 // answerText joins the text of a streamed answer.
--- a/caller/http2_test.go
+++ b/caller/http2_test.go
@@ -111,7 +111,8 @@
 				So(c.whole(prompt), ShouldEqual, want)
 				So(time.Since(began), ShouldBeLessThan, limits.WriteTimeout/2)
 			}
-			So(soon(func() bool { return b.counts.get(fleet.ReasonCallerGone) == 1 }), ShouldBeTrue)
+			// The window must fill up before the write timeout begins.
+			So(within(10*limits.WriteTimeout, func() bool { return b.counts.get(fleet.ReasonCallerGone) == 1 }), ShouldBeTrue)
 			So(c.whole(prompt), ShouldEqual, want)
 		})
 	})
