--- /dev/null
+++ b/core/sched/reports.go
@@ -0,0 +1,107 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/route"
+)
+
+func (s *Scheduler) report(l LoadReport) {
+	i, ok := s.upstreams.find(l.Upstream)
+	if !ok {
+		return
+	}
+	s.setIncarnation(i, l.Incarnation)
+	x, e := &s.upstreamStates[i], &s.router.Engines[i]
+	x.leaving = x.leaving || l.Leaving
+	if !e.Reported || l.At >= e.ReportedAt {
+		e.Role = l.Role
+	}
+	s.learnCounters(i, l)
+	s.updateEngine(i)
+	e.Report(route.Load{
+		At: l.At, Running: l.Running, Waiting: l.Waiting, WaitingPrompt: float64(l.WaitingPromptTokens),
+		KVUsed: float64(l.KVUsedTokens), KVCapacity: float64(l.KVCapacityTokens),
+	})
+	s.pump(x.group)
+}
+
+// counterSpan bounds the time between two reports whose counters are compared.
+const counterSpan = 3 * time.Second
+
+// learnCounters learns an engine's speed from the tokens that it processed
+// between two reports. Unlike first-token times this is not disturbed by
+// requests that share an iteration.
+func (s *Scheduler) learnCounters(i int32, l LoadReport) {
+	x := &s.upstreamStates[i]
+	last := x.last
+	span := l.At - last.At
+	if span <= 0 {
+		return
+	}
+	x.last = l
+	known := last.PrefilledTotal+last.GeneratedTotal > 0 && last.Incarnation == l.Incarnation && last.Role == l.Role
+	if !known || span > counterSpan || s.config.Ablate.NoLearning {
+		return
+	}
+	prefilled, generated := float64(l.PrefilledTotal-last.PrefilledTotal), float64(l.GeneratedTotal-last.GeneratedTotal)
+	if l.Role == fleet.RolePrefill && last.WaitingPromptTokens > 0 && l.WaitingPromptTokens > 0 && prefilled > 0 {
+		s.speeds.ObserveWork(i, l.Role, span.Seconds()/prefilled)
+	}
+	running := float64(last.Running+l.Running) / 2
+	if l.Role != fleet.RolePrefill && last.Running > 0 && l.Running > 0 && generated > running {
+		step := running * span.Seconds() / generated
+		s.router.Engines[i].ObserveGap(s.now, step)
+		s.speeds.ObserveStep(i, l.Role, running, float64(last.KVUsedTokens+l.KVUsedTokens)/2, step)
+	}
+}
+
+// setIncarnation starts afresh with an upstream that has restarted.
+func (s *Scheduler) setIncarnation(i int32, incarnation fleet.Incarnation) {
+	x := &s.upstreamStates[i]
+	if incarnation == "" || x.incarnation == incarnation {
+		return
+	}
+	known := x.incarnation != ""
+	x.incarnation = incarnation
+	if !known {
+		return
+	}
+	x.leaving = false
+	s.router.Engines[i].Restart()
+	if s.blocks != nil {
+		s.blocks.DropEngine(i)
+	}
+}
+
+func (s *Scheduler) setState(ev UpstreamState) {
+	i, ok := s.upstreams.find(ev.Upstream)
+	if !ok {
+		return
+	}
+	s.setIncarnation(i, ev.Incarnation)
+	x := &s.upstreamStates[i]
+	x.available = ev.Available
+	// Only a new incarnation clears the mark.
+	x.leaving = x.leaving || ev.Leaving
+	s.router.Engines[i].Role = ev.Role
+	s.updateEngine(i)
+	s.pump(x.group)
+}
+
+func (s *Scheduler) hold(ev Hold) {
+	i, ok := s.upstreams.find(ev.Upstream)
+	if !ok {
+		return
+	}
+	s.upstreamStates[i].held = ev.On
+	s.updateEngine(i)
+	s.pump(s.upstreamStates[i].group)
+}
+
+func (s *Scheduler) cacheUpdate(ev CacheUpdate) {
+	if i, ok := s.upstreams.find(ev.Upstream); ok && s.blocks != nil {
+		s.blocks.Update(i, ev.Sequence, ev.Stored, ev.Evicted)
+	}
+}
