Test which requests the limit by shares spares

Cause: the rule that a request is limited only where its engines are short of time had no test of its own. Change: TestScarce, over roles, queues and batches. Result: go test -run TestScarce ./core/route passes.

--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -198,3 +198,46 @@
 		t.Fatalf("wait %v, want %v", got.Wait, want)
 	}
 }
+
+// TestScarce guards against a limit on requests that need nothing of the engines
+// that are short of time.
+func TestScarce(t *testing.T) {
+	prefill, decode := []float64{20_000, 10}, []float64{100, 300}
+	for _, c := range []struct {
+		name            string
+		roles           []fleet.Role
+		backlog         float64
+		running         int
+		prompt, decodes bool
+	}{
+		{"both idle", []fleet.Role{fleet.RolePrefill, fleet.RoleDecode}, 0, 0, false, false},
+		{"prefill queued", []fleet.Role{fleet.RolePrefill, fleet.RoleDecode}, 10_000, 0, true, false},
+		{"decode full", []fleet.Role{fleet.RolePrefill, fleet.RoleDecode}, 0, 200, false, true},
+		{"mixed engines with queued prefill", []fleet.Role{fleet.RoleMixed, fleet.RoleMixed}, 10_000, 0, true, true},
+		{"no prefill engine is left", []fleet.Role{fleet.RoleDecode, fleet.RoleDecode}, 0, 200, true, true},
+	} {
+		r := router(1, 2)
+		for i, role := range c.roles {
+			e := &r.Engines[i]
+			e.Role, e.Speed.PrefillWork = role, e.Speed.Prefill
+			l := route.Load{At: time.Second}
+			if role != fleet.RoleDecode {
+				l.WaitingPrompt = c.backlog
+			}
+			if role != fleet.RolePrefill {
+				l.Running = c.running
+			}
+			e.Report(l)
+		}
+		for _, x := range []struct {
+			tokens []float64
+			want   bool
+		}{{prefill, c.prompt}, {decode, c.decodes}} {
+			q := query()
+			q.Prompt, q.Output = x.tokens[0], x.tokens[1]
+			if got := r.Scarce(time.Second, q); got != x.want {
+				t.Errorf("%s: %v tokens: scarce %v", c.name, x.tokens, got)
+			}
+		}
+	}
+}
