Drop unused counts of late requests and make giving way a yes or no

Cause: since the role planner finds shifts in the demand, nobody reads how many requests arrived and missed a target, but the scheduler counted them and the exchange carried them. The part of an engine's room that an instance ahead of the fleet may use had only two values left, all of it and none. Change: both counts and their fields on the wire are gone; a query asks for idle engines only. The frame test loses the two fields and checks the others as before; TestIdleOnly is new.

--- a/core/exchange/frame.go
+++ b/core/exchange/frame.go
@@ -223,7 +223,7 @@
 
 func (w *writer) demand(d sched.GroupDemand) {
 	w.group(w.names.groups, item{itemKey: itemKey{group: d.Group}})
-	for _, v := range [...]float64{d.PromptTokens, d.OutputTokens, d.ContextTokens, d.Requests, d.Late} {
+	for _, v := range [...]float64{d.PromptTokens, d.OutputTokens, d.ContextTokens} {
 		w.cost(v)
 	}
 }
@@ -232,7 +232,6 @@
 	group, _ := r.group(r.names.groups)
 	return sched.GroupDemand{
 		Group: group, PromptTokens: r.cost(), OutputTokens: r.cost(), ContextTokens: r.cost(),
-		Requests: r.cost(), Late: r.cost(),
 	}
 }
 
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -75,9 +75,9 @@
 	FirstToken, Gap float64
 	// Hold is the longest acceptable prefill queue in seconds; zero means any.
 	Hold float64
-	// Room is the part of the sequences permitted by the token gap target that
-	// may be used; zero means all.
-	Room float64
+	// IdleOnly restricts the choice to engines without streams and without a
+	// prefill queue.
+	IdleOnly bool
 	// Avoid is an engine that just failed the request, or None.
 	Avoid int32
 	// Only restricts the choice to one engine, or None.
@@ -297,20 +297,24 @@
 	if e.Batch(now) < 1 {
 		return true
 	}
+	if q.IdleOnly {
+		return false
+	}
 	target := q.Gap
 	if e.Decoding > 0 && e.tightestGap > 0 && (target <= 0 || e.tightestGap < target) {
 		target = e.tightestGap
 	}
 	// From here on the target is one for the mean gap.
 	target /= e.tail()
-	if q.Room > 0 && q.Room < 1 {
-		// One running sequence costs Slope, so room is scaled above Base.
-		target = e.Speed.Base + q.Room*math.Max(target-e.Speed.Base, 0)
-	}
 	return target <= 0 || gap <= target
 }
 
-func (q *Query) short(wait float64) bool { return q.Hold <= 0 || wait <= q.Hold }
+func (q *Query) short(wait float64) bool {
+	if q.IdleOnly {
+		return wait <= 0
+	}
+	return q.Hold <= 0 || wait <= q.Hold
+}
 
 // assessment is what the scores of one engine have in common, in seconds.
 type assessment struct {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -241,3 +241,24 @@
 		}
 	}
 }
+
+// TestIdleOnly guards against an instance that gives way and still uses engines
+// with streams or with a prefill queue.
+func TestIdleOnly(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		load route.Load
+		fits bool
+	}{
+		{"idle", route.Load{At: time.Second}, true},
+		{"streams", route.Load{At: time.Second, Running: 2}, false},
+		{"prefill queue", route.Load{At: time.Second, WaitingPrompt: 1000}, false},
+	} {
+		r, q := router(1, 1), query()
+		q.IdleOnly = true
+		r.Engines[0].Report(c.load)
+		if choice, _ := r.Pick(time.Second, q); choice.Fits != c.fits {
+			t.Errorf("%s: fits %v", c.name, choice.Fits)
+		}
+	}
+}
--- a/core/sched/flight.go
+++ b/core/sched/flight.go
@@ -117,9 +117,6 @@
 		return
 	}
 	t.first, t.sampledAt = s.now, s.now
-	if target := s.kindStates[t.kind].firstToken; target > 0 && (s.now-t.arrived).Seconds() > target {
-		s.missed(t)
-	}
 	t.prefillDone = s.router.Engines[t.choice.Target].PrefillDone(s.now)
 	if s.config.Ablate.NoLearning || s.groupStates[t.group].service {
 		return
@@ -178,7 +175,6 @@
 		return
 	}
 	s.router.Engines[t.choice.Target].ObserveLife((s.now - t.dispatched).Seconds())
-	s.checkGap(t, ev.Usage)
 	s.settle(t, ev.Usage)
 	s.learnUsage(t, ev.Usage)
 	group := t.group
@@ -186,14 +182,6 @@
 	s.pump(group)
 }
 
-// checkGap counts an answer whose mean token gap missed its target.
-func (s *Scheduler) checkGap(t *tracked, u fleet.Usage) {
-	target := s.kindStates[t.kind].gap
-	if target > 0 && u.OutputTokens > 1 && t.first > 0 && (s.now-t.first).Seconds() > target*float64(u.OutputTokens-1) {
-		s.missed(t)
-	}
-}
-
 // settle replaces the predicted cost by the cost of the real usage.
 func (s *Scheduler) settle(t *tracked, u fleet.Usage) {
 	if u.PromptTokens == 0 && u.OutputTokens == 0 {
--- a/core/sched/peers.go
+++ b/core/sched/peers.go
@@ -32,12 +32,6 @@
 	// a few exchanges, because smaller leads are noise and restricting them
 	// costs goodput, and stays small against the minute of the share error.
 	turnSlackSeconds = 4
-	// deepRoom is the part of an engine's room that an instance ahead of the
-	// fleet uses while an instance behind has a deep queue: only idle engines.
-	// Without a deep queue it uses all room. Giving way to short queues cost
-	// MixShift 3 points of goodput and 13 of tokens at Hrafnsey, and anything
-	// between leaves engines unused without giving the others their share.
-	deepRoom = 1e-6
 	// deepSeconds is the work of every engine of the group in a deep queue, one
 	// exchange and the delay of its message.
 	deepSeconds = 1.3
@@ -94,18 +88,21 @@
 	return waits
 }
 
-// room is the part of an engine's room that this instance may use now.
-func (g *groupState) room(now fleet.Instant) float64 {
+// givesWay tells that this instance is ahead of one with a deep queue, which
+// alone keeps the engines busy. Giving way to short queues cost MixShift 3 points
+// of goodput and 13 of tokens at Hrafnsey, and a part of the engines' room left
+// engines unused without giving the others their share.
+func (g *groupState) givesWay(now fleet.Instant) bool {
 	own, ok := g.queue.Turn()
 	if !ok {
-		return 1
+		return false
 	}
 	for _, t := range g.turns {
 		if t.deep && t.start+g.turnSlack < own && now-t.at < turnLife {
-			return deepRoom
+			return true
 		}
 	}
-	return 1
+	return false
 }
 
 func (s *Scheduler) peerDispatch(ev PeerDispatch) {
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -42,8 +42,6 @@
 	longest time.Duration
 	// prefillDone is the target's PrefillDone at the last speed sample.
 	prefillDone float64
-	// missed tells that a target was missed.
-	missed bool
 }
 
 func (s *Scheduler) submit(r Request) {
@@ -68,7 +66,6 @@
 	t.output = s.tokens.OutputMean(member, kind, limit(r.MaxOutputTokens, k.kind.MaxOutputTokens))
 	s.groupStates[t.group].demand(t)
 	if refusal := s.admit(t); refusal != nil {
-		s.groupStates[t.group].late++
 		s.refusedCost(t)
 		s.free = append(s.free, t)
 		s.ready = append(s.ready, Refuse{ID: r.ID, Refusal: refusal})
@@ -79,17 +76,8 @@
 	s.pump(t.group)
 }
 
-// missed counts a request that does not meet its targets, once.
-func (s *Scheduler) missed(t *tracked) {
-	if !t.missed {
-		t.missed = true
-		s.groupStates[t.group].late++
-	}
-}
-
 // demand counts a request's expected work for the role planner.
 func (g *groupState) demand(t *tracked) {
-	g.arrived++
 	g.promptDemand += t.prompt * (1 - g.cachedShare)
 	g.outputDemand += t.output
 	g.contextDemand += t.output * (t.prompt + t.output/2)
@@ -311,8 +299,8 @@
 			q.FirstToken = -1e-9
 		}
 	}
-	q.Room = s.groupStates[t.group].room(s.now)
-	q.Hold = s.config.HoldPrefill.Seconds() * q.Room
+	q.IdleOnly = s.groupStates[t.group].givesWay(s.now)
+	q.Hold = s.config.HoldPrefill.Seconds()
 	q.Avoid, q.Only = t.avoid, t.only
 	q.NoSplit, q.NoSlack = s.config.Ablate.NoSplit, s.config.Ablate.NoSlack
 }
@@ -335,7 +323,6 @@
 
 // drop refuses a queued request.
 func (s *Scheduler) drop(t *tracked, refusal *fleet.Refusal) {
-	s.missed(t)
 	s.refusedCost(t)
 	s.groupStates[t.group].queue.Remove(&t.item)
 	s.unqueue(t)
--- a/core/sched/shared.go
+++ b/core/sched/shared.go
@@ -27,8 +27,6 @@
 	PromptTokens, OutputTokens float64
 	// ContextTokens is the KV cache that the output tokens read.
 	ContextTokens float64
-	// Requests arrived; Late of them were refused or missed a target.
-	Requests, Late float64
 }
 
 // Add sums up work of one group.
@@ -36,8 +34,6 @@
 	d.PromptTokens += o.PromptTokens
 	d.OutputTokens += o.OutputTokens
 	d.ContextTokens += o.ContextTokens
-	d.Requests += o.Requests
-	d.Late += o.Late
 }
 
 // Status is a snapshot of the scheduler for operators.
@@ -132,10 +128,9 @@
 	for i := range s.groupStates {
 		g := &s.groupStates[i]
 		if g.promptDemand+g.outputDemand > 0 {
-			out.Demand = append(out.Demand, GroupDemand{Group: s.groups.names[i], PromptTokens: g.promptDemand, OutputTokens: g.outputDemand, ContextTokens: g.contextDemand, Requests: g.arrived, Late: g.late})
+			out.Demand = append(out.Demand, GroupDemand{Group: s.groups.names[i], PromptTokens: g.promptDemand, OutputTokens: g.outputDemand, ContextTokens: g.contextDemand})
 		}
 		g.promptDemand, g.outputDemand, g.contextDemand = 0, 0, 0
-		g.arrived, g.late = 0, 0
 		if !g.service {
 			start, ok := g.queue.Turn()
 			out.Turns = append(out.Turns, PeerTurn{Instance: s.config.Instance, Group: s.groups.names[i], Start: start, Backlogged: ok,
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -75,8 +75,6 @@
 	// promptDemand and outputDemand are the tokens of the requests that
 	// arrived since the last TakeShared, refused ones included.
 	promptDemand, outputDemand, contextDemand float64
-	// arrived counts them, late those that were refused or missed a target.
-	arrived, late float64
 }
 
 type upstreamState struct {
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -101,7 +101,7 @@
 	}}
 	out.Demand = []sched.GroupDemand{{
 		Group: "language-models", PromptTokens: 1e5 * rand.Float64(), OutputTokens: 1e4 * rand.Float64(),
-		ContextTokens: 1e6 * rand.Float64(), Requests: float64(len(out.Service)), Late: 1,
+		ContextTokens: 1e6 * rand.Float64(),
 	}}
 	return out
 }
