--- a/authority/adopt.go
+++ b/authority/adopt.go
@@ -9,7 +9,7 @@
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/order"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // Adopt holds the engines that the order records name as marked, for an
@@ -21,7 +21,7 @@
 // before it takes requests, then as long as held is above 0. A holder records a
 // mark before it reads the list, so it either finds the instance there or the
 // instance finds the mark here.
-func (l *LocalDrain) Adopt(ctx context.Context, store platform.Store) (held int, err error) {
+func (l *LocalDrain) Adopt(ctx context.Context, store store.Store) (held int, err error) {
 	entries, err := store.List(ctx, recordPrefix)
 	if err != nil {
 		return l.Adopted(), errors.Wrap(err, "read order records")
--- a/authority/adopt_test.go
+++ b/authority/adopt_test.go
@@ -9,22 +9,22 @@
 
 	"github.com/bramleywick/bramleywick/authority"
 	"github.com/bramleywick/bramleywick/core/order"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // records is a store with one order record; meanwhile runs between the reading
 // and the answer.
 type records struct {
-	platform.Store
+	store.Store
 	marked    bool
 	err       error
 	meanwhile func()
 }
 
-func (r *records) List(context.Context, string) ([]platform.Entry, error) {
+func (r *records) List(context.Context, string) ([]store.Entry, error) {
 	raw, _ := json.Marshal(order.Record{Fence: 3, Marked: r.marked})
 	r.meanwhile()
-	return []platform.Entry{{Key: "order/e", Value: raw}}, r.err
+	return []store.Entry{{Key: "order/e", Value: raw}}, r.err
 }
 
 // TestAdopt guards against an instance that starts during an order and sends the
@@ -47,7 +47,7 @@
 			}
 		}
 		failed := func() {
-			_, err := drains.Adopt(context.Background(), &records{err: platform.ErrUnavailable, meanwhile: func() {}})
+			_, err := drains.Adopt(context.Background(), &records{err: store.ErrUnavailable, meanwhile: func() {}})
 			So(err, ShouldNotBeNil)
 		}
 		for name, c := range map[string]struct {
--- a/authority/authority.go
+++ b/authority/authority.go
@@ -16,7 +16,7 @@
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/lease"
 	"github.com/bramleywick/bramleywick/core/order"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 	"github.com/bramleywick/bramleywick/upstream"
 )
 
@@ -72,7 +72,7 @@
 
 // Options are the parts that an authority works with.
 type Options struct {
-	Store      platform.Store
+	Store      store.Store
 	Instance   fleet.InstanceID
 	DataCentre fleet.DataCentre
 	// Start distinguishes this process from earlier ones of the instance.
--- a/authority/authority_test.go
+++ b/authority/authority_test.go
@@ -20,9 +20,9 @@
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/order"
-	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/standin/engine"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
 	"github.com/bramleywick/bramleywick/upstream"
 )
 
@@ -69,7 +69,7 @@
 	drains map[string]*authority.LocalDrain
 }
 
-func (p *peers) call(_ context.Context, peer platform.InstanceInfo, method string, args, reply any) error {
+func (p *peers) call(_ context.Context, peer store.InstanceInfo, method string, args, reply any) error {
 	p.mu.Lock()
 	local := p.drains[peer.ID]
 	p.mu.Unlock()
@@ -90,7 +90,7 @@
 // bed is one engine, one store and the instances that order it.
 type bed struct {
 	service *standin.Server
-	store   platform.Store
+	store   store.Store
 	engine  *engine.Server
 	address string
 	// marks is the traffic of instance c, which gives no orders.
@@ -107,8 +107,8 @@
 		"c": authority.NewLocalDrain(b.marks),
 	}}
 	b.list("a", "b", "c")
-	store := httptest.NewServer(b.service.Handler())
-	b.store = platform.NewClient(store.URL, store.Client())
+	kv := httptest.NewServer(b.service.Handler())
+	b.store = store.NewClient(kv.URL, kv.Client())
 	b.engine = engine.New(engine.Config{Incarnation: "e1", Orders: &engine.Orders{
 		Model: "m", IgnoresFencing: !fencing, ChangeTime: change,
 	}})
@@ -116,7 +116,7 @@
 	server.Config.ConnContext = b.engine.ConnContext
 	server.Start()
 	b.address = strings.TrimPrefix(server.URL, "http://")
-	b.stops = append(b.stops, server.Close, store.Close)
+	b.stops = append(b.stops, server.Close, kv.Close)
 	return b
 }
 
@@ -127,15 +127,15 @@
 }
 
 func (b *bed) list(names ...string) {
-	var list []platform.InstanceInfo
+	var list []store.InstanceInfo
 	for _, n := range names {
-		list = append(list, platform.InstanceInfo{ID: n})
+		list = append(list, store.InstanceInfo{ID: n})
 	}
 	b.service.SetInstances(list)
 }
 
 // start runs an instance and returns it and the function that stops it.
-func (b *bed) start(name string, store platform.Store) (*authority.Authority, func()) {
+func (b *bed) start(name string, store store.Store) (*authority.Authority, func()) {
 	a := authority.New(authority.Options{
 		Store: store, Instance: fleet.InstanceID(name), DataCentre: "d", Start: name + "-1",
 		Engines: upstream.NewEngineClient(upstream.NewTransport()), Times: times, Log: zap.NewNop(),
@@ -251,21 +251,21 @@
 // cut is a store that fails every call once it is closed: a partition of one
 // instance from the platform.
 type cut struct {
-	platform.Store
+	store.Store
 	mu     sync.Mutex
 	closed bool
 	healed bool
 	hold   chan struct{} // when set, the sender waits for it before it sends
 }
 
-func (c *cut) CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, leaseID string) (platform.Entry, error) {
+func (c *cut) CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, leaseID string) (store.Entry, error) {
 	c.mu.Lock()
 	closed := c.closed
 	sending := strings.Contains(string(value), `"phase":"sending","order"`) && !closed && !c.healed
 	c.closed = closed || sending // the partition begins once the order may be sent
 	c.mu.Unlock()
 	if closed {
-		return platform.Entry{}, platform.ErrUnavailable
+		return store.Entry{}, store.ErrUnavailable
 	}
 	entry, err := c.Store.CompareAndSwap(ctx, key, revision, value, leaseID)
 	if sending && c.hold != nil {
@@ -285,7 +285,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return c.Store.RenewLease(ctx, id)
 }
--- a/authority/bench_test.go
+++ b/authority/bench_test.go
@@ -13,9 +13,9 @@
 	"github.com/bramleywick/bramleywick/capacity/meter"
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
-	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/standin/engine"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
 	"github.com/bramleywick/bramleywick/upstream"
 )
 
@@ -24,7 +24,7 @@
 func TestServeStandIns(*testing.T) {
 	meter.Serve(func(n int) ([]meter.Server, func() (int, int)) {
 		service := standin.New()
-		service.SetInstances([]platform.InstanceInfo{{ID: "a"}})
+		service.SetInstances([]store.InstanceInfo{{ID: "a"}})
 		servers := []meter.Server{{Handler: service.Handler()}}
 		for range n {
 			e := engine.New(engine.Config{Incarnation: "e1", Orders: &engine.Orders{Model: "m", ChangeTime: time.Second}})
@@ -98,7 +98,7 @@
 
 func startHolder(b *testing.B, n int) holder {
 	h := holder{standIns: meter.Start(b, "TestServeStandIns", n), memory: meter.Memory()}
-	store := platform.NewClient("http://"+h.standIns.Addresses[0], &http.Client{Transport: &http.Transport{}})
+	store := store.NewClient("http://"+h.standIns.Addresses[0], &http.Client{Transport: &http.Transport{}})
 	d := &declare.Declaration{Groups: []declare.Group{{Name: "g", Type: declare.GroupEngine, ChecksFencing: true, Model: "m"}}}
 	for i, address := range h.standIns.Addresses[1:] {
 		d.Upstreams = append(d.Upstreams, declare.Upstream{
--- a/authority/drains.go
+++ b/authority/drains.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // Traffic is what one instance sends to an engine.
@@ -85,7 +85,7 @@
 }
 
 // CallPeer calls a net/rpc method of another instance.
-type CallPeer func(ctx context.Context, peer platform.InstanceInfo, method string, args, reply any) error
+type CallPeer func(ctx context.Context, peer store.InstanceInfo, method string, args, reply any) error
 
 // FleetDrains marks engines at every instance that the platform lists. An
 // instance must not send work before it has seen itself in that list and has
@@ -94,11 +94,11 @@
 type FleetDrains struct {
 	local *LocalDrain
 	self  fleet.InstanceID
-	store platform.Store
+	store store.Store
 	call  CallPeer
 
 	mu   sync.Mutex
-	last []platform.InstanceInfo
+	last []store.InstanceInfo
 	// taken are the latest marks that instances took, so that repeating a mark
 	// for one instance that cannot be reached does not burden the others.
 	taken map[takenKey]Mark
@@ -113,7 +113,7 @@
 
 // NewFleetDrains returns the marks of all instances; local are those of the
 // instance self. call may be nil; then no other instance can be asked.
-func NewFleetDrains(local *LocalDrain, self fleet.InstanceID, store platform.Store, call CallPeer) *FleetDrains {
+func NewFleetDrains(local *LocalDrain, self fleet.InstanceID, store store.Store, call CallPeer) *FleetDrains {
 	return &FleetDrains{
 		local: local, self: self, store: store, call: call,
 		taken: map[takenKey]Mark{}, quiet: map[takenKey]Mark{},
@@ -140,7 +140,7 @@
 }
 
 // missing returns the instances without the mark in known.
-func (f *FleetDrains) missing(known map[takenKey]Mark, list []platform.InstanceInfo, m Mark) (rest []platform.InstanceInfo) {
+func (f *FleetDrains) missing(known map[takenKey]Mark, list []store.InstanceInfo, m Mark) (rest []store.InstanceInfo) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, i := range list {
@@ -151,7 +151,7 @@
 	return rest
 }
 
-func (f *FleetDrains) note(i platform.InstanceInfo, m Mark, ack Ack) {
+func (f *FleetDrains) note(i store.InstanceInfo, m Mark, ack Ack) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	key := takenKey{i.ID, m.Upstream}
@@ -161,7 +161,7 @@
 	}
 }
 
-func (f *FleetDrains) instances(ctx context.Context) ([]platform.InstanceInfo, error) {
+func (f *FleetDrains) instances(ctx context.Context) ([]store.InstanceInfo, error) {
 	list, err := f.store.Instances(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "list instances to mark")
@@ -188,7 +188,7 @@
 	return quiet
 }
 
-func (f *FleetDrains) listed(list []platform.InstanceInfo) bool {
+func (f *FleetDrains) listed(list []store.InstanceInfo) bool {
 	for _, i := range list {
 		if fleet.InstanceID(i.ID) == f.self {
 			return true
@@ -199,7 +199,7 @@
 
 // each hands the mark to all instances at once. reached tells whether every one
 // has taken it, quiet whether besides none has anything in flight.
-func (f *FleetDrains) each(ctx context.Context, list []platform.InstanceInfo, m Mark) (reached, quiet bool) {
+func (f *FleetDrains) each(ctx context.Context, list []store.InstanceInfo, m Mark) (reached, quiet bool) {
 	type answer struct {
 		ack Ack
 		err error
@@ -220,7 +220,7 @@
 	return reached, quiet
 }
 
-func (f *FleetDrains) ask(ctx context.Context, i platform.InstanceInfo, m Mark) (ack Ack, err error) {
+func (f *FleetDrains) ask(ctx context.Context, i store.InstanceInfo, m Mark) (ack Ack, err error) {
 	switch {
 	case fleet.InstanceID(i.ID) == f.self:
 		return f.local.Set(m)
--- a/authority/gone.go
+++ b/authority/gone.go
@@ -8,7 +8,7 @@
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/order"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // recordPrefix is the common prefix of the engines' order keys.
@@ -61,13 +61,13 @@
 
 // missing returns the processes whose instance has been absent at every look
 // for LateLimit.
-func (a *Authority) missing(attempts []order.Process, list []platform.InstanceInfo) (gone []order.Process) {
+func (a *Authority) missing(attempts []order.Process, list []store.InstanceInfo) (gone []order.Process) {
 	for _, i := range list {
 		delete(a.absent, fleet.InstanceID(i.ID))
 	}
 	now := a.clock.now()
 	for _, p := range attempts {
-		if slices.ContainsFunc(list, func(i platform.InstanceInfo) bool { return i.ID == string(p.Instance) }) {
+		if slices.ContainsFunc(list, func(i store.InstanceInfo) bool { return i.ID == string(p.Instance) }) {
 			continue
 		}
 		since, known := a.absent[p.Instance]
--- a/authority/lease.go
+++ b/authority/lease.go
@@ -8,7 +8,7 @@
 
 	"github.com/bramleywick/bramleywick/core/lease"
 	"github.com/bramleywick/bramleywick/core/order"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // stepLease applies an event to the lease and starts its commands. The caller
@@ -91,11 +91,11 @@
 func leaseFailed(call int64, err error) lease.Event {
 	cause := lease.CauseUnavailable
 	switch {
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnknown):
 		cause = lease.CauseUnknown
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		cause = lease.CauseConflict
-	case errors.Is(err, platform.ErrLeaseLost):
+	case errors.Is(err, store.ErrLeaseLost):
 		cause = lease.CauseLost
 	}
 	return lease.Failed{Call: call, Cause: cause}
--- a/authority/store.go
+++ b/authority/store.go
@@ -6,13 +6,13 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // readJSON reads a key; revision 0 means that it is absent.
 func (a *Authority) readJSON(ctx context.Context, key string, out any) (revision int64, err error) {
 	entry, err := a.Store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -12,8 +12,8 @@
 	"github.com/bramleywick/bramleywick/capacity/meter"
 	"github.com/bramleywick/bramleywick/claim"
 	coreclaim "github.com/bramleywick/bramleywick/core/claim"
-	"github.com/bramleywick/bramleywick/platform"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // TestServeStandIns is the platform's process of the benchmarks.
@@ -25,10 +25,10 @@
 	})
 }
 
-func limitedClient(service *meter.StandIns, writesPerSecond float64) *platform.Client {
-	limits := platform.DefaultLimits()
+func limitedClient(service *meter.StandIns, writesPerSecond float64) *store.Client {
+	limits := store.DefaultLimits()
 	limits.WritesPerSecond = writesPerSecond
-	return platform.NewLimitedClient("http://"+service.Addresses[0], &http.Client{Transport: &http.Transport{}}, limits)
+	return store.NewLimitedClient("http://"+service.Addresses[0], &http.Client{Transport: &http.Transport{}}, limits)
 }
 
 // BenchmarkClaim measures one claimed call at an instance by the size of its
@@ -41,7 +41,7 @@
 
 func measureClaims(b *testing.B, size int) {
 	service := meter.Start(b, "TestServeStandIns", 1)
-	claims := claim.New(limitedClient(service, platform.DefaultLimits().WritesPerSecond), "instance-1")
+	claims := claim.New(limitedClient(service, store.DefaultLimits().WritesPerSecond), "instance-1")
 	body := bytes.Repeat([]byte("a"), size)
 	calls := 0
 	run := func() {
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -15,7 +15,7 @@
 
 	"github.com/bramleywick/bramleywick/core/claim"
 	"github.com/bramleywick/bramleywick/core/fleet"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 const (
@@ -63,7 +63,7 @@
 	// and whether it is known to be stored.
 	Recorded func(p claim.Phase, stored bool)
 
-	store    platform.Store
+	store    store.Store
 	instance fleet.InstanceID
 	start    time.Time
 	now      func() time.Time
@@ -80,7 +80,7 @@
 }
 
 // New returns claims that are kept in store.
-func New(store platform.Store, instance fleet.InstanceID) *Claims {
+func New(store store.Store, instance fleet.InstanceID) *Claims {
 	return &Claims{
 		store: store, instance: instance, start: wallClock(), now: wallClock,
 		leases: map[time.Duration]grantedLease{}, FirstCallWait: firstCallWait,
@@ -260,8 +260,8 @@
 	}
 }
 
-func found(entry platform.Entry, err error) claim.Event {
-	if errors.Is(err, platform.ErrNotFound) {
+func found(entry store.Entry, err error) claim.Event {
+	if errors.Is(err, store.ErrNotFound) {
 		return claim.Found{}
 	}
 	ev := claim.Found{Revision: entry.Revision}
@@ -287,11 +287,11 @@
 	switch {
 	case err == nil:
 		return claim.Written{Revision: entry.Revision}
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return claim.Conflict{}
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnknown):
 		return claim.Unknown{}
-	case errors.Is(err, platform.ErrLeaseLost):
+	case errors.Is(err, store.ErrLeaseLost):
 		r.claims.dropLease(r.keep, r.leaseID)
 	}
 	return claim.Unavailable{}
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -17,8 +17,8 @@
 	"github.com/bramleywick/bramleywick/claim"
 	coreclaim "github.com/bramleywick/bramleywick/core/claim"
 	"github.com/bramleywick/bramleywick/core/fleet"
-	"github.com/bramleywick/bramleywick/platform"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 type fault int
@@ -35,7 +35,7 @@
 
 // faulty is a store whose n-th call fails in a chosen way.
 type faulty struct {
-	platform.Store
+	store.Store
 	n     int64
 	fault fault
 	calls atomic.Int64
@@ -48,33 +48,33 @@
 	}
 	switch hit {
 	case unavailable:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case lostBefore:
-		return platform.ErrUnknown
+		return store.ErrUnknown
 	case killBefore:
 		runtime.Goexit()
 	}
 	err := call()
 	switch hit {
 	case lostAfter:
-		return platform.ErrUnknown
+		return store.ErrUnknown
 	case killAfter:
 		runtime.Goexit()
 	}
 	return err
 }
 
-func (f *faulty) Get(ctx context.Context, key string) (e platform.Entry, err error) {
+func (f *faulty) Get(ctx context.Context, key string) (e store.Entry, err error) {
 	err = f.inject(func() (err error) { e, err = f.Store.Get(ctx, key); return })
 	return
 }
 
-func (f *faulty) GrantLease(ctx context.Context, ttl time.Duration) (l platform.Lease, err error) {
+func (f *faulty) GrantLease(ctx context.Context, ttl time.Duration) (l store.Lease, err error) {
 	err = f.inject(func() (err error) { l, err = f.Store.GrantLease(ctx, ttl); return })
 	return
 }
 
-func (f *faulty) CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, leaseID string) (e platform.Entry, err error) {
+func (f *faulty) CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, leaseID string) (e store.Entry, err error) {
 	err = f.inject(func() (err error) { e, err = f.Store.CompareAndSwap(ctx, key, revision, value, leaseID); return })
 	return
 }
@@ -96,7 +96,7 @@
 }
 
 // attempt runs one call in a goroutine that a fault may end like a kill.
-func attempt(store platform.Store, wait time.Duration, key, body string, end upstreamEnd, runs *atomic.Int64) (o outcome) {
+func attempt(store store.Store, wait time.Duration, key, body string, end upstreamEnd, runs *atomic.Int64) (o outcome) {
 	o.killed = true
 	done := make(chan struct{})
 	go func() {
@@ -121,9 +121,9 @@
 	return o
 }
 
-func newStore() (platform.Store, func()) {
+func newStore() (store.Store, func()) {
 	server := httptest.NewServer(standin.New().Handler())
-	return platform.NewClient(server.URL, server.Client()), server.Close
+	return store.NewClient(server.URL, server.Client()), server.Close
 }
 
 // TestFaultsAtEachStep guards against a second run and a false "not run" when
--- a/cmd/bramleywickd/process_test.go
+++ b/cmd/bramleywickd/process_test.go
@@ -22,8 +22,8 @@
 	"github.com/bramleywick/bramleywick/core/lease"
 	"github.com/bramleywick/bramleywick/core/order"
 	"github.com/bramleywick/bramleywick/dev"
-	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/standin/engine"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 var binary string
@@ -100,7 +100,7 @@
 type deployment struct {
 	t                 *testing.T
 	platform, service *process
-	store             platform.Store
+	store             store.Store
 	instances         int
 }
 
@@ -108,7 +108,7 @@
 	d := &deployment{t: t}
 	d.platform = spawn(t, []string{"main"}, "dev", "platform")
 	d.service = spawn(t, []string{"main"}, "dev", "service", "-delay", delay)
-	d.store = platform.NewClient("http://"+d.platform.addresses["main"], http.DefaultClient)
+	d.store = store.NewClient("http://"+d.platform.addresses["main"], http.DefaultClient)
 	return d
 }
 
--- a/config/apply.go
+++ b/config/apply.go
@@ -10,7 +10,7 @@
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/declfile"
 	"github.com/bramleywick/bramleywick/inifile"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // Change is one operator's wish.
@@ -67,7 +67,7 @@
 
 // Apply makes the text the next version and puts it in force here. It returns
 // the accepted stamp. Faults of the text are inifile.Faults; *Moved, *TooLarge,
-// platform.ErrUnavailable and platform.ErrRateLimited mean that nothing was
+// store.ErrUnavailable and store.ErrRateLimited mean that nothing was
 // changed; *Undecided means that the answer was lost and not settled.
 func (k *Keeper) Apply(ctx context.Context, c Change) (Stamp, error) {
 	if c.ID == "" {
@@ -94,9 +94,9 @@
 	}
 	written, err := k.Store.CompareAndSwap(ctx, CurrentKey, entry.Revision, raw, "")
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return k.afterConflict(ctx, c, current)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnknown):
 		return k.settle(ctx, c, entry.Revision, current.Version, err)
 	case err != nil:
 		return Stamp{}, errors.Wrapf(err, "write configuration version %d; nothing was changed", next.Version)
@@ -119,13 +119,13 @@
 }
 
 // current reads the platform's record; an absent one has version 0.
-func (k *Keeper) current(ctx context.Context) (platform.Entry, Record, error) {
+func (k *Keeper) current(ctx context.Context) (store.Entry, Record, error) {
 	entry, err := k.Store.Get(ctx, CurrentKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Entry{}, Record{}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Entry{}, Record{}, nil
 	}
 	if err != nil {
-		return platform.Entry{}, Record{}, err
+		return store.Entry{}, Record{}, err
 	}
 	record, err := decodeRecord(entry)
 	return entry, record, err
@@ -180,11 +180,11 @@
 	}
 	for attempt := 0; attempt < 2; attempt++ {
 		_, err = k.Store.CompareAndSwap(ctx, historyKey(r.Version), 0, raw, "")
-		if !errors.Is(err, platform.ErrUnknown) {
+		if !errors.Is(err, store.ErrUnknown) {
 			break
 		}
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		return nil
 	}
 	return err
@@ -212,7 +212,7 @@
 	if err == nil {
 		err = k.Store.CompareAndDelete(ctx, historyKey(version), entry.Revision)
 	}
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
 	return err
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/bramleywick/bramleywick/config"
 	"github.com/bramleywick/bramleywick/core/declare"
-	"github.com/bramleywick/bramleywick/platform"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // text is a valid declaration that differs by share.
@@ -37,8 +37,8 @@
 	return &bench{service: service, server: server, url: server.URL}
 }
 
-func (b *bench) store() platform.Store {
-	return platform.NewLimitedClient(b.url, b.server.Client(), platform.Limits{
+func (b *bench) store() store.Store {
+	return store.NewLimitedClient(b.url, b.server.Client(), store.Limits{
 		ReadsPerSecond: 1000, WritesPerSecond: 1000, CallTimeout: time.Second,
 	})
 }
@@ -90,7 +90,7 @@
 
 // cutOff loses the answer to the first write, and reads fail until heal.
 type cutOff struct {
-	platform.Store
+	store.Store
 	applies bool
 	cut     bool
 	healed  bool
@@ -100,7 +100,7 @@
 
 func (s *cutOff) heal() { s.healed = true }
 
-func (s *cutOff) CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, lease string) (platform.Entry, error) {
+func (s *cutOff) CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, lease string) (store.Entry, error) {
 	if s.healed {
 		return s.Store.CompareAndSwap(ctx, key, revision, value, lease)
 	}
@@ -109,18 +109,18 @@
 	if s.applies {
 		s.late()
 	}
-	return platform.Entry{}, platform.ErrUnknown
+	return store.Entry{}, store.ErrUnknown
 }
 
-func (s *cutOff) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *cutOff) Get(ctx context.Context, key string) (store.Entry, error) {
 	if s.cut && !s.healed {
-		return platform.Entry{}, platform.ErrUnavailable
+		return store.Entry{}, store.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
 
 // undecided applies change c1 and tells whether its outcome stayed open.
-func undecided(ctx context.Context, store platform.Store) bool {
+func undecided(ctx context.Context, store store.Store) bool {
 	short, stop := context.WithTimeout(ctx, 100*time.Millisecond)
 	defer stop()
 	_, err := config.NewKeeper(config.Options{Store: store}).Apply(short, change("c1", 1, 0))
@@ -129,7 +129,7 @@
 }
 
 // settled applies c1 again and returns its version, which must be current.
-func settled(ctx context.Context, b *bench, store platform.Store) int64 {
+func settled(ctx context.Context, b *bench, store store.Store) int64 {
 	stamp, err := config.NewKeeper(config.Options{Store: store}).Apply(ctx, change("c1", 1, 0))
 	So(err, ShouldBeNil)
 	entry, err := b.store().Get(ctx, config.CurrentKey)
@@ -214,7 +214,7 @@
 			So(err, ShouldBeNil)
 			b.service.SetFaults(standin.Faults{Down: true})
 			_, err = k.Apply(ctx, change("c2", 2, 0))
-			So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(err, store.ErrUnavailable), ShouldBeTrue)
 			So(err.Error(), ShouldContainSubstring, "nothing was changed")
 			So(k.Version(), ShouldEqual, 1)
 		}},
@@ -261,7 +261,7 @@
 		}},
 		{"an oversize declaration is refused with advice", func(ctx context.Context, b *bench, k *config.Keeper) {
 			c := change("c1", 1, 0)
-			c.Text += strings.Repeat("; note\n", platform.MaxValueBytes/7)
+			c.Text += strings.Repeat("; note\n", store.MaxValueBytes/7)
 			_, err := k.Apply(ctx, c)
 			var large *config.TooLarge
 			So(errors.As(err, &large), ShouldBeTrue)
@@ -448,7 +448,7 @@
 			c.disturb(b)
 			for writer, version := b.keeper(nil), int64(1); version <= 2; {
 				stamp, err := writer.Apply(ctx, change(fmt.Sprint("c", version), int(version), 0))
-				if errors.Is(err, platform.ErrUnavailable) {
+				if errors.Is(err, store.ErrUnavailable) {
 					continue
 				}
 				if err != nil || !eventually(func() bool { return k.Version() == stamp.Version }) {
--- a/config/faults_test.go
+++ b/config/faults_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/bramleywick/bramleywick/config"
 	"github.com/bramleywick/bramleywick/core/declare"
-	"github.com/bramleywick/bramleywick/platform"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // ledger keeps what writers were told about their changes.
@@ -30,7 +30,7 @@
 	switch {
 	case err == nil:
 		l.accepted[id] = stamp.Version
-	case errors.As(err, &moved), errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
+	case errors.As(err, &moved), errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrRateLimited):
 		l.refused[id] = true
 	}
 }
--- a/config/follow.go
+++ b/config/follow.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 const (
@@ -71,12 +71,12 @@
 	k.mu.Lock()
 	known := k.revision
 	k.mu.Unlock()
-	entry, err := platform.ReadNewer(ctx, k.Store, CurrentKey, known, wait)
+	entry, err := store.ReadNewer(ctx, k.Store, CurrentKey, known, wait)
 	switch {
-	case errors.Is(err, platform.ErrNotChanged), errors.Is(err, platform.ErrNotFound) && wait > 0:
+	case errors.Is(err, store.ErrNotChanged), errors.Is(err, store.ErrNotFound) && wait > 0:
 		k.Observer.ConfigRead(true)
 		return nil
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		k.Observer.ConfigRead(true)
 		return err
 	case err != nil:
--- a/config/history.go
+++ b/config/history.go
@@ -7,7 +7,7 @@
 
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/declfile"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // ErrNoVersion means that a version was never accepted or is no longer kept.
@@ -27,7 +27,7 @@
 		return Record{}, errors.Wrapf(ErrNoVersion, "version %d", version)
 	}
 	entry, err := k.Store.Get(ctx, historyKey(version))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return k.showCurrent(ctx, version)
 	}
 	if err != nil {
--- a/config/keeper.go
+++ b/config/keeper.go
@@ -10,7 +10,7 @@
 
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/declfile"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // Source is where a record came from.
@@ -44,7 +44,7 @@
 
 // Options are the parts that a keeper works with.
 type Options struct {
-	Store platform.Store
+	Store store.Store
 	// OnForce is called for each version put in force, in order of versions
 	// and never concurrently.
 	OnForce func(*declare.Index)
--- a/config/record.go
+++ b/config/record.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramleywick/bramleywick/core/declare"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // Keys of the platform's service.
@@ -85,7 +85,7 @@
 	return HistoryPrefix + strconv.FormatInt(version, 10)
 }
 
-func decodeRecord(entry platform.Entry) (Record, error) {
+func decodeRecord(entry store.Entry) (Record, error) {
 	var r Record
 	err := json.Unmarshal(entry.Value, &r)
 	return r, errors.Wrapf(err, "decode %s", entry.Key)
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode configuration")
 	}
-	if len(raw) > platform.MaxValueBytes {
+	if len(raw) > store.MaxValueBytes {
 		return nil, &TooLarge{Bytes: len(raw)}
 	}
 	return raw, nil
@@ -111,7 +111,7 @@
 // Error implements error with advice.
 func (e *TooLarge) Error() string {
 	return "the declaration needs " + strconv.Itoa(e.Bytes) + " bytes in the platform, which stores " +
-		strconv.Itoa(platform.MaxValueBytes) + "; apply the canonical text (bramleywickctl apply -canonical), which leaves out " +
+		strconv.Itoa(store.MaxValueBytes) + "; apply the canonical text (bramleywickctl apply -canonical), which leaves out " +
 		"comments and defaults, remove members and keys that are no longer used, or split the fleet into two deployments"
 }
 
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -24,8 +24,8 @@
 	"github.com/bramleywick/bramleywick/ctl"
 	"github.com/bramleywick/bramleywick/metrics"
 	"github.com/bramleywick/bramleywick/operator"
-	"github.com/bramleywick/bramleywick/platform"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 const operatorKey = "operator-key"
@@ -58,9 +58,9 @@
 
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, service: standin.New()}
-	store := httptest.NewServer(b.service.Handler())
-	t.Cleanup(store.Close)
-	f := &fakes{keeper: config.NewKeeper(config.Options{Store: platform.NewClient(store.URL, store.Client())})}
+	kv := httptest.NewServer(b.service.Handler())
+	t.Cleanup(kv.Close)
+	f := &fakes{keeper: config.NewKeeper(config.Options{Store: store.NewClient(kv.URL, kv.Client())})}
 	handler := operator.NewHandler(operator.Options{
 		Instance: "i1", KeyHashes: []string{declare.HashKey(operatorKey)}, Keeper: f.keeper,
 		Scheduler: f, Counters: f, InForce: f,
--- a/daemon/authority.go
+++ b/daemon/authority.go
@@ -14,11 +14,11 @@
 	"github.com/bramleywick/bramleywick/core/order"
 	"github.com/bramleywick/bramleywick/core/sched"
 	"github.com/bramleywick/bramleywick/dispatch"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // newAuthority provisions the order holder's part of an instance.
-func (d *Daemon) newAuthority(store platform.Store) *authority.Authority {
+func (d *Daemon) newAuthority(store store.Store) *authority.Authority {
 	var raw [8]byte
 	_, _ = rand.Read(raw[:])
 	d.localDrain = authority.NewLocalDrain(traffic{d.dispatcher})
@@ -31,7 +31,7 @@
 }
 
 // callPeer implements authority.CallPeer over the connections of the exchange.
-func (d *Daemon) callPeer(ctx context.Context, i platform.InstanceInfo, method string, args, reply any) error {
+func (d *Daemon) callPeer(ctx context.Context, i store.InstanceInfo, method string, args, reply any) error {
 	node := d.cluster.node.Load()
 	if node == nil {
 		return errors.Errorf("%s at peer %s: the exchange has not started", method, i.ID)
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -9,17 +9,17 @@
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/membership"
 	"github.com/bramleywick/bramleywick/operator"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // newStore provisions the client of the platform's service. The client bounds
 // each call itself, because a watch outlasts any fixed timeout of the transport.
-func (d *Daemon) newStore() platform.Store {
+func (d *Daemon) newStore() store.Store {
 	limits := d.settings.PlatformLimits
-	if limits == (platform.Limits{}) {
-		limits = platform.DefaultLimits()
+	if limits == (store.Limits{}) {
+		limits = store.DefaultLimits()
 	}
-	client := platform.NewLimitedClient(d.settings.Platform, &http.Client{
+	client := store.NewLimitedClient(d.settings.Platform, &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: platformIdleConnections, IdleConnTimeout: platformIdleTimeout},
 	}, limits)
 	client.Observe(d.metrics.NewPlatform())
@@ -34,7 +34,7 @@
 )
 
 // newKeeper provisions the keeper of the configuration.
-func (d *Daemon) newKeeper(store platform.Store) *config.Keeper {
+func (d *Daemon) newKeeper(store store.Store) *config.Keeper {
 	return config.NewKeeper(config.Options{
 		Store: store, OnForce: d.putInForce, Observer: d.metrics.NewConfiguration(), Log: d.log,
 		BarredHashes: d.settings.OperatorKeyHashes,
--- a/daemon/configuration_test.go
+++ b/daemon/configuration_test.go
@@ -16,9 +16,9 @@
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/daemon"
-	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/settings"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 const (
@@ -54,12 +54,12 @@
 func TestConfigurationReachesCallers(t *testing.T) {
 	Convey("With an instance and a platform that is down", t, func() {
 		service := standin.New()
-		store := httptest.NewServer(service.Handler())
-		defer store.Close()
+		kv := httptest.NewServer(service.Handler())
+		defer kv.Close()
 		service.SetFaults(standin.Faults{Down: true})
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
-		d := startDaemon(ctx, store.URL, "i1")
+		d := startDaemon(ctx, kv.URL, "i1")
 		defer func() { _ = d.Stop() }()
 
 		status, body := get(d.Addresses.Admin, "/readyz", "")
@@ -67,7 +67,7 @@
 		So(body, ShouldContainSubstring, "configuration")
 
 		service.SetFaults(standin.Faults{})
-		writer := config.NewKeeper(config.Options{Store: platform.NewClient(store.URL, store.Client())})
+		writer := config.NewKeeper(config.Options{Store: store.NewClient(kv.URL, kv.Client())})
 		_, err := writer.Apply(ctx, config.Change{ID: "c", File: "f", Text: "[member shea]\nshare = 1\nkey_sha256 = " +
 			declare.HashKey("member-key") + ", " + declare.HashKey(operatorKey) + "\n"})
 		So(err, ShouldBeNil)
--- a/daemon/instances.go
+++ b/daemon/instances.go
@@ -10,7 +10,7 @@
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/membership"
 	"github.com/bramleywick/bramleywick/peer"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 const (
@@ -70,13 +70,13 @@
 	return period*4/5 + rand.N(period*2/5)
 }
 
-func (d *Daemon) readInstances(ctx context.Context) ([]platform.InstanceInfo, error) {
+func (d *Daemon) readInstances(ctx context.Context) ([]store.InstanceInfo, error) {
 	ctx, stop := context.WithTimeout(ctx, listTimeout)
 	defer stop()
 	return d.cluster.store.Instances(ctx)
 }
 
-func rowsOf(list []platform.InstanceInfo) []membership.Row {
+func rowsOf(list []store.InstanceInfo) []membership.Row {
 	rows := make([]membership.Row, 0, len(list))
 	for _, i := range list {
 		rows = append(rows, membership.Row{
--- a/daemon/listing_test.go
+++ b/daemon/listing_test.go
@@ -5,7 +5,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // TestListing guards against a row that is missing for a moment, another's row,
@@ -13,19 +13,19 @@
 func TestListing(t *testing.T) {
 	Convey("With the reads of an instance's list", t, func() {
 		l := newListing()
-		row := func(id, address string) platform.InstanceInfo { return platform.InstanceInfo{ID: id, Address: address} }
+		row := func(id, address string) store.InstanceInfo { return store.InstanceInfo{ID: id, Address: address} }
 		for i, step := range []struct {
-			rows        []platform.InstanceInfo
+			rows        []store.InstanceInfo
 			err         error
 			waits, down bool
 		}{
-			{nil, platform.ErrUnavailable, true, false},
-			{nil, platform.ErrRateLimited, true, false},
-			{nil, platform.ErrUnavailable, true, true},
-			{[]platform.InstanceInfo{row("a2", "x"), row("a1", "y")}, nil, true, false},
+			{nil, store.ErrUnavailable, true, false},
+			{nil, store.ErrRateLimited, true, false},
+			{nil, store.ErrUnavailable, true, true},
+			{[]store.InstanceInfo{row("a2", "x"), row("a1", "y")}, nil, true, false},
 			{nil, nil, false, false}, // the platform keeps no list
-			{[]platform.InstanceInfo{row("a1", "y"), row("a1", "x")}, nil, true, false},
-			{[]platform.InstanceInfo{row("a2", "x")}, nil, false, false},
+			{[]store.InstanceInfo{row("a1", "y"), row("a1", "x")}, nil, true, false},
+			{[]store.InstanceInfo{row("a2", "x")}, nil, false, false},
 		} {
 			if step.err != nil {
 				l.missed(step.err)
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -15,9 +15,9 @@
 	"github.com/bramleywick/bramleywick/core/membership"
 	"github.com/bramleywick/bramleywick/core/sched"
 	"github.com/bramleywick/bramleywick/peer"
-	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/poll"
 	"github.com/bramleywick/bramleywick/settings"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // defaultPeerListen is used when the settings name no listener for peers.
@@ -25,7 +25,7 @@
 
 // cluster is what the instance shares with its peers.
 type cluster struct {
-	store    platform.Store
+	store    store.Store
 	node     atomic.Pointer[peer.Node]
 	poller   *poll.Poller
 	listener net.Listener
--- a/daemon/membership_test.go
+++ b/daemon/membership_test.go
@@ -18,11 +18,11 @@
 	"github.com/bramleywick/bramleywick/core/membership"
 	"github.com/bramleywick/bramleywick/daemon"
 	"github.com/bramleywick/bramleywick/dev"
-	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/settings"
 	"github.com/bramleywick/bramleywick/standin/caller"
 	"github.com/bramleywick/bramleywick/standin/engine"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // departureBound is the time within which every instance must know of a
@@ -37,7 +37,7 @@
 	ctx      context.Context
 	platform *standin.Server
 	engines  []*engine.Server
-	rows     []platform.InstanceInfo
+	rows     []store.InstanceInfo
 	text     string
 	daemons  []*daemon.Daemon
 	// cut are the daemons that do not reach the platform.
@@ -73,7 +73,7 @@
 func (s *site) start(id string, seeds ...string) *daemon.Daemon {
 	cut := &atomic.Bool{}
 	s.cut = append(s.cut, cut)
-	handler := s.platform.Handler()
+	handler := s.store.Handler()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if cut.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -92,9 +92,9 @@
 	}
 	d := daemon.New(config, zap.NewNop())
 	So(d.Start(s.ctx), ShouldBeNil)
-	s.rows = append(s.rows, platform.InstanceInfo{ID: id, Address: d.Addresses.Peers, DataCentre: id[:1]})
+	s.rows = append(s.rows, store.InstanceInfo{ID: id, Address: d.Addresses.Peers, DataCentre: id[:1]})
 	if !s.unlisted {
-		s.platform.SetInstances(s.rows)
+		s.store.SetInstances(s.rows)
 	}
 	s.daemons = append(s.daemons, d)
 	context.AfterFunc(s.ctx, d.Kill)
@@ -186,8 +186,8 @@
 		}},
 		{"a single instance reads it from the platform's list", func(s *site) {
 			s.cut[3].Store(false)
-			rows := append([]platform.InstanceInfo{{ID: "engine-a0", Leaving: true}}, s.rows[1:]...)
-			s.platform.SetInstances(rows)
+			rows := append([]store.InstanceInfo{{ID: "engine-a0", Leaving: true}}, s.rows[1:]...)
+			s.store.SetInstances(rows)
 			for status(s.daemons[3], "engine-a0") != membership.UpstreamLeaving && s.ctx.Err() == nil {
 				time.Sleep(time.Millisecond)
 			}
@@ -198,7 +198,7 @@
 			ctx, stop := context.WithTimeout(context.Background(), time.Minute)
 			defer stop()
 			s := newSite(ctx, "a", "b")
-			s.rows = []platform.InstanceInfo{{ID: "engine-a0"}}
+			s.rows = []store.InstanceInfo{{ID: "engine-a0"}}
 			for _, id := range []string{"a1", "a2", "a3", "b1", "b2"} {
 				s.start(id)
 			}
@@ -238,7 +238,7 @@
 			s.start(id)
 		}
 		s.apply()
-		s.platform.SetFaults(standin.Faults{Down: true})
+		s.store.SetFaults(standin.Faults{Down: true})
 
 		Convey("the killed poller's upstreams are polled by another and stay live", func() {
 			victim := 0
--- a/daemon/orders_test.go
+++ b/daemon/orders_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/order"
-	"github.com/bramleywick/bramleywick/platform"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // TestOrders guards against orders that only their holder can show, and against
@@ -22,7 +22,7 @@
 		server := httptest.NewServer(standin.New().Handler())
 		defer server.Close()
 		ctx := context.Background()
-		store := platform.NewClient(server.URL, http.DefaultClient)
+		store := store.NewClient(server.URL, http.DefaultClient)
 		d := &Daemon{cluster: cluster{store: store}}
 		raw, err := json.Marshal(order.Record{Fence: 4, Phase: order.PhaseSending, Order: &order.Order{
 			ID: "o", Desired: order.Desired{Role: fleet.RoleDecode}, Sender: order.Process{Instance: "i"},
--- a/daemon/planned_test.go
+++ b/daemon/planned_test.go
@@ -15,9 +15,9 @@
 	"github.com/bramleywick/bramleywick/core/membership"
 	"github.com/bramleywick/bramleywick/core/order"
 	"github.com/bramleywick/bramleywick/dev"
-	"github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/standin/caller"
 	"github.com/bramleywick/bramleywick/standin/engine"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 const (
@@ -37,10 +37,10 @@
 }
 
 // store is the platform past the switches of the daemons.
-func (s *site) store() platform.Store {
-	address, err := dev.Serve(s.ctx, "127.0.0.1:0", s.platform.Handler())
+func (s *site) store() store.Store {
+	address, err := dev.Serve(s.ctx, "127.0.0.1:0", s.store.Handler())
 	So(err, ShouldBeNil)
-	return platform.NewClient("http://"+address, http.DefaultClient)
+	return store.NewClient("http://"+address, http.DefaultClient)
 }
 
 // await waits until the condition holds.
@@ -160,7 +160,7 @@
 			raw, _ := json.Marshal(r)
 			So(await(changeBound, func() bool {
 				entry, err := store.Get(ctx, "order/engine-a0")
-				if err == nil || errors.Is(err, platform.ErrNotFound) {
+				if err == nil || errors.Is(err, store.ErrNotFound) {
 					_, err = store.CompareAndSwap(ctx, "order/engine-a0", entry.Revision, raw, "")
 				}
 				return err == nil
--- a/daemon/readiness.go
+++ b/daemon/readiness.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // downReads is how many reads of the platform's list must fail in a row before
@@ -37,7 +37,7 @@
 func newListing() *listing { return &listing{reason: "the platform's list has not been read yet"} }
 
 // took takes an answer of the platform.
-func (l *listing) took(list []platform.InstanceInfo, id fleet.InstanceID, address string) {
+func (l *listing) took(list []store.InstanceInfo, id fleet.InstanceID, address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failed = 0
@@ -80,7 +80,7 @@
 func (l *listing) missed(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !errors.Is(err, platform.ErrRateLimited) {
+	if !errors.Is(err, store.ErrRateLimited) {
 		l.failed++
 	}
 }
--- a/declfile/size_test.go
+++ b/declfile/size_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/declfile"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // twoYears is a declaration of the design size: 1,300 members with two keys
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(text) > platform.MaxValueBytes/2 {
+	if len(text) > store.MaxValueBytes/2 {
 		t.Errorf("%d bytes exceed half of the platform's limit", len(text))
 	}
 	if remarks := declfile.Advise("f", text, d); len(remarks) > 0 {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -18,11 +18,11 @@
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/daemon"
-	realplatform "github.com/bramleywick/bramleywick/platform"
 	"github.com/bramleywick/bramleywick/settings"
 	"github.com/bramleywick/bramleywick/standin/engine"
 	"github.com/bramleywick/bramleywick/standin/platform"
 	"github.com/bramleywick/bramleywick/standin/service"
+	"github.com/bramleywick/bramleywick/store"
 
 	operatorv1 "github.com/bramleywick/bramleywick/operator/api/v1"
 	"github.com/bramleywick/bramleywick/operator/api/v1/operatorv1connect"
@@ -78,7 +78,7 @@
 // background work ends with ctx.
 func Start(ctx, outer context.Context, log *zap.Logger, callers, operators, admin string) (*daemon.Daemon, error) {
 	service := platform.New()
-	store, err := Serve(outer, "127.0.0.1:0", service.Handler())
+	address, err := Serve(outer, "127.0.0.1:0", service.Handler())
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	d := daemon.New(&settings.Settings{
-		Instance: "dev", DataCentre: "dev-a", Platform: "http://" + store,
+		Instance: "dev", DataCentre: "dev-a", Platform: "http://" + address,
 		CallerListen: callers, OperatorListen: operators, AdminListen: admin,
 		OperatorKeyHashes: []string{declare.HashKey(OperatorKey)},
 		DrainLimit:        time.Minute,
@@ -95,7 +95,7 @@
 	if err := d.Start(ctx); err != nil {
 		return nil, err
 	}
-	service.SetInstances([]realplatform.InstanceInfo{{ID: "dev", Address: d.Addresses.Peers, DataCentre: "dev-a"}})
+	service.SetInstances([]store.InstanceInfo{{ID: "dev", Address: d.Addresses.Peers, DataCentre: "dev-a"}})
 	return d, Apply(ctx, d.Addresses.Operators, text)
 }
 
--- a/metrics/platform.go
+++ b/metrics/platform.go
@@ -3,20 +3,20 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // NewPlatform registers a counter of calls on the platform and returns the
 // function that counts one attempt. It is called once.
-func (m *Metrics) NewPlatform() func(call string, result platform.Result) {
+func (m *Metrics) NewPlatform() func(call string, result store.Result) {
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "bramleywick_platform_calls_total", Help: "Attempts of calls on the platform, by call and result.",
 	}, []string{"call", "result"})
 	m.registry.MustRegister(calls)
-	for _, result := range platform.Results() {
+	for _, result := range store.Results() {
 		calls.WithLabelValues("GET /v1/watch", string(result))
 	}
-	return func(call string, result platform.Result) {
+	return func(call string, result store.Result) {
 		calls.WithLabelValues(call, string(result)).Inc()
 	}
 }
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -12,7 +12,7 @@
 	"github.com/bramleywick/bramleywick/config"
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/declfile"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 const (
@@ -38,7 +38,7 @@
 		Changes:       changesOut(declare.Diff(inForce, declaration)),
 		Remarks:       faultsOut(declfile.Advise(file, []byte(req.Msg.Text), declaration)),
 		TextBytes:     int64(len(req.Msg.Text)),
-		LimitBytes:    platform.MaxValueBytes,
+		LimitBytes:    store.MaxValueBytes,
 		CanonicalText: string(declfile.Format(declaration)),
 	}), nil
 }
--- a/operator/convert.go
+++ b/operator/convert.go
@@ -11,7 +11,7 @@
 	"github.com/bramleywick/bramleywick/config"
 	"github.com/bramleywick/bramleywick/core/declare"
 	"github.com/bramleywick/bramleywick/inifile"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // codeOf maps an error to the code that operator.proto documents.
@@ -25,15 +25,15 @@
 	switch {
 	case errors.As(err, &faults), errors.Is(err, config.ErrNoChangeID):
 		return connect.CodeInvalidArgument
-	case errors.As(err, &moved), errors.Is(err, platform.ErrConflict):
+	case errors.As(err, &moved), errors.Is(err, store.ErrConflict):
 		return connect.CodeAborted
-	case errors.As(err, &undecided), errors.Is(err, platform.ErrUnknown):
+	case errors.As(err, &undecided), errors.Is(err, store.ErrUnknown):
 		return connect.CodeUnknown
-	case errors.As(err, &large), errors.Is(err, platform.ErrTooLarge), errors.Is(err, platform.ErrRateLimited):
+	case errors.As(err, &large), errors.Is(err, store.ErrTooLarge), errors.Is(err, store.ErrRateLimited):
 		return connect.CodeResourceExhausted
-	case errors.Is(err, config.ErrNoVersion), errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, config.ErrNoVersion), errors.Is(err, store.ErrNotFound):
 		return connect.CodeNotFound
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return connect.CodeUnavailable
 	default:
 		return connect.CodeInternal
--- a/operator/server.go
+++ b/operator/server.go
@@ -18,7 +18,7 @@
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/sched"
 	"github.com/bramleywick/bramleywick/metrics"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // Drainer marks an upstream as leaving at every instance. The membership of
@@ -87,7 +87,7 @@
 
 // maxMessageBytes bounds a call: a declaration of the platform's largest value
 // with room for its encoding.
-const maxMessageBytes = 2 * platform.MaxValueBytes
+const maxMessageBytes = 2 * store.MaxValueBytes
 
 // NewHandler returns the HTTP handler of the operators' listener.
 func NewHandler(o Options) http.Handler {
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -20,8 +20,8 @@
 	"github.com/bramleywick/bramleywick/core/sched"
 	"github.com/bramleywick/bramleywick/metrics"
 	"github.com/bramleywick/bramleywick/operator"
-	"github.com/bramleywick/bramleywick/platform"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 const (
@@ -89,9 +89,9 @@
 
 func newBench(t *testing.T) *bench {
 	b := &bench{service: standin.New(), fakes: &fakes{}}
-	store := httptest.NewServer(b.service.Handler())
-	t.Cleanup(store.Close)
-	b.fakes.keeper = config.NewKeeper(config.Options{Store: platform.NewClient(store.URL, store.Client())})
+	kv := httptest.NewServer(b.service.Handler())
+	t.Cleanup(kv.Close)
+	b.fakes.keeper = config.NewKeeper(config.Options{Store: store.NewClient(kv.URL, kv.Client())})
 	server := httptest.NewServer(operator.NewHandler(operator.Options{
 		Instance: "i1", KeyHashes: []string{declare.HashKey(operatorKey)}, Keeper: b.fakes.keeper,
 		Scheduler: b.fakes, Counters: b.fakes, InForce: b.fakes, Drainer: b.fakes, Orders: b.fakes,
@@ -193,7 +193,7 @@
 		{"failed drain", func(b *bench) error {
 			_, err := b.apply("c1", text, 0)
 			So(err, ShouldBeNil)
-			b.fakes.err = platform.ErrUnavailable
+			b.fakes.err = store.ErrUnavailable
 			_, err = b.client.Drain(context.Background(), request(&operatorv1.DrainRequest{Upstream: "s1"}))
 			return err
 		}, connect.CodeUnavailable},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,7 +10,7 @@
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/inifile"
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // Settings are what one instance learns from its settings file.
@@ -34,7 +34,7 @@
 	// Platform is the base URL of the platform's service.
 	Platform string
 	// PlatformLimits bound the calls on the platform's service.
-	PlatformLimits platform.Limits
+	PlatformLimits store.Limits
 	// OperatorKeyHashes are hex SHA-256 digests of operators' keys.
 	OperatorKeyHashes []string
 	// BalancerDelay is how long the balancer takes to notice that the
@@ -78,7 +78,7 @@
 	}
 	overrides.apply(file)
 	var faults inifile.Faults
-	s := &Settings{PlatformLimits: platform.DefaultLimits()}
+	s := &Settings{PlatformLimits: store.DefaultLimits()}
 	seen := map[string]bool{}
 	for _, section := range inOrder(file.Sections) {
 		seen[section.Kind] = true
@@ -136,7 +136,7 @@
 		s.decodeTLS(file, section, dec, faults)
 	case "platform":
 		s.Platform = baseURL(dec, "url")
-		s.PlatformLimits = platform.Limits{
+		s.PlatformLimits = store.Limits{
 			ReadsPerSecond:  rate(dec, "reads_per_second", s.PlatformLimits.ReadsPerSecond),
 			WritesPerSecond: rate(dec, "writes_per_second", s.PlatformLimits.WritesPerSecond),
 			CallTimeout:     within(dec, "call_timeout", s.PlatformLimits.CallTimeout, minCallTimeout, maxCallTimeout),
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	real "github.com/bramleywick/bramleywick/platform"
+	real "github.com/bramleywick/bramleywick/store"
 )
 
 // Switches are further failures that a test can switch on, next to Faults.
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	real "github.com/bramleywick/bramleywick/platform"
+	real "github.com/bramleywick/bramleywick/store"
 )
 
 // Server is an in-memory key-value service with leases and watches.
--- a/platform/client_test.go
+++ b/store/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -10,17 +10,17 @@
 	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/bramleywick/bramleywick/platform"
-	"github.com/bramleywick/bramleywick/platform/storetest"
 	standin "github.com/bramleywick/bramleywick/standin/platform"
+	"github.com/bramleywick/bramleywick/store"
+	"github.com/bramleywick/bramleywick/store/storetest"
 )
 
 // callTimeout leaves room for a write of the largest value under the race
 // detector on a busy machine, which took more than 300 ms.
 const callTimeout = 2 * time.Second
 
-func limits() platform.Limits {
-	return platform.Limits{ReadsPerSecond: 1000, WritesPerSecond: 1000, CallTimeout: callTimeout}
+func limits() store.Limits {
+	return store.Limits{ReadsPerSecond: 1000, WritesPerSecond: 1000, CallTimeout: callTimeout}
 }
 
 // TestContract guards against an HTTP client that breaks the contract of Store
@@ -31,7 +31,7 @@
 		server := httptest.NewServer(service.Handler())
 		t.Cleanup(server.Close)
 		return storetest.Fixture{
-			Store:            platform.NewLimitedClient(server.URL, server.Client(), limits()),
+			Store:            store.NewLimitedClient(server.URL, server.Client(), limits()),
 			CallTimeout:      callTimeout,
 			Outage:           func() { service.SetFaults(standin.Faults{Down: true}) },
 			Slow:             func() { service.SetFaults(standin.Faults{Delay: 2 * callTimeout}) },
@@ -54,29 +54,29 @@
 		service := standin.New()
 		server := httptest.NewServer(service.Handler())
 		defer server.Close()
-		client := platform.NewLimitedClient(server.URL, server.Client(), limits())
+		client := store.NewLimitedClient(server.URL, server.Client(), limits())
 		ctx := context.Background()
 
 		Convey("a write with a lost answer is sent once", func() {
 			service.SetFaults(standin.Faults{LoseWriteAnswers: true})
 			_, err := client.CompareAndSwap(ctx, "k", 0, []byte("1"), "")
-			So(errors.Is(err, platform.ErrUnknown), ShouldBeTrue)
+			So(errors.Is(err, store.ErrUnknown), ShouldBeTrue)
 			So(service.Counts().Writes, ShouldEqual, 1)
 		})
 		Convey("a write that was certainly refused is repeated", func() {
 			service.SetFaults(standin.Faults{Down: true})
 			_, err := client.CompareAndSwap(ctx, "k", 0, []byte("1"), "")
-			So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(err, store.ErrUnavailable), ShouldBeTrue)
 			So(service.Counts().Writes, ShouldEqual, 3)
 		})
 		Convey("a write over a connection that was never made had no effect", func() {
 			closed := httptest.NewServer(http.NotFoundHandler())
 			closed.Close()
-			_, err := platform.NewClient(closed.URL, http.DefaultClient).CompareAndSwap(ctx, "k", 0, nil, "")
-			So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+			_, err := store.NewClient(closed.URL, http.DefaultClient).CompareAndSwap(ctx, "k", 0, nil, "")
+			So(errors.Is(err, store.ErrUnavailable), ShouldBeTrue)
 		})
 		Convey("calls beyond the local rate wait or are refused unsent", func() {
-			slow := platform.NewLimitedClient(server.URL, server.Client(), platform.Limits{
+			slow := store.NewLimitedClient(server.URL, server.Client(), store.Limits{
 				ReadsPerSecond: 1, WritesPerSecond: 1, CallTimeout: 50 * time.Millisecond,
 			})
 			for i := 0; i < 2; i++ {
@@ -84,7 +84,7 @@
 				So(err, ShouldBeNil)
 			}
 			_, err := slow.Instances(ctx)
-			So(errors.Is(err, platform.ErrRateLimited), ShouldBeTrue)
+			So(errors.Is(err, store.ErrRateLimited), ShouldBeTrue)
 			So(service.Counts().Reads, ShouldEqual, 2)
 		})
 	})
--- a/platform/limit.go
+++ b/store/limit.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/platform/store.go
+++ b/store/store.go
@@ -1,6 +1,6 @@
-// Package platform is the typed client of the platform's key-value service:
+// Package store is the typed client of the platform's key-value service:
 // compare-and-swap, leases, watches and the list of live instances.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/storetest/storetest.go
+++ b/store/storetest/storetest.go
@@ -1,4 +1,4 @@
-// Package storetest is the contract that every adapter of platform.Store must
+// Package storetest is the contract that every adapter of store.Store must
 // meet. An adapter's own tests call Run with a fixture.
 package storetest
 
@@ -11,12 +11,12 @@
 	"github.com/pkg/errors"
 	"github.com/smartystreets/goconvey/convey"
 
-	"github.com/bramleywick/bramleywick/platform"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // Fixture is one fresh service and a client of it.
 type Fixture struct {
-	Store platform.Store
+	Store store.Store
 	// Each function switches one fault on; Heal switches all off.
 	Outage, Slow, LoseWriteAnswers, WatchGap, StaleReads, RateLimit, Heal func()
 	// CallTimeout is the client's bound on one attempt; Slow exceeds it.
@@ -48,9 +48,9 @@
 	}
 }
 
-func put(ctx context.Context, f Fixture, value string) platform.Entry {
+func put(ctx context.Context, f Fixture, value string) store.Entry {
 	current, err := f.Store.Get(ctx, key)
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, store.ErrNotFound) {
 		convey.So(err, convey.ShouldBeNil)
 	}
 	entry, err := f.Store.CompareAndSwap(ctx, key, current.Revision, []byte(value), "")
@@ -63,13 +63,13 @@
 var cases = []contractCase{
 	{"an absent key is not found", func(ctx context.Context, f Fixture) {
 		_, err := f.Store.Get(ctx, key)
-		shouldBe(err, platform.ErrNotFound)
+		shouldBe(err, store.ErrNotFound)
 	}},
 	{"of two writes on one revision the second conflicts", func(ctx context.Context, f Fixture) {
 		first := put(ctx, f, "1")
 		_, err := f.Store.CompareAndSwap(ctx, key, 0, []byte("2"), "")
-		shouldBe(err, platform.ErrConflict)
-		shouldBe(f.Store.CompareAndDelete(ctx, key, first.Revision-1), platform.ErrConflict)
+		shouldBe(err, store.ErrConflict)
+		shouldBe(f.Store.CompareAndDelete(ctx, key, first.Revision-1), store.ErrConflict)
 		convey.So(f.Store.CompareAndDelete(ctx, key, first.Revision), convey.ShouldBeNil)
 	}},
 	{"a list is sorted and holds the prefix only", func(ctx context.Context, f Fixture) {
@@ -85,26 +85,26 @@
 	{"an outage leaves reads and writes without effect", func(ctx context.Context, f Fixture) {
 		f.Outage()
 		_, err := f.Store.Get(ctx, key)
-		shouldBe(err, platform.ErrUnavailable)
+		shouldBe(err, store.ErrUnavailable)
 		_, err = f.Store.CompareAndSwap(ctx, key, 0, []byte("1"), "")
-		shouldBe(err, platform.ErrUnavailable)
+		shouldBe(err, store.ErrUnavailable)
 		f.Heal()
 		_, err = f.Store.Get(ctx, key)
-		shouldBe(err, platform.ErrNotFound)
+		shouldBe(err, store.ErrNotFound)
 	}},
 	{"a slow service ends a read as unavailable and a write as unknown, in time", func(ctx context.Context, f Fixture) {
 		f.Slow()
 		start := time.Now()
 		_, err := f.Store.CompareAndSwap(ctx, key, 0, []byte("1"), "")
-		shouldBe(err, platform.ErrUnknown)
+		shouldBe(err, store.ErrUnknown)
 		convey.So(time.Since(start), convey.ShouldBeLessThan, 2*f.CallTimeout)
 		_, err = f.Store.Get(ctx, key)
-		shouldBe(err, platform.ErrUnavailable)
+		shouldBe(err, store.ErrUnavailable)
 	}},
 	{"a lost answer is unknown and the write is not sent again", func(ctx context.Context, f Fixture) {
 		f.LoseWriteAnswers()
 		_, err := f.Store.CompareAndSwap(ctx, key, 0, []byte("1"), "")
-		shouldBe(err, platform.ErrUnknown)
+		shouldBe(err, store.ErrUnknown)
 		f.Heal()
 		entry, err := f.Store.Get(ctx, key)
 		convey.So(err, convey.ShouldBeNil)
@@ -118,14 +118,14 @@
 		convey.So(f.Store.RenewLease(ctx, lease.ID), convey.ShouldBeNil)
 		time.Sleep(2 * leaseTTL)
 		_, err = f.Store.Get(ctx, key)
-		shouldBe(err, platform.ErrNotFound)
-		shouldBe(f.Store.RenewLease(ctx, lease.ID), platform.ErrLeaseLost)
+		shouldBe(err, store.ErrNotFound)
+		shouldBe(f.Store.RenewLease(ctx, lease.ID), store.ErrLeaseLost)
 		_, err = f.Store.CompareAndSwap(ctx, key, 0, []byte("late"), lease.ID)
-		shouldBe(err, platform.ErrLeaseLost)
+		shouldBe(err, store.ErrLeaseLost)
 	}},
 	{"a watch returns the write that ends its wait", func(ctx context.Context, f Fixture) {
 		first := put(ctx, f, "1")
-		done := make(chan platform.Entry, 1)
+		done := make(chan store.Entry, 1)
 		go func() {
 			entry, _ := f.Store.Watch(ctx, key, first.Revision, 5*time.Second)
 			done <- entry
@@ -146,11 +146,11 @@
 	}},
 	{"a known value is left out", func(ctx context.Context, f Fixture) {
 		first := put(ctx, f, "1")
-		_, err := platform.ReadNewer(ctx, f.Store, key, first.Revision, 0)
-		shouldBe(err, platform.ErrNotChanged)
-		_, err = platform.ReadNewer(ctx, f.Store, key, first.Revision, 20*time.Millisecond)
-		shouldBe(err, platform.ErrNotChanged)
-		entry, err := platform.ReadNewer(ctx, f.Store, key, 0, 0)
+		_, err := store.ReadNewer(ctx, f.Store, key, first.Revision, 0)
+		shouldBe(err, store.ErrNotChanged)
+		_, err = store.ReadNewer(ctx, f.Store, key, first.Revision, 20*time.Millisecond)
+		shouldBe(err, store.ErrNotChanged)
+		entry, err := store.ReadNewer(ctx, f.Store, key, 0, 0)
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(string(entry.Value), convey.ShouldEqual, "1")
 	}},
@@ -162,23 +162,23 @@
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(string(stale.Value), convey.ShouldEqual, "1")
 		_, err = f.Store.CompareAndSwap(ctx, key, stale.Revision, []byte("3"), "")
-		shouldBe(err, platform.ErrConflict)
+		shouldBe(err, store.ErrConflict)
 	}},
 	{"a rate limit refuses before it acts", func(ctx context.Context, f Fixture) {
 		f.RateLimit()
 		var refused error
 		for i := 0; i < 10 && refused == nil; i++ {
 			_, refused = f.Store.Get(ctx, key)
-			if errors.Is(refused, platform.ErrNotFound) {
+			if errors.Is(refused, store.ErrNotFound) {
 				refused = nil
 			}
 		}
-		shouldBe(refused, platform.ErrRateLimited)
+		shouldBe(refused, store.ErrRateLimited)
 	}},
 	{"an oversize value is refused", func(ctx context.Context, f Fixture) {
-		_, err := f.Store.CompareAndSwap(ctx, key, 0, bytes.Repeat([]byte("x"), platform.MaxValueBytes+1), "")
-		shouldBe(err, platform.ErrTooLarge)
-		_, err = f.Store.CompareAndSwap(ctx, key, 0, bytes.Repeat([]byte("x"), platform.MaxValueBytes), "")
+		_, err := f.Store.CompareAndSwap(ctx, key, 0, bytes.Repeat([]byte("x"), store.MaxValueBytes+1), "")
+		shouldBe(err, store.ErrTooLarge)
+		_, err = f.Store.CompareAndSwap(ctx, key, 0, bytes.Repeat([]byte("x"), store.MaxValueBytes), "")
 		convey.So(err, convey.ShouldBeNil)
 	}},
 }
