--- a/daemon/membership_test.go
+++ b/daemon/membership_test.go
@@ -73,7 +73,7 @@
 func (s *site) start(id string, seeds ...string) *daemon.Daemon {
 	cut := &atomic.Bool{}
 	s.cut = append(s.cut, cut)
-	handler := s.store.Handler()
+	handler := s.platform.Handler()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if cut.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -94,7 +94,7 @@
 	So(d.Start(s.ctx), ShouldBeNil)
 	s.rows = append(s.rows, store.InstanceInfo{ID: id, Address: d.Addresses.Peers, DataCentre: id[:1]})
 	if !s.unlisted {
-		s.store.SetInstances(s.rows)
+		s.platform.SetInstances(s.rows)
 	}
 	s.daemons = append(s.daemons, d)
 	context.AfterFunc(s.ctx, d.Kill)
@@ -187,7 +187,7 @@
 		{"a single instance reads it from the platform's list", func(s *site) {
 			s.cut[3].Store(false)
 			rows := append([]store.InstanceInfo{{ID: "engine-a0", Leaving: true}}, s.rows[1:]...)
-			s.store.SetInstances(rows)
+			s.platform.SetInstances(rows)
 			for status(s.daemons[3], "engine-a0") != membership.UpstreamLeaving && s.ctx.Err() == nil {
 				time.Sleep(time.Millisecond)
 			}
@@ -238,7 +238,7 @@
 			s.start(id)
 		}
 		s.apply()
-		s.store.SetFaults(standin.Faults{Down: true})
+		s.platform.SetFaults(standin.Faults{Down: true})
 
 		Convey("the killed poller's upstreams are polled by another and stay live", func() {
 			victim := 0
--- a/daemon/planned_test.go
+++ b/daemon/planned_test.go
@@ -38,7 +38,7 @@
 
 // store is the platform past the switches of the daemons.
 func (s *site) store() store.Store {
-	address, err := dev.Serve(s.ctx, "127.0.0.1:0", s.store.Handler())
+	address, err := dev.Serve(s.ctx, "127.0.0.1:0", s.platform.Handler())
 	So(err, ShouldBeNil)
 	return store.NewClient("http://"+address, http.DefaultClient)
 }
@@ -101,11 +101,11 @@
 	defer func(times authority.Times) { authority.DefaultTimes = times }(authority.DefaultTimes)
 	authority.DefaultTimes.Observe = time.Second // how soon a new wish is looked at
 	underStreams(t, "The order holder changes a role", func(s *site, e *engine.Server, short, long *caller.Load, cut bool) {
-		store := s.store()
+		client := s.store()
 		s.put(strings.Replace(s.text, "[upstream engine-a0]\n", "[upstream engine-a0]\nrole = decode\n", 1))
 		So(await(changeBound, func() bool {
 			var record order.Record
-			entry, err := store.Get(s.ctx, "order/engine-a0")
+			entry, err := client.Get(s.ctx, "order/engine-a0")
 			return err == nil && json.Unmarshal(entry.Value, &record) == nil && record.Phase == order.PhaseDraining
 		}), ShouldBeTrue)
 		long.Last()
@@ -154,14 +154,14 @@
 		s.apply()
 		store, e := s.store(), s.engines[0]
 		// The holder is cut off, so that it does not settle the record.
-		So(await(changeBound, func() bool { _, err := store.Get(ctx, "lease/orders/a"); return err == nil }), ShouldBeTrue)
+		So(await(changeBound, func() bool { _, err := client.Get(ctx, "lease/orders/a"); return err == nil }), ShouldBeTrue)
 		s.setPlatform(false)
 		write := func(r order.Record) {
 			raw, _ := json.Marshal(r)
 			So(await(changeBound, func() bool {
-				entry, err := store.Get(ctx, "order/engine-a0")
+				entry, err := client.Get(ctx, "order/engine-a0")
 				if err == nil || errors.Is(err, store.ErrNotFound) {
-					_, err = store.CompareAndSwap(ctx, "order/engine-a0", entry.Revision, raw, "")
+					_, err = client.CompareAndSwap(ctx, "order/engine-a0", entry.Revision, raw, "")
 				}
 				return err == nil
 			}), ShouldBeTrue)
--- a/daemon/readiness_test.go
+++ b/daemon/readiness_test.go
@@ -29,7 +29,7 @@
 		So(s.eventually(readyBound, ready), ShouldBeLessThan, readyBound)
 		s.unlisted = true
 		list := func(address string) {
-			s.store.SetInstances(append(s.rows[:1:1], store.InstanceInfo{ID: "a2", Address: address, DataCentre: "a"}))
+			s.platform.SetInstances(append(s.rows[:1:1], store.InstanceInfo{ID: "a2", Address: address, DataCentre: "a"}))
 		}
 		says := func(text string) {
 			So(s.eventually(readyBound, func(d *daemon.Daemon) bool {
@@ -49,11 +49,11 @@
 			says("ready")
 		})
 		Convey("one that learned the configuration from its peers is ready while the platform is down, and only then", func() {
-			s.store.SetFaults(standin.Faults{Down: true})
+			s.platform.SetFaults(standin.Faults{Down: true})
 			d := s.start("a2", first.Addresses.Peers)
 			s.daemons = s.daemons[1:]
 			says("ready without the platform's list: the platform does not answer; configuration version 1 is in force")
-			s.store.SetFaults(standin.Faults{})
+			s.platform.SetFaults(standin.Faults{})
 			says("the platform's list does not name this instance")
 			list(d.Addresses.Peers)
 			says("ready")
