--- a/daemon/planned_test.go
+++ b/daemon/planned_test.go
@@ -152,7 +152,7 @@
 		s := newSite(ctx, "a")
 		s.start("a1")
 		s.apply()
-		store, e := s.store(), s.engines[0]
+		client, e := s.store(), s.engines[0]
 		// The holder is cut off, so that it does not settle the record.
 		So(await(changeBound, func() bool { _, err := client.Get(ctx, "lease/orders/a"); return err == nil }), ShouldBeTrue)
 		s.setPlatform(false)
