--- a/cmd/bramleywickd/main.go
+++ b/cmd/bramleywickd/main.go
@@ -21,7 +21,7 @@
 	ctx, second := stopSignals()
 	root := &ffcli.Command{
 		ShortUsage:  "bramleywickd <subcommand>",
-		Subcommands: []*ffcli.Command{runCommand(second), checkCommand(), devCommand()},
+		Subcommands: []*ffcli.Command{runCommand(second), checkCommand(), devCommand(), frontCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
--- /dev/null
+++ b/core/place/engine.go
@@ -0,0 +1,167 @@
+package place
+
+import (
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/call"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/membership"
+	"github.com/bramleywick/bramleywick/core/routes"
+)
+
+const (
+	// decodeReadFactor is how much slower an engine at the decode stage reads.
+	decodeReadFactor = 2.0
+	// spreadCost is charged for reading a shared part at an engine that is not
+	// its home, per token, as a share of the time to read it: the copy takes
+	// memory from other parts.
+	spreadCost = 0.6
+	// runCost is the wait that each request at a decode engine adds.
+	runCost = 2 * time.Millisecond
+	// handOverCost is the fixed time of a transfer between stages.
+	handOverCost = 8 * time.Millisecond
+)
+
+func isPrefill(s *server) bool { return s.Stage == fleet.RolePrefill }
+func isDecode(s *server) bool  { return s.Stage == fleet.RoleDecode }
+
+// sharedPart returns the longest part that other requests have in common with
+// this one, and the tokens up to its end; "" when there is none.
+func sharedPart(r *call.Request) (id string, tokens float64) {
+	longest := 0
+	upTo := 0
+	for i, p := range r.Parts {
+		if i == len(r.Parts)-1 && i > 0 {
+			break
+		}
+		upTo += p.Tokens
+		if p.Tokens > longest {
+			id, tokens, longest = p.ID, float64(upTo), p.Tokens
+		}
+	}
+	return id, tokens
+}
+
+// home returns the engine that a part is assigned to, the same on every
+// instance that knows the same engines.
+func home(part string, list []*server) *server {
+	var best *server
+	var bestHash uint64
+	for _, s := range list {
+		if h := membership.Hash(part, string(s.ID)); best == nil || h > bestHash {
+			best, bestHash = s, h
+		}
+	}
+	return best
+}
+
+func ms(tokens, speed float64) time.Duration {
+	return time.Duration(tokens / speed * float64(time.Millisecond))
+}
+
+// Prefill chooses an engine at the prefill stage to read a prompt.
+func (f *Fleet) Prefill(group fleet.GroupName, r *call.Request, now fleet.Instant, skip []fleet.UpstreamID) (Choice, bool) {
+	return f.read(group, r, now, skip, isPrefill, 1)
+}
+
+// Direct chooses an engine at the decode stage that reads the prompt itself.
+func (f *Fleet) Direct(group fleet.GroupName, r *call.Request, now fleet.Instant, skip []fleet.UpstreamID) (Choice, bool) {
+	return f.read(group, r, now, skip, func(s *server) bool { return !isPrefill(s) }, decodeReadFactor)
+}
+
+// read scores the engines by the time until the prompt is read.
+func (f *Fleet) read(group fleet.GroupName, r *call.Request, now fleet.Instant, skip []fleet.UpstreamID, fits func(*server) bool, factor float64) (Choice, bool) {
+	list := f.usable(group, now, skip, fits)
+	part, shared := sharedPart(r)
+	at := home(part, list)
+	var best Choice
+	var bestScore time.Duration
+	for _, s := range list {
+		work := s.work(now)
+		speed := s.speed / factor
+		uncached := s.cache.uncached(r)
+		wait := ms(work.Reads+uncached, speed) + time.Duration(work.Runs)*runCost/4
+		score := wait + time.Duration(jitter(r.ID, s)*float64(2*time.Millisecond))
+		reason := ReasonLeastWait
+		switch {
+		case s == at:
+			reason = ReasonHome
+		case s.cache.holds(part):
+			reason = ReasonKept
+		default:
+			score += time.Duration(spreadCost * float64(ms(shared, speed)))
+		}
+		if s.DataCentre != f.config.DataCentre {
+			score += crossPenalty
+		}
+		if best.Candidates == 0 || score < bestScore {
+			bestScore = score
+			best = Choice{
+				Server: s.Server, Reason: reasonOf(len(list), reason), Wait: wait,
+				Uncached: uncached, Ahead: work.Reads, Candidates: len(list),
+			}
+		}
+	}
+	return best, best.Candidates > 0
+}
+
+// Decode chooses an engine at the decode stage for a prompt that the engine
+// from has read.
+func (f *Fleet) Decode(group fleet.GroupName, r *call.Request, from Server, now fleet.Instant, skip []fleet.UpstreamID) (Choice, bool) {
+	list := f.usable(group, now, skip, isDecode)
+	transfer := f.transfer(group, r)
+	var best Choice
+	var bestScore time.Duration
+	for _, s := range list {
+		work := s.work(now)
+		wait := time.Duration(float64(work.Runs)*float64(runCost)*initialSpeed/s.speed) + ms(work.Reads, s.speed/decodeReadFactor) + handOverCost + transfer
+		if over := work.Runs - s.Slots; over >= 0 && s.Slots > 0 {
+			wait += time.Duration(over+1) * 10 * time.Millisecond
+		}
+		score := wait + time.Duration(jitter(r.ID, s)*float64(3*time.Millisecond))
+		if s.DataCentre != from.DataCentre {
+			score += transfer + crossPenalty
+		}
+		if best.Candidates == 0 || score < bestScore {
+			bestScore = score
+			best = Choice{Server: s.Server, Reason: reasonOf(len(list), ReasonLeastWait), Wait: wait, Candidates: len(list)}
+		}
+	}
+	return best, best.Candidates > 0
+}
+
+// transfer is the time to move a prompt's KV cache within a data centre.
+func (f *Fleet) transfer(group fleet.GroupName, r *call.Request) time.Duration {
+	if f.table == nil {
+		return 0
+	}
+	service := f.table.Service(group)
+	if service == nil || service.Engine == nil || service.Engine.LinkBytesPerSecond <= 0 {
+		return 0
+	}
+	bytes := float64(r.PromptTokens) * service.Engine.KVBytesPerToken
+	return time.Duration(bytes / service.Engine.LinkBytesPerSecond * float64(time.Second))
+}
+
+// Apart tells whether a prompt is read faster at an engine of the prefill
+// stage, its transfer included, and returns both estimates.
+func (f *Fleet) Apart(group fleet.GroupName, r *call.Request, now fleet.Instant, skip []fleet.UpstreamID) (apart, direct Choice, split bool) {
+	apart, okApart := f.Prefill(group, r, now, skip)
+	direct, okDirect := f.Direct(group, r, now, skip)
+	switch {
+	case !okApart:
+		return apart, direct, false
+	case !okDirect:
+		return apart, direct, true
+	}
+	return apart, direct, apart.Wait+handOverCost+2*f.transfer(group, r) < direct.Wait
+}
+
+// Engines returns the engines of a service, for the plan of the stages.
+func (f *Fleet) Engines(service *routes.Service) []Server {
+	var out []Server
+	for _, s := range f.groups[service.Name] {
+		out = append(out, s.Server)
+	}
+	return out
+}
--- /dev/null
+++ b/core/place/server.go
@@ -0,0 +1,110 @@
+// Package place chooses the server of each request from what an instance knows
+// of the fleet: the servers that are listed, its own requests in flight, what
+// other instances say of theirs, the speeds it has learned and the prompt parts
+// that it believes each engine keeps. It performs no input or output and reads
+// no clock.
+package place
+
+import (
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/retry"
+)
+
+// Server is one listed server.
+type Server struct {
+	ID         fleet.UpstreamID
+	Group      fleet.GroupName
+	Address    string
+	DataCentre fleet.DataCentre
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Stage is RolePrefill or RoleDecode for engines, RoleMixed for others.
+	Stage fleet.Role
+	// Born distinguishes successive processes under one id.
+	Born int64
+	// Leaving servers get no new requests.
+	Leaving bool
+	// Orders is the number of orders that this process has accepted.
+	Orders int64
+}
+
+// Work is what an instance has under way at one server.
+type Work struct {
+	// Reads is the number of prompt tokens sent and not yet read.
+	Reads float64
+	// Runs is the number of requests that run or wait to run.
+	Runs int
+}
+
+const (
+	// initialSpeed is assumed of an engine before the first prompt has been
+	// read, in prompt tokens per millisecond.
+	initialSpeed = 40.0
+	// minSpeed and maxSpeed bound what a single odd measurement can teach.
+	minSpeed, maxSpeed = 2.0, 1000.0
+	// speedWeight is the part of a new measurement in the learned speed.
+	speedWeight = 0.15
+	// callOverhead is the part of a read's duration that does not depend on
+	// its length: transfer of the body, a step of the batch.
+	callOverhead = 15 * time.Millisecond
+	// peerWorkTTL is how long an instance's last word on its work counts; a
+	// silent instance has lost its callers or is cut off.
+	peerWorkTTL = 1500 * time.Millisecond
+)
+
+type peerWork struct {
+	Work
+	heard fleet.Instant
+}
+
+// server is what the instance believes of one server.
+type server struct {
+	Server
+	own    Work
+	others map[fleet.InstanceID]peerWork
+	// speed is in prompt tokens per millisecond at the prefill stage.
+	speed float64
+	cache cache
+	// available is false while the server is ejected for failures.
+	available bool
+	// latency is the mean time of answers of a plain service.
+	latency time.Duration
+}
+
+func newServer(s Server) *server {
+	return &server{
+		Server: s, others: map[fleet.InstanceID]peerWork{}, speed: initialSpeed,
+		cache: newCache(), available: true,
+	}
+}
+
+// work returns the work of all instances at the server.
+func (s *server) work(now fleet.Instant) Work {
+	total := s.own
+	for id, w := range s.others {
+		if now-w.heard > peerWorkTTL {
+			delete(s.others, id)
+			continue
+		}
+		total.Reads += w.Reads
+		total.Runs += w.Runs
+	}
+	return total
+}
+
+// learn takes the time in which the server read tokens, those ahead included.
+func (s *server) learn(tokens float64, took time.Duration) {
+	ms := float64(max(took-callOverhead, time.Millisecond)) / float64(time.Millisecond)
+	measured := min(max(tokens/ms, minSpeed), maxSpeed)
+	s.speed += speedWeight * (measured - s.speed)
+}
+
+// EjectConfig ejects a server after two failures in a row for half a second at
+// first: at a few requests a second to each server, more would take seconds to
+// notice. Four fifths of a group may be out, since a cut data centre loses
+// sight of the other two.
+var EjectConfig = retry.EjectConfig{
+	Failures: 2, BaseTime: 500 * time.Millisecond, MaxTime: 4 * time.Second, FullLimit: 8, MaxShare: 0.8,
+}
--- /dev/null
+++ b/core/stageplan/stageplan.go
@@ -0,0 +1,89 @@
+// Package stageplan divides the engines of a service between the prefill and
+// the decode stage and says which engine changes next. Answers are short and
+// prompts long, so most of the work is reading; a change takes an engine out of
+// service for seconds, so a division that is near enough stays.
+package stageplan
+
+import (
+	"math"
+	"sort"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/membership"
+	"github.com/bramleywick/bramleywick/core/place"
+)
+
+// Change is one engine's next stage.
+type Change struct {
+	Server place.Server
+	Stage  fleet.Role
+}
+
+// Plan is what division is wanted.
+type Plan struct {
+	// PrefillShare is the part of the engines at the prefill stage.
+	PrefillShare float64
+	// Tolerance is how many engines the division may be off.
+	Tolerance int
+}
+
+// Changes returns the changes that bring the division to the plan; none while it
+// is within the tolerance. Leaving engines and those without a stage are left
+// out.
+func (p Plan) Changes(servers []place.Server) []Change {
+	var prefill, decode []place.Server
+	for _, s := range servers {
+		switch {
+		case s.Leaving:
+		case s.Stage == fleet.RolePrefill:
+			prefill = append(prefill, s)
+		case s.Stage == fleet.RoleDecode:
+			decode = append(decode, s)
+		}
+	}
+	total := len(prefill) + len(decode)
+	if total < 2 {
+		return nil
+	}
+	wanted := min(max(int(math.Round(p.PrefillShare*float64(total))), 1), total-1)
+	missing := wanted - len(prefill)
+	switch {
+	case missing > p.Tolerance:
+		return pick(decode, prefill, missing, fleet.RolePrefill)
+	case -missing > p.Tolerance:
+		return pick(prefill, decode, -missing, fleet.RoleDecode)
+	default:
+		return nil
+	}
+}
+
+// pick chooses n of from, each time in the data centre that has most of them
+// over those that are at the wanted stage already, so that every data centre
+// keeps both stages where it can.
+func pick(from, at []place.Server, n int, stage fleet.Role) []Change {
+	sort.Slice(from, func(i, j int) bool {
+		return membership.Hash(string(from[i].ID)) < membership.Hash(string(from[j].ID))
+	})
+	surplus := map[fleet.DataCentre]int{}
+	for _, s := range from {
+		surplus[s.DataCentre]++
+	}
+	for _, s := range at {
+		surplus[s.DataCentre]--
+	}
+	var out []Change
+	used := map[fleet.UpstreamID]bool{}
+	for range n {
+		best := -1
+		for i, s := range from {
+			if !used[s.ID] && (best < 0 || surplus[s.DataCentre] > surplus[from[best].DataCentre]) {
+				best = i
+			}
+		}
+		s := from[best]
+		used[s.ID] = true
+		surplus[s.DataCentre] -= 2
+		out = append(out, Change{Server: s, Stage: stage})
+	}
+	return out
+}
--- /dev/null
+++ b/core/turn/turn.go
@@ -0,0 +1,44 @@
+// Package turn decides at a request's arrival whether it is served or turned
+// away, and when a caller that is turned away should return. Nothing waits at
+// the instance: a request that is admitted is offered to a server at once, and
+// the servers order what waits by its rank, so that a refusal is never late.
+package turn
+
+import "time"
+
+// Estimate is what is known of a request at its arrival.
+type Estimate struct {
+	// Wait is the estimated time until the answer, or the first event.
+	Wait time.Duration
+	// Target is the time within which the answer is on time.
+	Target time.Duration
+	// Left is the time until the caller gives up.
+	Left time.Duration
+}
+
+// Verdict is the decision on one request.
+type Verdict struct {
+	Admit bool
+	// RetryAfter is when the caller should return; it is set for refusals.
+	RetryAfter time.Duration
+}
+
+const (
+	// useOfLeft is the part of the time left that an estimate may take: an
+	// answer that is expected after it would be read and made in vain.
+	useOfLeft = 0.8
+	// minReturn and maxReturn bound the time after which a caller is asked to
+	// return.
+	minReturn = 100 * time.Millisecond
+	maxReturn = 2 * time.Second
+)
+
+// Decide refuses a request whose answer would come too late for its caller. The
+// caller should return when the excess has been worked off.
+func Decide(e Estimate) Verdict {
+	limit := time.Duration(useOfLeft * float64(e.Left))
+	if e.Wait <= limit {
+		return Verdict{Admit: true}
+	}
+	return Verdict{RetryAfter: min(max(e.Wait-limit, minReturn), maxReturn)}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,223 @@
+// Package gateway passes callers' requests to servers and their answers back,
+// byte for byte. It carries out the decisions of core: the route, admission, the
+// server, repeats within the budget, and what a refusal promises.
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/connpool"
+	"github.com/bramleywick/bramleywick/core/call"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/retry"
+	"github.com/bramleywick/bramleywick/core/routes"
+)
+
+// Wire converts between the platform's headers and the project's types.
+type Wire interface {
+	connpool.Decoder
+	Request(h http.Header) call.Request
+	// Forward returns the caller's headers that are passed on.
+	Forward(in http.Header) http.Header
+	// Sent adds what the system states for one server.
+	Sent(forward http.Header, s call.Send) http.Header
+	// Return copies a server's headers into the answer to the caller.
+	Return(out, in http.Header)
+	// Refuse sets the headers of a refusal; a wait of 0 sets none.
+	Refuse(out http.Header, id fleet.RequestID, wait time.Duration)
+	Prefilled(body []byte) (call.Prefilled, error)
+	// FreeHandle returns the call that frees KV cache at a server.
+	FreeHandle(handle string) (method, path string)
+}
+
+// Observer counts what happens to requests.
+type Observer interface {
+	Refused(reason fleet.Reason)
+	Retried(reason retry.Reason)
+	// Answered is the time to the whole answer or to the first event.
+	Answered(route string, took time.Duration)
+}
+
+// Options are the parts that a gateway works with.
+type Options struct {
+	Wire     Wire
+	Table    func() *routes.Table
+	Pool     *connpool.Pool
+	State    *State
+	Observer Observer
+	Log      *zap.Logger
+}
+
+// Gateway is the handler of callers' requests.
+type Gateway struct {
+	Options
+	leaving atomic.Bool
+	open    atomic.Int64
+}
+
+// New returns a gateway.
+func New(o Options) *Gateway { return &Gateway{Options: o} }
+
+// Leave asks callers to close their connections after the current request.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// Open returns the number of requests under way.
+func (g *Gateway) Open() int64 { return g.open.Load() }
+
+const (
+	// defaultTimeout bounds a request without a deadline on a route without
+	// one.
+	defaultTimeout = 30 * time.Second
+	// defaultBodyBytes bounds a body while the configuration names no limit.
+	defaultBodyBytes = 8 << 20
+)
+
+// passage is one request on its way.
+type passage struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	start   time.Time
+	end     time.Time
+	req     call.Request
+	route   *routes.Route
+	group   fleet.GroupName
+	service *routes.Service
+	forward http.Header
+	body    []byte
+	// tried are the servers that failed or refused the request.
+	tried []fleet.UpstreamID
+	// sends counts the servers that were sent the request to run it.
+	sends int
+	// mayHaveRun tells that a server may have run the request.
+	mayHaveRun bool
+	// committed tells that the head of the answer has been sent.
+	committed bool
+	// lastEvent is the last whole event that was passed on.
+	lastEvent string
+	trace     []zap.Field
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	p := &passage{g: g, w: w, r: r, start: time.Now()}
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	p.req = g.Wire.Request(r.Header)
+	table := g.Table()
+	if table == nil {
+		p.refuse(http.StatusServiceUnavailable, fleet.ReasonConfigUnknown, unknownConfigWait)
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	p.route = table.Lookup(r.Host, path)
+	if p.route == nil {
+		p.refuse(http.StatusNotFound, fleet.ReasonNoUpstream, 0)
+		return
+	}
+	if !p.readBody(table) {
+		return
+	}
+	p.end = p.start.Add(p.limit())
+	ctx, stop := context.WithDeadline(r.Context(), p.end)
+	defer stop()
+	p.ctx = ctx
+	p.group = p.route.Service(p.req.ID)
+	p.service = table.Service(p.group)
+	p.forward = g.Wire.Forward(r.Header)
+	p.lastEvent = p.req.LastEventID
+	g.State.arrived(p.group)
+	p.serve()
+}
+
+func (p *passage) serve() {
+	switch {
+	case p.route.Kind != routes.KindStream:
+		p.plain()
+	case p.service != nil && p.service.Engine != nil && p.req.PromptTokens > 0:
+		p.generate()
+	default:
+		p.streamPlain()
+	}
+}
+
+// limit is how long the request may take: the caller's deadline or the route's
+// time-out, whichever is sooner.
+func (p *passage) limit() time.Duration {
+	limit := defaultTimeout
+	if p.route.Timeout > 0 {
+		limit = p.route.Timeout
+	}
+	if p.req.Deadline > 0 {
+		limit = min(limit, p.req.Deadline)
+	}
+	return limit
+}
+
+// readBody reads the whole body, so that a request can be sent again and a
+// caller that leaves is noticed.
+func (p *passage) readBody(t *routes.Table) bool {
+	if p.r.Body == nil || p.r.Body == http.NoBody {
+		return true
+	}
+	limit := int64(defaultBodyBytes)
+	if t.Limits.MaxBodyBytes > 0 {
+		limit = t.Limits.MaxBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(p.w, p.r.Body, limit))
+	if err == nil {
+		p.body = body
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		p.refuse(http.StatusRequestEntityTooLarge, fleet.ReasonTooLarge, 0)
+		return false
+	}
+	p.note("body", zap.Error(err))
+	p.refuse(http.StatusBadRequest, fleet.ReasonBadRequest, 0)
+	return false
+}
+
+// left is the time until the request has to be answered.
+func (p *passage) left() time.Duration { return time.Until(p.end) }
+
+func (p *passage) gone() bool { return p.r.Context().Err() != nil }
+
+// note adds a field to the request's log line.
+func (p *passage) note(_ string, fields ...zap.Field) { p.trace = append(p.trace, fields...) }
+
+// mayRepeat tells whether the request may be sent to another server, and takes
+// the repeat from the budget.
+func (p *passage) mayRepeat(reason retry.Reason) bool {
+	if p.gone() || p.left() <= minAttempt {
+		return false
+	}
+	if p.sends >= p.route.MaxAttempts {
+		return false
+	}
+	if p.mayHaveRun && !p.route.Repeatable() {
+		return false
+	}
+	if !p.g.State.takeRepeat(p.group) {
+		p.trace = append(p.trace, zap.Bool("budget_used_up", true))
+		return false
+	}
+	p.g.Observer.Retried(reason)
+	return true
+}
+
+// minAttempt is the least time that makes another attempt worthwhile.
+const minAttempt = 20 * time.Millisecond
--- /dev/null
+++ b/gateway/generate.go
@@ -0,0 +1,338 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/connpool"
+	"github.com/bramleywick/bramleywick/core/call"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/place"
+	"github.com/bramleywick/bramleywick/core/retry"
+	"github.com/bramleywick/bramleywick/core/turn"
+)
+
+const (
+	// stallFactor and stallSlack bound the wait for a prompt to be read, over
+	// the estimate: a server that takes longer is silent or stuck.
+	stallFactor = 3
+	stallSlack  = 400 * time.Millisecond
+	// stallGap bounds the pause between two events of a stream that may be
+	// resumed. Callers leave after two seconds at least.
+	stallGap = time.Second
+	// maxReads bounds the engines that are asked to read one prompt.
+	maxReads = 2
+)
+
+// generate serves a request to engines: its prompt is read at one engine and
+// the answer made at another, or both at one.
+func (p *passage) generate() {
+	decided := false
+	for {
+		apart, direct, split := p.g.State.apart(p.group, &p.req, p.tried)
+		if apart.Candidates+direct.Candidates == 0 {
+			p.fail(fleet.ReasonNoUpstream, busyWait)
+			return
+		}
+		if !decided {
+			decided = true
+			if !p.admit(apart, direct, split) {
+				return
+			}
+		}
+		var source *call.Source
+		run := direct
+		if split {
+			var from place.Choice
+			source, from = p.prefill(apart)
+			if p.gone() {
+				p.free(source)
+				return
+			}
+			var ok bool
+			if source != nil {
+				run, ok = p.g.State.decode(p.group, &p.req, from.Server, p.tried)
+			} else {
+				_, run, _ = p.g.State.apart(p.group, &p.req, p.tried)
+				ok = run.Candidates > 0
+			}
+			if !ok {
+				p.free(source)
+				p.fail(fleet.ReasonNoUpstream, busyWait)
+				return
+			}
+		}
+		if p.run(run, source) {
+			return
+		}
+	}
+}
+
+// admit decides whether the request is served and refuses it otherwise.
+func (p *passage) admit(apart, direct place.Choice, split bool) bool {
+	wait := direct.Wait
+	if split {
+		wait = apart.Wait
+	}
+	v := turn.Decide(turn.Estimate{Wait: wait, Target: p.route.Target, Left: p.left()})
+	if v.Admit {
+		return true
+	}
+	p.trace = append(p.trace, zap.Duration("expected", wait), zap.Int("candidates", apart.Candidates+direct.Candidates))
+	p.refuse(http.StatusServiceUnavailable, fleet.ReasonDeadlineUnmeetable, v.RetryAfter)
+	return false
+}
+
+// prefill has the prompt read at an engine of the prefill stage; nil when no
+// engine did.
+func (p *passage) prefill(c place.Choice) (*call.Source, place.Choice) {
+	for reads := 1; ; reads++ {
+		source, res := p.readAt(c)
+		if source != nil || p.gone() || p.left() <= minAttempt || reads == maxReads {
+			return source, c
+		}
+		if res != resultNotSent && !p.g.State.takeRepeat(p.group) {
+			return nil, c
+		}
+		p.g.Observer.Retried(retry.ReasonPrefill)
+		next, _, _ := p.g.State.apart(p.group, &p.req, p.tried)
+		if next.Candidates == 0 {
+			return nil, c
+		}
+		c = next
+	}
+}
+
+// readAt has the prompt read at one engine.
+func (p *passage) readAt(c place.Choice) (*call.Source, result) {
+	began := time.Now()
+	read, end := p.g.State.begin(c.Server.ID, c.Uncached)
+	defer end()
+	ctx, stop := context.WithTimeout(p.ctx, stallFactor*c.Wait+stallSlack)
+	defer stop()
+	answer, res, err := p.send(ctx, c.Server, call.Send{Priority: priority(p.route.Priority), PrefillOnly: true})
+	status := 0
+	var source *call.Source
+	if answer != nil {
+		defer answer.Close()
+		status = answer.Status
+		source, err = p.handle(answer, c.Server)
+	}
+	read()
+	p.observe(c, "prefill", res, status, began, err)
+	switch {
+	case source != nil:
+		p.g.State.good(c.Server.ID)
+		p.g.State.read(c, &p.req, time.Since(began))
+	case res == resultNotRun:
+		p.tried = append(p.tried, c.Server.ID)
+	default:
+		p.blame(c.Server.ID)
+	}
+	return source, res
+}
+
+// handle decodes the answer to a prompt that was read.
+func (p *passage) handle(a *connpool.Answer, s place.Server) (*call.Source, error) {
+	body, err := whole(a)
+	if err != nil || a.Status != http.StatusOK {
+		return nil, err
+	}
+	out, err := p.g.Wire.Prefilled(body)
+	if err != nil {
+		return nil, err
+	}
+	return &call.Source{Address: s.Address, Handle: out.Handle}, nil
+}
+
+// freeTimeout bounds the call that frees a handle; a handle that stays lapses.
+const freeTimeout = time.Second
+
+// free frees KV cache that nobody will fetch.
+func (p *passage) free(source *call.Source) {
+	if source == nil {
+		return
+	}
+	method, path := p.g.Wire.FreeHandle(source.Handle)
+	limit := p.g.State.connections(p.service)
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), freeTimeout)
+		defer stop()
+		answer, err := p.g.Pool.Do(ctx, &connpool.Request{
+			Address: source.Address, Limit: limit, Method: method, URI: path, Host: source.Address, Header: http.Header{},
+		}, p.g.Wire)
+		if err != nil {
+			p.g.Log.Debug("handle not freed", zap.String("request_id", string(p.req.ID)), zap.Error(err))
+			return
+		}
+		_, _ = whole(answer)
+		answer.Close()
+	}()
+}
+
+// run has an engine make the answer and passes it on. It returns false when the
+// request goes on at another engine.
+func (p *passage) run(c place.Choice, source *call.Source) bool {
+	began := time.Now()
+	read, end := p.g.State.begin(c.Server.ID, c.Uncached)
+	defer end()
+	ctx, cancel := context.WithCancel(p.ctx)
+	defer cancel()
+	dog := p.watch(cancel, c)
+	defer dog.Stop()
+	answer, res, err := p.send(ctx, c.Server, call.Send{
+		Priority: priority(p.route.Priority), Source: source, LastEventID: p.lastEvent,
+	})
+	if res != resultNotSent {
+		p.sends++
+	}
+	status := 0
+	if answer != nil {
+		defer answer.Close()
+		status = answer.Status
+		if res == resultAnswer {
+			p.mayHaveRun = true
+			res, err = p.pass(answer, c, source, dog, read, began)
+		}
+	}
+	if res == resultBroken {
+		p.mayHaveRun = true
+	}
+	p.observe(c, step(source), res, status, began, err)
+	switch res {
+	case resultAnswer:
+		p.g.State.good(c.Server.ID)
+		return true
+	case resultNotRun:
+		p.tried = append(p.tried, c.Server.ID)
+		p.free(source)
+	case resultNotSent:
+		p.blame(c.Server.ID)
+		p.free(source)
+		return p.gone() || p.giveUp(p.left() > minAttempt)
+	case resultBroken:
+		p.blame(c.Server.ID)
+	}
+	if p.gone() {
+		return true
+	}
+	return p.giveUp(p.mayRepeat(reasonOf(res)))
+}
+
+// giveUp answers a request that is not sent again.
+func (p *passage) giveUp(again bool) bool {
+	if !again {
+		p.fail(fleet.ReasonUpstreamFailed, busyWait)
+	}
+	return !again
+}
+
+func step(source *call.Source) string {
+	if source == nil {
+		return "direct"
+	}
+	return "decode"
+}
+
+// watch cancels an attempt that stalls, where the stream can go on elsewhere.
+func (p *passage) watch(cancel context.CancelFunc, c place.Choice) *time.Timer {
+	limit := p.left()
+	if p.route.Repeatable() && p.sends+1 < p.route.MaxAttempts {
+		limit = stallFactor*c.Wait + stallSlack
+	}
+	return time.AfterFunc(limit, cancel)
+}
+
+// pass passes the events of an answer on as they arrive.
+func (p *passage) pass(a *connpool.Answer, c place.Choice, source *call.Source, dog *time.Timer, read func(), began time.Time) (result, error) {
+	if !success(a.Status) {
+		out, res, err := p.hold(a, resultAnswer)
+		if out == nil || p.committed {
+			return resultBroken, err
+		}
+		if res == resultAnswer {
+			p.deliver(out)
+		}
+		return res, err
+	}
+	if !a.Meta.Signed {
+		return resultBroken, errUnsigned
+	}
+	in := &events{in: a}
+	first := true
+	for {
+		data, id, err := in.next()
+		if err == io.EOF {
+			if !p.committed {
+				p.commit(a)
+			}
+			return resultAnswer, nil
+		}
+		if err != nil {
+			return resultBroken, errors.Wrap(err, "read stream")
+		}
+		if first {
+			first = false
+			read()
+			p.firstEvent(c, source, began)
+		}
+		if p.route.Repeatable() && p.sends < p.route.MaxAttempts {
+			dog.Reset(stallGap)
+		}
+		p.commit(a)
+		if _, err := p.w.Write(data); err != nil {
+			return resultBroken, errors.Wrap(err, "write to caller")
+		}
+		if err := http.NewResponseController(p.w).Flush(); err != nil {
+			return resultBroken, errors.Wrap(err, "write to caller")
+		}
+		if id != "" {
+			p.lastEvent = id
+		}
+	}
+}
+
+// firstEvent learns from the time to the first event.
+func (p *passage) firstEvent(c place.Choice, source *call.Source, began time.Time) {
+	if source == nil {
+		p.g.State.read(c, &p.req, time.Since(began))
+	} else {
+		p.g.State.fetched(c.Server.ID, &p.req)
+	}
+	if !p.committed {
+		p.g.Observer.Answered(p.route.Name, time.Since(p.start))
+	}
+}
+
+// commit sends the head of the first server's answer.
+func (p *passage) commit(a *connpool.Answer) {
+	if p.committed {
+		return
+	}
+	p.committed = true
+	h := p.w.Header()
+	p.g.Wire.Return(h, a.Header)
+	if p.g.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+	p.w.WriteHeader(a.Status)
+}
+
+// streamPlain serves a stream of a plain service.
+func (p *passage) streamPlain() {
+	for {
+		choice, ok := p.g.State.plain(p.group, p.req.ID, p.tried)
+		if !ok {
+			p.fail(fleet.ReasonNoUpstream, busyWait)
+			return
+		}
+		if p.run(choice, nil) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/gateway/state.go
@@ -0,0 +1,236 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/budget"
+	"github.com/bramleywick/bramleywick/core/call"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/place"
+	"github.com/bramleywick/bramleywick/core/routes"
+	"github.com/bramleywick/bramleywick/directory"
+	"github.com/bramleywick/bramleywick/loadshare"
+)
+
+// State holds the machines of core that requests share, behind one lock.
+type State struct {
+	mu     sync.Mutex
+	fleet  *place.Fleet
+	budget *budget.Budget
+	start  time.Time
+	// told is told of prompt parts that were read; it may be nil.
+	told func(loadshare.Note)
+	// instances is the number of instances that the directory lists.
+	instances int
+	// ordered are the engines that this instance orders out of service, and
+	// until when.
+	ordered map[fleet.UpstreamID]fleet.Instant
+}
+
+// NewState returns a state without servers.
+func NewState(p place.Config, b budget.Config) *State {
+	return &State{fleet: place.New(p), budget: budget.New(b, minInstances), start: time.Now(), instances: minInstances, ordered: map[fleet.UpstreamID]fleet.Instant{}}
+}
+
+// minInstances is assumed until the directory lists more: shares of budgets and
+// connections must not grow while it is not known who else is there.
+const minInstances = 4
+
+// Tell sets the function that is told of prompt parts that were read.
+func (s *State) Tell(told func(loadshare.Note)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = told
+}
+
+func (s *State) now() fleet.Instant { return time.Since(s.start) }
+
+// Configured implements directory.Observer.
+func (s *State) Configured(t *routes.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Configure(t)
+}
+
+// Servers implements directory.Observer.
+func (s *State) Servers(list []place.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.SetServers(list)
+}
+
+// Instances implements directory.Observer.
+func (s *State) Instances(list []directory.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = max(s.instances, len(list))
+	s.fleet.SetInstances(len(list))
+	s.budget.SetInstances(len(list))
+}
+
+// Work implements loadshare.View.
+func (s *State) Work() map[fleet.UpstreamID]place.Work {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.OwnWork()
+}
+
+// Heard implements loadshare.View.
+func (s *State) Heard(r loadshare.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.SetPeerWork(r.From, r.Work, s.now())
+	for id, left := range r.Held {
+		s.fleet.Hold(id, s.now()+left)
+	}
+	for _, n := range r.Notes {
+		s.fleet.Note(n.Server, n.Part, n.Tokens)
+	}
+}
+
+// Hold keeps new requests of all instances from an engine for a while.
+func (s *State) Hold(id fleet.UpstreamID, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ordered[id] = s.now() + d
+	s.fleet.Hold(id, s.now()+d)
+}
+
+// Held implements loadshare.View.
+func (s *State) Held() map[fleet.UpstreamID]time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[fleet.UpstreamID]time.Duration{}
+	for id, until := range s.ordered {
+		if left := until - s.now(); left > 0 {
+			out[id] = left
+		} else {
+			delete(s.ordered, id)
+		}
+	}
+	return out
+}
+
+// Engines returns the engines of a service.
+func (s *State) Engines(service *routes.Service) []place.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Engines(service)
+}
+
+func (s *State) arrived(group fleet.GroupName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Request(group, s.now())
+}
+
+func (s *State) takeRepeat(group fleet.GroupName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Take(group, s.now())
+}
+
+func (s *State) plain(group fleet.GroupName, id fleet.RequestID, skip []fleet.UpstreamID) (place.Choice, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Plain(group, id, s.now(), skip)
+}
+
+func (s *State) apart(group fleet.GroupName, r *call.Request, skip []fleet.UpstreamID) (apart, direct place.Choice, split bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Apart(group, r, s.now(), skip)
+}
+
+func (s *State) decode(group fleet.GroupName, r *call.Request, from place.Server, skip []fleet.UpstreamID) (place.Choice, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Decode(group, r, from, s.now(), skip)
+}
+
+// begin counts a request at a server and returns the function that ends it. The
+// first call of read takes the prompt off the server's account.
+func (s *State) begin(id fleet.UpstreamID, tokens float64) (read, end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Begin(id, tokens)
+	left := tokens
+	read = func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.fleet.ReadDone(id, left)
+		left = 0
+	}
+	end = func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.fleet.End(id, left)
+	}
+	return read, end
+}
+
+func (s *State) good(id fleet.UpstreamID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Good(id)
+}
+
+func (s *State) failed(id fleet.UpstreamID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Failed(id, s.now())
+}
+
+func (s *State) answered(id fleet.UpstreamID, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Good(id)
+	s.fleet.Answered(id, took)
+}
+
+// tellTokens is the least length of a part that other instances are told of.
+const tellTokens = 24
+
+func (s *State) read(c place.Choice, r *call.Request, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Read(c, r, took)
+	if s.told == nil {
+		return
+	}
+	for i, p := range r.Parts {
+		if p.Tokens >= tellTokens && i < len(r.Parts)-1 {
+			s.told(loadshare.Note{Server: c.Server.ID, Part: p.ID, Tokens: p.Tokens})
+		}
+	}
+}
+
+func (s *State) fetched(id fleet.UpstreamID, r *call.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Fetched(id, r)
+}
+
+const (
+	// useOfConnections is the part of the connections that a server accepts
+	// which all instances together use.
+	useOfConnections = 0.9
+	// spareInstances is how many more instances than are listed may hold
+	// connections: some may just have come or not be listed.
+	spareInstances = 1
+)
+
+// connections is how many connections this instance may hold to a server.
+func (s *State) connections(service *routes.Service) int {
+	if service == nil || service.MaxConnections <= 0 {
+		return defaultConnections
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(int(float64(service.MaxConnections)*useOfConnections)/(s.instances+spareInstances), 1)
+}
+
+// defaultConnections bounds the connections to a server of a service that
+// declares no bound.
+const defaultConnections = 16
--- /dev/null
+++ b/leaseholder/leaseholder.go
@@ -0,0 +1,112 @@
+// Package leaseholder carries out the commands of core/lease with a key-value
+// store.
+package leaseholder
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleywick/bramleywick/core/lease"
+	"github.com/bramleywick/bramleywick/store"
+)
+
+// Store is the part of a key-value store that a lease needs.
+type Store interface {
+	Get(ctx context.Context, key string) (store.Entry, error)
+	CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, leaseID string) (store.Entry, error)
+	GrantLease(ctx context.Context, ttl time.Duration) (store.Lease, error)
+	RenewLease(ctx context.Context, id string) error
+	RevokeLease(ctx context.Context, id string) error
+}
+
+// Keys are the two keys of a lease, described in core/lease.
+type Keys struct {
+	Holder string
+	Fence  string
+}
+
+// Call carries out one command and returns its answer; nil when it has none.
+func Call(ctx context.Context, s Store, keys Keys, c lease.Command) lease.Event {
+	switch c := c.(type) {
+	case lease.Grant:
+		granted, err := s.GrantLease(ctx, c.TTL)
+		if err != nil {
+			return failed(c.Call, err)
+		}
+		return lease.Granted{Call: c.Call, LeaseID: granted.ID}
+	case lease.WriteHolder:
+		_, err := SwapJSON(ctx, s, keys.Holder, 0, c.Holder, c.LeaseID)
+		return done(c.Call, err)
+	case lease.ReadHolder:
+		var holder lease.Holder
+		revision, err := ReadJSON(ctx, s, keys.Holder, &holder)
+		if err != nil {
+			return failed(c.Call, err)
+		}
+		if revision == 0 {
+			return lease.HolderRead{Call: c.Call}
+		}
+		return lease.HolderRead{Call: c.Call, Holder: &holder}
+	case lease.ReadFence:
+		var fence lease.Fence
+		revision, err := ReadJSON(ctx, s, keys.Fence, &fence)
+		if err != nil {
+			return failed(c.Call, err)
+		}
+		return lease.FenceRead{Call: c.Call, Fence: fence, Revision: revision}
+	case lease.WriteFence:
+		_, err := SwapJSON(ctx, s, keys.Fence, c.Revision, c.Fence, "")
+		return done(c.Call, err)
+	case lease.Renew:
+		return done(c.Call, s.RenewLease(ctx, c.LeaseID))
+	case lease.Revoke:
+		// A lease that is not revoked lapses by itself.
+		_ = s.RevokeLease(ctx, c.LeaseID)
+	}
+	return nil
+}
+
+func done(call int64, err error) lease.Event {
+	if err != nil {
+		return failed(call, err)
+	}
+	return lease.Done{Call: call}
+}
+
+func failed(call int64, err error) lease.Event {
+	cause := lease.CauseUnavailable
+	switch {
+	case errors.Is(err, store.ErrUnknown):
+		cause = lease.CauseUnknown
+	case errors.Is(err, store.ErrConflict):
+		cause = lease.CauseConflict
+	case errors.Is(err, store.ErrLeaseLost):
+		cause = lease.CauseLost
+	}
+	return lease.Failed{Call: call, Cause: cause}
+}
+
+// ReadJSON reads a key; revision 0 means that it is absent.
+func ReadJSON(ctx context.Context, s Store, key string, out any) (revision int64, err error) {
+	entry, err := s.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return entry.Revision, errors.Wrapf(json.Unmarshal(entry.Value, out), "decode %s", key)
+}
+
+// SwapJSON writes a key if its revision is unchanged and returns the new one.
+func SwapJSON(ctx context.Context, s Store, key string, revision int64, in any, leaseID string) (int64, error) {
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return 0, errors.Wrapf(err, "encode %s", key)
+	}
+	entry, err := s.CompareAndSwap(ctx, key, revision, raw, leaseID)
+	return entry.Revision, err
+}
--- /dev/null
+++ b/loadshare/loadshare.go
@@ -0,0 +1,231 @@
+// Package loadshare tells the instances of a deployment what each of them has
+// under way at the servers, several times a second over net/rpc. Placement
+// needs it because a server's own report of its load is late and a caller's
+// share of the traffic is uneven. Nothing depends on it for correctness: an
+// instance that hears nothing decides by its own requests.
+package loadshare
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/place"
+	"github.com/bramleywick/bramleywick/directory"
+)
+
+const (
+	// interval is the time between two exchanges of a pair of instances, about
+	// the time that an engine takes for one prompt.
+	interval = 100 * time.Millisecond
+	// callTimeout ends an exchange and its connection.
+	callTimeout = 600 * time.Millisecond
+	// redialPause keeps a lost instance from being called without pause.
+	redialPause = 500 * time.Millisecond
+	// maxNotes bounds the parts that wait to be told to an instance.
+	maxNotes = 256
+	// name is the name of the service in net/rpc.
+	name = "Load"
+)
+
+// Note is a prompt part that an engine has read.
+type Note struct {
+	Server fleet.UpstreamID
+	Part   string
+	Tokens int
+}
+
+// Report is what an instance tells another.
+type Report struct {
+	From fleet.InstanceID
+	Work map[fleet.UpstreamID]place.Work
+	// Held are engines that an order is about to take out of service, and for
+	// how long.
+	Held map[fleet.UpstreamID]time.Duration
+	// Notes are the parts read since the report before.
+	Notes []Note
+}
+
+// View is the instance's own state.
+type View interface {
+	// Work returns what the instance has under way.
+	Work() map[fleet.UpstreamID]place.Work
+	// Held returns the engines that this instance has ordered out of service,
+	// and for how long from now.
+	Held() map[fleet.UpstreamID]time.Duration
+	// Heard takes another instance's report.
+	Heard(Report)
+}
+
+// Exchange runs the exchange of one instance.
+type Exchange struct {
+	self fleet.InstanceID
+	view View
+	log  *zap.Logger
+
+	mu sync.Mutex
+	// notes are numbered from first on.
+	notes   []Note
+	first   int64
+	cursors map[fleet.InstanceID]int64
+	peers   map[fleet.InstanceID]context.CancelFunc
+	address map[fleet.InstanceID]string
+}
+
+// New returns an exchange without peers.
+func New(self fleet.InstanceID, view View, log *zap.Logger) *Exchange {
+	return &Exchange{
+		self: self, view: view, log: log, cursors: map[fleet.InstanceID]int64{},
+		peers: map[fleet.InstanceID]context.CancelFunc{}, address: map[fleet.InstanceID]string{},
+	}
+}
+
+// Add queues a note for all instances.
+func (e *Exchange) Add(n Note) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.notes = append(e.notes, n)
+	if over := len(e.notes) - maxNotes; over > 0 {
+		e.notes = e.notes[over:]
+		e.first += int64(over)
+	}
+}
+
+// report returns the report for one instance.
+func (e *Exchange) report(to fleet.InstanceID) Report {
+	r := Report{From: e.self, Work: e.view.Work(), Held: e.view.Held()}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	from := max(e.cursors[to], e.first)
+	r.Notes = append(r.Notes, e.notes[from-e.first:]...)
+	e.cursors[to] = e.first + int64(len(e.notes))
+	return r
+}
+
+// service is what net/rpc serves.
+type service struct{ e *Exchange }
+
+// Exchange takes a report and answers with this instance's.
+func (s service) Exchange(in Report, out *Report) error {
+	s.e.view.Heard(in)
+	*out = s.e.report(in.From)
+	return nil
+}
+
+// Serve answers other instances until the listener is closed.
+func (e *Exchange) Serve(l net.Listener) {
+	server := rpc.NewServer()
+	if err := server.RegisterName(name, service{e}); err != nil {
+		e.log.Error("the exchange with other instances cannot be served", zap.Error(err))
+		return
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go server.ServeConn(&deadlineConn{Conn: conn})
+	}
+}
+
+// idleTimeout ends a connection on which nothing arrives.
+const idleTimeout = 5 * time.Second
+
+// deadlineConn ends a connection that has gone silent.
+type deadlineConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c *deadlineConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// SetPeers starts the exchange with new instances and ends it with those that
+// are gone. Of a pair, the instance with the lower id calls.
+func (e *Exchange) SetPeers(ctx context.Context, list []directory.Instance) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	seen := map[fleet.InstanceID]bool{}
+	for _, i := range list {
+		if i.ID <= e.self {
+			continue
+		}
+		seen[i.ID] = true
+		if e.address[i.ID] == i.Address {
+			continue
+		}
+		if stop := e.peers[i.ID]; stop != nil {
+			stop()
+		}
+		peer, stop := context.WithCancel(ctx)
+		e.peers[i.ID], e.address[i.ID] = stop, i.Address
+		go e.follow(peer, i)
+	}
+	for id, stop := range e.peers {
+		if !seen[id] {
+			stop()
+			delete(e.peers, id)
+			delete(e.address, id)
+			delete(e.cursors, id)
+		}
+	}
+}
+
+// follow exchanges reports with one instance until the context ends.
+func (e *Exchange) follow(ctx context.Context, i directory.Instance) {
+	lost := false
+	for ctx.Err() == nil {
+		err := e.session(ctx, i)
+		if ctx.Err() != nil {
+			return
+		}
+		if !lost {
+			e.log.Info("exchange with an instance lost", zap.String("instance", string(i.ID)), zap.Error(err))
+			lost = true
+		}
+		if pause(ctx, redialPause) != nil {
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// session exchanges reports over one connection until it fails.
+func (e *Exchange) session(ctx context.Context, i directory.Instance) error {
+	dialer := net.Dialer{Timeout: callTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", i.Address)
+	if err != nil {
+		return errors.Wrapf(err, "dial %s", i.ID)
+	}
+	client := rpc.NewClient(conn)
+	defer func() { _ = client.Close() }()
+	for {
+		if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+			return errors.Wrapf(err, "exchange with %s", i.ID)
+		}
+		var answer Report
+		if err := client.Call(name+".Exchange", e.report(i.ID), &answer); err != nil {
+			return errors.Wrapf(err, "exchange with %s", i.ID)
+		}
+		e.view.Heard(answer)
+		if err := pause(ctx, interval); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/metrics/gateway.go
@@ -0,0 +1,74 @@
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/retry"
+	"github.com/bramleywick/bramleywick/store"
+)
+
+// Gateway counts what an instance does on the users' platform.
+type Gateway struct {
+	registry *prometheus.Registry
+	refused  *prometheus.CounterVec
+	retried  *prometheus.CounterVec
+	calls    *prometheus.CounterVec
+	answered *prometheus.HistogramVec
+}
+
+// NewGateway returns collectors with every refusal and retry reason at zero.
+// read returns values that are counted elsewhere, by name.
+func NewGateway(read map[string]func() float64) *Gateway {
+	g := &Gateway{
+		registry: prometheus.NewRegistry(),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleywick_refused_total", Help: "Requests refused, by reason.",
+		}, []string{"reason"}),
+		retried: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleywick_retried_total", Help: "Attempts repeated, by reason.",
+		}, []string{"reason"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleywick_store_calls_total", Help: "Calls to the platform's store, by call and result.",
+		}, []string{"call", "result"}),
+		answered: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "bramleywick_answer_seconds", Help: "Time to the answer or the first event, by route.", Buckets: firstTokenBuckets,
+		}, []string{"route"}),
+	}
+	g.registry.MustRegister(g.refused, g.retried, g.calls, g.answered)
+	for name, value := range read {
+		g.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: "See docs/OPERATIONS.md."}, value))
+	}
+	for _, r := range fleet.Reasons() {
+		g.refused.WithLabelValues(string(r))
+	}
+	for _, r := range retry.Reasons() {
+		g.retried.WithLabelValues(string(r))
+	}
+	return g
+}
+
+// Refused counts a refusal.
+func (g *Gateway) Refused(reason fleet.Reason) { g.refused.WithLabelValues(string(reason)).Inc() }
+
+// Retried counts a repeated attempt.
+func (g *Gateway) Retried(reason retry.Reason) { g.retried.WithLabelValues(string(reason)).Inc() }
+
+// Answered observes the time to an answer or to the first event of a stream.
+func (g *Gateway) Answered(route string, took time.Duration) {
+	g.answered.WithLabelValues(route).Observe(took.Seconds())
+}
+
+// StoreCall counts a call to the platform's store.
+func (g *Gateway) StoreCall(call string, result store.Result) {
+	g.calls.WithLabelValues(call, string(result)).Inc()
+}
+
+// Handler serves the metrics as text.
+func (g *Gateway) Handler() http.Handler {
+	return promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,308 @@
+// Package node runs an instance on the users' platform: it provisions the
+// gateway, the directory, the exchange with other instances and the orders,
+// answers for its readiness, and stops without cutting a request.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sort"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/connpool"
+	"github.com/bramleywick/bramleywick/core/budget"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/place"
+	"github.com/bramleywick/bramleywick/core/stageplan"
+	"github.com/bramleywick/bramleywick/directory"
+	"github.com/bramleywick/bramleywick/gateway"
+	"github.com/bramleywick/bramleywick/leaseholder"
+	"github.com/bramleywick/bramleywick/loadshare"
+	"github.com/bramleywick/bramleywick/logline"
+	"github.com/bramleywick/bramleywick/metrics"
+	"github.com/bramleywick/bramleywick/settings"
+	"github.com/bramleywick/bramleywick/stages"
+	"github.com/bramleywick/bramleywick/store"
+)
+
+// Store is what an instance needs of the platform's store.
+type Store interface {
+	store.Prefixes
+	directory.Registry
+	leaseholder.Store
+}
+
+// Platform is the adapter to the users' platform.
+type Platform struct {
+	Wire interface {
+		gateway.Wire
+		stages.Wire
+	}
+	Documents interface {
+		directory.Decoder
+		stages.Documents
+	}
+	// NewStore returns the client of the store; observe is told of each call.
+	NewStore func(address string, observe func(call string, result store.Result)) Store
+	// ReadyPath is the path of the question for readiness.
+	ReadyPath string
+	// LoadSettings reads the settings anew.
+	LoadSettings func() (*settings.Gateway, error)
+}
+
+const (
+	// useOfMemory is the part of the process's memory limit at which the
+	// runtime collects more often; sockets and stacks need the rest.
+	useOfMemory = 0.6
+	// suspectShare is the part of the time within which a leaving server must
+	// get no more requests for which a lost entry is doubted.
+	suspectShare = 0.75
+	// noticeTime is how long the platform takes to see that an instance is not
+	// ready: two questions in a row at one a second, and one on its way.
+	noticeTime = 3200 * time.Millisecond
+	// killMargin is the time before the kill at which the process ends anyway.
+	killMargin = 400 * time.Millisecond
+	// headerTimeout bounds the time in which a caller sends a request's head;
+	// idleTimeout the time a caller's connection stays open unused. Both are
+	// above the operators' limits, which callers are told to stay within.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 64 << 10
+	// prefillShare and tolerance are the division of engines between stages.
+	prefillShare = 0.67
+	tolerance    = 1
+	// turnStep is the wait per instance before it competes for a free lease,
+	// so that instances do not all ask at once.
+	turnStep = 400 * time.Millisecond
+)
+
+// Node is one instance.
+type Node struct {
+	settings  *settings.Gateway
+	platform  Platform
+	log       *zap.Logger
+	state     *gateway.State
+	directory *directory.Directory
+	gateway   *gateway.Gateway
+	exchange  *loadshare.Exchange
+	store     Store
+	metrics   *metrics.Gateway
+	leaving   atomic.Bool
+
+	mu        sync.Mutex
+	ctx       context.Context
+	instances []directory.Instance
+	// free is when the lease for orders was first seen without a holder.
+	free time.Time
+}
+
+// New returns an instance that does not run yet.
+func New(s *settings.Gateway, p Platform, log *zap.Logger, counts *logline.Counts) *Node {
+	n := &Node{settings: s, platform: p, log: log}
+	pool := connpool.New()
+	n.metrics = metrics.NewGateway(map[string]func() float64{
+		"bramleywick_connections_opened": func() float64 { return float64(pool.Opened()) },
+		"bramleywick_log_lines_sampled":  func() float64 { return float64(counts.Sampled()) },
+		"bramleywick_log_lines_dropped":  func() float64 { return float64(counts.Dropped()) },
+		"bramleywick_requests_open":      func() float64 { return float64(n.gateway.Open()) },
+		"bramleywick_configuration_in_force": func() float64 {
+			if t := n.directory.Table(); t != nil {
+				return float64(t.Version)
+			}
+			return 0
+		},
+	})
+	n.store = p.NewStore(s.Store, n.metrics.StoreCall)
+	n.state = gateway.NewState(
+		place.Config{Instance: s.Instance, DataCentre: s.DataCentre},
+		budget.Config{Window: s.BudgetWindow, Ratio: s.BudgetRatio, Slack: s.BudgetSlack},
+	)
+	n.directory = directory.New(directory.Options{
+		Store: n.store, Decoder: p.Documents, Observer: n, Log: log,
+		SuspectTime: time.Duration(suspectShare * float64(s.DrainBound)),
+	})
+	n.exchange = loadshare.New(s.Instance, n.state, log)
+	n.state.Tell(n.exchange.Add)
+	n.gateway = gateway.New(gateway.Options{
+		Wire: p.Wire, Table: n.directory.Table, Pool: pool, State: n.state, Observer: n.metrics, Log: log,
+	})
+	return n
+}
+
+// Ready tells whether callers may be sent here.
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.directory.Table() != nil && n.directory.Synced()
+}
+
+// Run serves until the context ends, and then stops without cutting a request.
+func (n *Node) Run(ctx context.Context) error {
+	runtime.GOMAXPROCS(1)
+	if n.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(useOfMemory * float64(n.settings.MemoryBytes)))
+	}
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	n.ctx = background
+	var running sync.WaitGroup
+	start := func(f func(context.Context)) {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			f(background)
+		}()
+	}
+	start(n.directory.Run)
+	start(func(ctx context.Context) {
+		directory.Register(ctx, n.store, n.self(), n.log)
+	})
+	start(n.orders().Run)
+	go n.exchange.Serve(listeners.peers)
+	callers := &http.Server{
+		Handler: n.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(n.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	go n.serve(callers, listeners.callers)
+	go n.serve(&http.Server{Handler: n.readiness(), ReadHeaderTimeout: headerTimeout}, listeners.ready)
+	go n.serve(&http.Server{Handler: n.metrics.Handler(), ReadHeaderTimeout: headerTimeout}, listeners.metrics)
+	n.log.Info("started", zap.String("instance", string(n.settings.Instance)), zap.String("data_centre", string(n.settings.DataCentre)),
+		zap.String("callers", n.settings.CallerListen), zap.String("store", n.settings.Store))
+	<-ctx.Done()
+	n.drain(callers)
+	stop()
+	running.Wait()
+	n.log.Info("stopped")
+	return nil
+}
+
+func (n *Node) self() directory.Instance {
+	return directory.Instance{ID: n.settings.Instance, DataCentre: n.settings.DataCentre, Address: n.settings.PeerListen}
+}
+
+type listeners struct{ callers, ready, peers, metrics net.Listener }
+
+func (n *Node) listen() (listeners, error) {
+	var out listeners
+	for _, l := range []struct {
+		to      *net.Listener
+		address string
+	}{
+		{&out.callers, n.settings.CallerListen}, {&out.ready, n.settings.ReadyListen},
+		{&out.peers, n.settings.PeerListen}, {&out.metrics, n.settings.MetricsListen},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return out, errors.Wrapf(err, "listen on %s", l.address)
+		}
+		*l.to = listener
+	}
+	return out, nil
+}
+
+func (n *Node) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error("listener ended", zap.String("address", l.Addr().String()), zap.Error(err))
+	}
+}
+
+// readiness answers the platform's question.
+func (n *Node) readiness() http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET(n.platform.ReadyPath, func(c echo.Context) error {
+		if n.Ready() {
+			return c.NoContent(http.StatusOK)
+		}
+		return c.NoContent(http.StatusServiceUnavailable)
+	})
+	return e
+}
+
+// drain stops taking requests, finishes those under way and returns before the
+// platform kills the process.
+func (n *Node) drain(callers *http.Server) {
+	began := time.Now()
+	n.log.Info("stopping", zap.Int64("open", n.gateway.Open()))
+	n.leaving.Store(true)
+	n.gateway.Leave()
+	// The platform sends callers here until it has seen the refusal twice.
+	time.Sleep(min(noticeTime, n.settings.Grace/2))
+	ctx, stop := context.WithDeadline(context.Background(), began.Add(n.settings.Grace-killMargin))
+	defer stop()
+	if err := callers.Shutdown(ctx); err != nil {
+		n.log.Warn("requests cut by the end of the grace time", zap.Int64("open", n.gateway.Open()), zap.Error(err))
+	}
+}
+
+// Reload reads the settings anew. Addresses and names cannot change within a
+// process; a file with faults changes nothing.
+func (n *Node) Reload() {
+	s, err := n.platform.LoadSettings()
+	if err != nil {
+		n.log.Error("settings not reloaded", zap.Error(err))
+		return
+	}
+	n.log.Info("settings reloaded", zap.Duration("grace", s.Grace), zap.Duration("drain_bound", s.DrainBound))
+}
+
+func (n *Node) orders() *stages.Orders {
+	return stages.New(stages.Options{
+		Instance: n.settings.Instance, Process: strconv.FormatInt(time.Now().UnixNano(), 36), Store: n.store,
+		Wire: n.platform.Wire, Documents: n.platform.Documents, Pool: connpool.New(), Engines: n.state,
+		Table: n.directory.Table, Turn: n.turn, LeaseTTL: max(n.settings.OrderLease, n.settings.MinLease),
+		Plan: stageplan.Plan{PrefillShare: prefillShare, Tolerance: tolerance}, Log: n.log,
+	})
+}
+
+// turn tells whether this instance may compete for the lease for orders: it has
+// no holder, and the instances before this one have had their time.
+func (n *Node) turn() bool {
+	held := n.directory.Present(stages.HolderKey)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if held || !n.Ready() {
+		n.free = time.Time{}
+		return false
+	}
+	if n.free.IsZero() {
+		n.free = time.Now()
+	}
+	rank := 0
+	for _, i := range n.instances {
+		if i.ID < n.settings.Instance {
+			rank++
+		}
+	}
+	return time.Since(n.free) >= time.Duration(rank)*turnStep
+}
+
+var _ directory.Observer = (*Node)(nil)
+
+// Instances implements directory.Observer.
+func (n *Node) Instances(list []directory.Instance) {
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	n.mu.Lock()
+	n.instances = list
+	n.mu.Unlock()
+	n.state.Instances(list)
+	n.exchange.SetPeers(n.ctx, list)
+	names := make([]fleet.InstanceID, 0, len(list))
+	for _, i := range list {
+		names = append(names, i.ID)
+	}
+	n.log.Info("instances", zap.Any("listed", names))
+}
--- a/store/client.go
+++ b/store/client.go
@@ -190,7 +190,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return Wire{}, errors.Wrapf(sendError(err, r.write()), "%s at %s: %v", r.step(), c.base, err)
+		return Wire{}, errors.Wrapf(SendError(err, r.write()), "%s at %s: %v", r.step(), c.base, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var out Wire
@@ -199,7 +199,7 @@
 		err = json.Unmarshal(raw, &out)
 	}
 	if err != nil {
-		return Wire{}, errors.Wrapf(lostAnswer(r.write()), "%s at %s: read answer: %v", r.step(), c.base, err)
+		return Wire{}, errors.Wrapf(LostAnswer(r.write()), "%s at %s: read answer: %v", r.step(), c.base, err)
 	}
 	if cause := statusError(resp.StatusCode, r.write()); cause != nil {
 		if resp.StatusCode == http.StatusConflict {
@@ -227,17 +227,19 @@
 	return req, errors.Wrapf(err, "%s at %s", r.step(), base)
 }
 
-// sendError tells a connection that was never made, over which nothing was
+// SendError tells a connection that was never made, over which nothing was
 // sent, from any other failure.
-func sendError(err error, write bool) error {
+func SendError(err error, write bool) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return ErrUnavailable
 	}
-	return lostAnswer(write)
+	return LostAnswer(write)
 }
 
-func lostAnswer(write bool) error {
+// LostAnswer is the error of a call whose answer did not arrive: a read had no
+// effect, a write may have had.
+func LostAnswer(write bool) error {
 	if write {
 		return ErrUnknown
 	}
@@ -263,6 +265,6 @@
 	case http.StatusServiceUnavailable:
 		return ErrUnavailable
 	default:
-		return lostAnswer(write)
+		return LostAnswer(write)
 	}
 }
