Keep prompts at their homes when engines are crowded and refuse late work at once

Change: a second copy of a shared part costs more the more waits; reads are told apart by rank; a request that would be late is refused at its arrival; no repeat because of an estimate.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -30,6 +30,8 @@
 	// Parts is the prompt in order; the last part belongs to the request or
 	// its session alone.
 	Parts []Part
+	// Rank is the operators' rank of the request's route, 0 is the highest.
+	Rank int
 	// LastEventID is the event after which a stream is to go on; "" for a
 	// stream from its start.
 	LastEventID string
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -16,6 +16,9 @@
 	// its home, per token, as a share of the time to read it: the copy takes
 	// memory from other parts.
 	spreadCost = 0.6
+	// crowdWait is the mean wait at which a second copy of a shared part costs
+	// twice the time to read it.
+	crowdWait = 80 * time.Millisecond
 	// runCost is the wait that each request at a decode engine adds.
 	runCost = 2 * time.Millisecond
 	// handOverCost is the fixed time of a transfer between stages.
@@ -74,13 +77,15 @@
 	list := f.usable(group, now, skip, fits)
 	part, shared := sharedPart(r)
 	at := home(part, list)
+	crowd := f.crowd(list, r.Rank, factor, now)
 	var best Choice
 	var bestScore time.Duration
 	for _, s := range list {
 		work := s.work(now)
 		speed := s.speed / factor
 		uncached := s.cache.uncached(r)
-		wait := ms(work.Reads+uncached, speed) + time.Duration(work.Runs)*runCost/4
+		ahead := work.ahead(r.Rank)
+		wait := ms(ahead+uncached, speed)
 		score := wait + time.Duration(jitter(r.ID, s)*float64(2*time.Millisecond))
 		reason := ReasonLeastWait
 		switch {
@@ -89,7 +94,7 @@
 		case s.cache.holds(part):
 			reason = ReasonKept
 		default:
-			score += time.Duration(spreadCost * float64(ms(shared, speed)))
+			score += time.Duration(float64(ms(shared, speed)) * (spreadCost + float64(crowd)/float64(crowdWait)))
 		}
 		if s.DataCentre != f.config.DataCentre {
 			score += crossPenalty
@@ -98,13 +103,27 @@
 			bestScore = score
 			best = Choice{
 				Server: s.Server, Reason: reasonOf(len(list), reason), Wait: wait,
-				Uncached: uncached, Ahead: work.Reads, Candidates: len(list),
+				Uncached: uncached, Ahead: ahead, Candidates: len(list),
 			}
 		}
 	}
 	return best, best.Candidates > 0
 }
 
+// crowd is the mean wait at the engines: while nothing waits, a second copy of a
+// shared part costs little, and at the peak it costs every request behind it.
+func (f *Fleet) crowd(list []*server, rank int, factor float64, now fleet.Instant) time.Duration {
+	tokens, speed := 0.0, 0.0
+	for _, s := range list {
+		tokens += s.work(now).ahead(max(rank, Ranks-1))
+		speed += s.speed / factor
+	}
+	if speed == 0 {
+		return 0
+	}
+	return ms(tokens, speed)
+}
+
 // Decode chooses an engine at the decode stage for a prompt that the engine
 // from has read.
 func (f *Fleet) Decode(group fleet.GroupName, r *call.Request, from Server, now fleet.Instant, skip []fleet.UpstreamID) (Choice, bool) {
@@ -114,7 +133,7 @@
 	var bestScore time.Duration
 	for _, s := range list {
 		work := s.work(now)
-		wait := time.Duration(float64(work.Runs)*float64(runCost)*initialSpeed/s.speed) + ms(work.Reads, s.speed/decodeReadFactor) + handOverCost + transfer
+		wait := time.Duration(float64(work.Runs)*float64(runCost)*initialSpeed/s.speed) + ms(work.ahead(r.Rank), s.speed/decodeReadFactor) + handOverCost + transfer
 		if over := work.Runs - s.Slots; over >= 0 && s.Slots > 0 {
 			wait += time.Duration(over+1) * 10 * time.Millisecond
 		}
@@ -154,7 +173,7 @@
 	case !okDirect:
 		return apart, direct, true
 	}
-	return apart, direct, apart.Wait+handOverCost+2*f.transfer(group, r) < direct.Wait
+	return apart, direct, true
 }
 
 // Engines returns the engines of a service, for the plan of the stages.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -101,7 +101,7 @@
 			f.declare(known)
 		}
 		if known.Stage != s.Stage {
-			known.own.Reads = 0
+			known.own.Reads = [Ranks]float64{}
 		}
 		known.Server = s
 		servers[s.ID] = known
@@ -241,28 +241,28 @@
 
 // Begin counts a request under way at a server; tokens is the prompt that it
 // has to read.
-func (f *Fleet) Begin(id fleet.UpstreamID, tokens float64) {
+func (f *Fleet) Begin(id fleet.UpstreamID, rank int, tokens float64) {
 	if s := f.servers[id]; s != nil {
 		s.own.Runs++
-		s.own.Reads += tokens
+		s.own.add(rank, tokens)
 	}
 	f.ejector.Sent(id)
 }
 
 // End ends what Begin counted.
-func (f *Fleet) End(id fleet.UpstreamID, tokens float64) {
+func (f *Fleet) End(id fleet.UpstreamID, rank int, tokens float64) {
 	if s := f.servers[id]; s != nil {
 		s.own.Runs = max(s.own.Runs-1, 0)
-		s.own.Reads = max(s.own.Reads-tokens, 0)
+		s.own.add(rank, -tokens)
 	}
 	f.ejector.Left(id)
 }
 
 // ReadDone takes the prompt of a request that is still under way off the
 // server's account: its first event has arrived.
-func (f *Fleet) ReadDone(id fleet.UpstreamID, tokens float64) {
+func (f *Fleet) ReadDone(id fleet.UpstreamID, rank int, tokens float64) {
 	if s := f.servers[id]; s != nil {
-		s.own.Reads = max(s.own.Reads-tokens, 0)
+		s.own.add(rank, -tokens)
 	}
 }
 
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -30,14 +30,33 @@
 	Orders int64
 }
 
+// Ranks is the number of ranks of requests that are told apart; requests of
+// lower urgency count as the last.
+const Ranks = 4
+
 // Work is what an instance has under way at one server.
 type Work struct {
-	// Reads is the number of prompt tokens sent and not yet read.
-	Reads float64
+	// Reads is the number of prompt tokens sent and not yet read, by rank: an
+	// engine reads the prompts of more urgent requests first.
+	Reads [Ranks]float64
 	// Runs is the number of requests that run or wait to run.
 	Runs int
 }
 
+// ahead returns the tokens that are read before those of a new request.
+func (w Work) ahead(rank int) float64 {
+	sum := 0.0
+	for i := 0; i <= min(max(rank, 0), Ranks-1); i++ {
+		sum += w.Reads[i]
+	}
+	return sum
+}
+
+func (w *Work) add(rank int, tokens float64) {
+	i := min(max(rank, 0), Ranks-1)
+	w.Reads[i] = max(w.Reads[i]+tokens, 0)
+}
+
 const (
 	// initialSpeed is assumed of an engine before the first prompt has been
 	// read, in prompt tokens per millisecond.
@@ -88,7 +107,9 @@
 			delete(s.others, id)
 			continue
 		}
-		total.Reads += w.Reads
+		for i := range total.Reads {
+			total.Reads[i] += w.Reads[i]
+		}
 		total.Runs += w.Runs
 	}
 	return total
--- a/core/turn/turn.go
+++ b/core/turn/turn.go
@@ -24,6 +24,10 @@
 }
 
 const (
+	// useOfTarget is the part of the latency target that the estimate may take.
+	// While more is asked than can be served, work that would be late only
+	// delays work that could be on time.
+	useOfTarget = 0.75
 	// useOfLeft is the part of the time left that an estimate may take: an
 	// answer that is expected after it would be read and made in vain.
 	useOfLeft = 0.8
@@ -33,10 +37,13 @@
 	maxReturn = 2 * time.Second
 )
 
-// Decide refuses a request whose answer would come too late for its caller. The
-// caller should return when the excess has been worked off.
+// Decide refuses a request that would be late. The caller should return when the
+// excess has been worked off.
 func Decide(e Estimate) Verdict {
 	limit := time.Duration(useOfLeft * float64(e.Left))
+	if e.Target > 0 {
+		limit = min(limit, time.Duration(useOfTarget*float64(e.Target)))
+	}
 	if e.Wait <= limit {
 		return Verdict{Admit: true}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,7 @@
 		p.refuse(http.StatusNotFound, fleet.ReasonNoUpstream, 0)
 		return
 	}
+	p.req.Rank = p.route.Priority
 	if !p.readBody(table) {
 		return
 	}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -18,13 +18,13 @@
 )
 
 const (
-	// stallFactor and stallSlack bound the wait for a prompt to be read, over
-	// the estimate: a server that takes longer is silent or stuck.
-	stallFactor = 3
-	stallSlack  = 400 * time.Millisecond
+	// stallShare is the part of the time left that one engine may take for a
+	// prompt, or for the first event where the stream can go on elsewhere. An
+	// engine that is cut off shows sooner, by its connection.
+	stallShare = 0.6
 	// stallGap bounds the pause between two events of a stream that may be
 	// resumed. Callers leave after two seconds at least.
-	stallGap = time.Second
+	stallGap = 1500 * time.Millisecond
 	// maxReads bounds the engines that are asked to read one prompt.
 	maxReads = 2
 )
@@ -111,9 +111,9 @@
 // readAt has the prompt read at one engine.
 func (p *passage) readAt(c place.Choice) (*call.Source, result) {
 	began := time.Now()
-	read, end := p.g.State.begin(c.Server.ID, c.Uncached)
+	read, end := p.g.State.begin(c.Server.ID, p.req.Rank, c.Uncached)
 	defer end()
-	ctx, stop := context.WithTimeout(p.ctx, stallFactor*c.Wait+stallSlack)
+	ctx, stop := context.WithTimeout(p.ctx, time.Duration(stallShare*float64(p.left())))
 	defer stop()
 	answer, res, err := p.send(ctx, c.Server, call.Send{Priority: priority(p.route.Priority), PrefillOnly: true})
 	status := 0
@@ -179,11 +179,11 @@
 // request goes on at another engine.
 func (p *passage) run(c place.Choice, source *call.Source) bool {
 	began := time.Now()
-	read, end := p.g.State.begin(c.Server.ID, c.Uncached)
+	read, end := p.g.State.begin(c.Server.ID, p.req.Rank, c.Uncached)
 	defer end()
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
-	dog := p.watch(cancel, c)
+	dog := p.watch(cancel)
 	defer dog.Stop()
 	answer, res, err := p.send(ctx, c.Server, call.Send{
 		Priority: priority(p.route.Priority), Source: source, LastEventID: p.lastEvent,
@@ -240,10 +240,10 @@
 }
 
 // watch cancels an attempt that stalls, where the stream can go on elsewhere.
-func (p *passage) watch(cancel context.CancelFunc, c place.Choice) *time.Timer {
+func (p *passage) watch(cancel context.CancelFunc) *time.Timer {
 	limit := p.left()
 	if p.route.Repeatable() && p.sends+1 < p.route.MaxAttempts {
-		limit = stallFactor*c.Wait + stallSlack
+		limit = time.Duration(stallShare * float64(limit))
 	}
 	return time.AfterFunc(limit, cancel)
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -84,7 +84,7 @@
 // there is none to pass on.
 func (p *passage) exchange(c place.Choice) (*held, result) {
 	began := time.Now()
-	_, end := p.g.State.begin(c.Server.ID, 0)
+	_, end := p.g.State.begin(c.Server.ID, p.req.Rank, 0)
 	defer end()
 	ctx, stop := p.attemptContext()
 	defer stop()
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -151,21 +151,21 @@
 
 // begin counts a request at a server and returns the function that ends it. The
 // first call of read takes the prompt off the server's account.
-func (s *State) begin(id fleet.UpstreamID, tokens float64) (read, end func()) {
+func (s *State) begin(id fleet.UpstreamID, rank int, tokens float64) (read, end func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet.Begin(id, tokens)
+	s.fleet.Begin(id, rank, tokens)
 	left := tokens
 	read = func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.fleet.ReadDone(id, left)
+		s.fleet.ReadDone(id, rank, left)
 		left = 0
 	}
 	end = func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.fleet.End(id, left)
+		s.fleet.End(id, rank, left)
 	}
 	return read, end
 }
