Admit by the queue ahead and not by a request's own length

Change: the limit applies to the work ahead of a request; a prompt that is late by its own length may wait 0.3 of the target like any other.

--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -102,7 +102,7 @@
 		if best.Candidates == 0 || score < bestScore {
 			bestScore = score
 			best = Choice{
-				Server: s.Server, Reason: reasonOf(len(list), reason), Wait: wait,
+				Server: s.Server, Reason: reasonOf(len(list), reason), Wait: wait, Queue: ms(ahead, speed),
 				Uncached: uncached, Ahead: ahead, Candidates: len(list),
 			}
 		}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -32,6 +32,8 @@
 	// Wait is the estimated time until the prompt is read, or until a plain
 	// request starts.
 	Wait time.Duration
+	// Queue is the part of Wait that other requests take.
+	Queue time.Duration
 	// Uncached is the number of prompt tokens that the server has to read.
 	Uncached float64
 	// Ahead is the number of prompt tokens that it has to read before.
--- a/core/turn/turn.go
+++ b/core/turn/turn.go
@@ -8,8 +8,10 @@
 
 // Estimate is what is known of a request at its arrival.
 type Estimate struct {
-	// Wait is the estimated time until the answer, or the first event.
-	Wait time.Duration
+	// Queue is the estimated wait behind work that goes first.
+	Queue time.Duration
+	// Own is the estimated time for the request's own prompt.
+	Own time.Duration
 	// Target is the time within which the answer is on time.
 	Target time.Duration
 	// Left is the time until the caller gives up.
@@ -24,10 +26,14 @@
 }
 
 const (
-	// useOfTarget is the part of the latency target that the estimate may take.
-	// While more is asked than can be served, work that would be late only
-	// delays work that could be on time.
+	// useOfTarget is the part of the latency target that queue and own prompt
+	// together may take. While more is asked than can be served, work that
+	// would be late only delays work that could be on time.
 	useOfTarget = 0.75
+	// queueShare is the part of the target that a request may wait whatever
+	// its size: a long prompt that is late by itself is worth serving late, and
+	// sizes must not be starved.
+	queueShare = 0.3
 	// useOfLeft is the part of the time left that an estimate may take: an
 	// answer that is expected after it would be read and made in vain.
 	useOfLeft = 0.8
@@ -37,15 +43,15 @@
 	maxReturn = 2 * time.Second
 )
 
-// Decide refuses a request that would be late. The caller should return when the
-// excess has been worked off.
+// Decide refuses a request that would be late because of the work ahead of it.
+// The caller should return when the excess has been worked off.
 func Decide(e Estimate) Verdict {
-	limit := time.Duration(useOfLeft * float64(e.Left))
+	limit := time.Duration(useOfLeft*float64(e.Left)) - e.Own
 	if e.Target > 0 {
-		limit = min(limit, time.Duration(useOfTarget*float64(e.Target)))
+		limit = min(limit, max(time.Duration(useOfTarget*float64(e.Target))-e.Own, time.Duration(queueShare*float64(e.Target))))
 	}
-	if e.Wait <= limit {
+	if e.Queue <= limit {
 		return Verdict{Admit: true}
 	}
-	return Verdict{RetryAfter: min(max(e.Wait-limit, minReturn), maxReturn)}
+	return Verdict{RetryAfter: min(max(e.Queue-limit, minReturn), maxReturn)}
 }
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -75,15 +75,16 @@
 
 // admit decides whether the request is served and refuses it otherwise.
 func (p *passage) admit(apart, direct place.Choice, split bool) bool {
-	wait := direct.Wait
+	c := direct
 	if split {
-		wait = apart.Wait
+		c = apart
 	}
-	v := turn.Decide(turn.Estimate{Wait: wait, Target: p.route.Target, Left: p.left()})
+	v := turn.Decide(turn.Estimate{Queue: c.Queue, Own: c.Wait - c.Queue, Target: p.route.Target, Left: p.left()})
 	if v.Admit {
 		return true
 	}
-	p.trace = append(p.trace, zap.Duration("expected", wait), zap.Int("candidates", apart.Candidates+direct.Candidates))
+	p.trace = append(p.trace, zap.Duration("expected", c.Wait), zap.Duration("queue", c.Queue), zap.Int("candidates", c.Candidates),
+		zap.String("server", string(c.Server.ID)), zap.String("choice", string(c.Reason)), zap.Float64("uncached", c.Uncached))
 	p.refuse(http.StatusServiceUnavailable, fleet.ReasonDeadlineUnmeetable, v.RetryAfter)
 	return false
 }
