Set out the programs and test the path under server faults

Cause: the path had no tests of its own, and the replay of the peak showed that the limit by queue and length shut the longest tenth out for good while the queue stays just below it (0 of 300 served). Ruled out: a rhythm of the replay (the same with random lengths at the old limit).

--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,246 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/bramleywick/bramleywick/core/call"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/routes"
+)
+
+const kvTokens = 440_000
+
+// newFleet returns a view of engines of a service "llm" and of three plain
+// servers of a service "app".
+func newFleet(prefill, decode int) *Fleet {
+	f := New(Config{Instance: "i", DataCentre: "dc0"})
+	f.Configure(routes.Compile(routes.Configuration{Version: 1, Services: []routes.Service{
+		{Name: "llm", Engine: &routes.Engine{Slots: 64, KVTokens: kvTokens, KVBytesPerToken: 18432, LinkBytesPerSecond: 9e10}},
+		{Name: "app"},
+	}}))
+	var list []Server
+	for i := range prefill + decode {
+		stage := fleet.RoleDecode
+		if i < prefill {
+			stage = fleet.RolePrefill
+		}
+		list = append(list, Server{
+			ID: fleet.UpstreamID(fmt.Sprintf("e%02d", i)), Group: "llm", Address: fmt.Sprintf("10.0.0.%d:1", i),
+			DataCentre: fleet.DataCentre(fmt.Sprint("dc", i%3)), Slots: 64, Stage: stage,
+		})
+	}
+	for i := range 3 {
+		list = append(list, Server{
+			ID: fleet.UpstreamID(fmt.Sprint("a", i)), Group: "app", Address: fmt.Sprintf("10.0.1.%d:1", i),
+			DataCentre: fleet.DataCentre(fmt.Sprint("dc", i)), Slots: 6,
+		})
+	}
+	f.SetServers(list)
+	return f
+}
+
+func prompt(id, part, shared, own int) *call.Request {
+	return &call.Request{
+		ID: fleet.RequestID(fmt.Sprint("r", id)), PromptTokens: shared + own, Rank: 1,
+		Parts: []call.Part{{ID: fmt.Sprint("p", part), Tokens: shared}, {ID: fmt.Sprint("own", id), Tokens: own}},
+	}
+}
+
+// peak plays the ledger-heavy minutes at one instance that sends all requests:
+// 126 shared parts of 13,300 tokens, prompts asked for faster than the engines
+// can read them. It returns the shared tokens read for the first time and again,
+// and the engines that were asked for each part.
+func peak(f *Fleet, load float64, seconds int) (first, again float64, engines map[int]map[fleet.UpstreamID]bool) {
+	const speed, shared, own = 40.0, 13300, 3700
+	free := map[fleet.UpstreamID]fleet.Instant{}
+	type running struct {
+		c    Choice
+		r    *call.Request
+		end  fleet.Instant
+		sent fleet.Instant
+	}
+	var open []running
+	known := map[int]map[fleet.UpstreamID]bool{}
+	random := uint64(7)
+	var now fleet.Instant
+	gap := time.Duration(float64(own) / (8 * speed) / load * float64(time.Millisecond))
+	for i := 0; now < fleet.Instant(seconds)*time.Second; i++ {
+		now += gap
+		kept := open[:0]
+		for _, x := range open {
+			if x.end > now {
+				kept = append(kept, x)
+				continue
+			}
+			f.End(x.c.Server.ID, x.r.Rank, x.c.Uncached)
+			f.Read(x.c, x.r, x.end-x.sent+callOverhead)
+		}
+		open = kept
+		random = random*6364136223846793005 + 1442695040888963407
+		part := int(random >> 33 % 126)
+		r := prompt(i, part, shared, own)
+		c, ok := f.Prefill("llm", r, now, nil)
+		if !ok || c.Queue > 330*time.Millisecond {
+			continue
+		}
+		if known[part] == nil {
+			known[part] = map[fleet.UpstreamID]bool{}
+		}
+		if c.Uncached > own {
+			if len(known[part]) == 0 {
+				first += shared
+			} else {
+				again += shared
+			}
+		}
+		known[part][c.Server.ID] = true
+		f.Begin(c.Server.ID, r.Rank, c.Uncached)
+		free[c.Server.ID] = max(free[c.Server.ID], now) + ms(c.Uncached, speed)
+		open = append(open, running{c, r, free[c.Server.ID], now})
+	}
+	return first, again, known
+}
+
+// TestPeakKeepsHomes answers the pattern in which more long prompts are asked
+// for than can be read: a second copy of a shared part would cost every request
+// behind it more than the wait at its home.
+func TestPeakKeepsHomes(t *testing.T) {
+	Convey("At 1.5 times what the engines can read", t, func() {
+		first, again, _ := peak(newFleet(8, 4), 1.5, 20)
+		So(first, ShouldBeGreaterThan, 100*13300)
+		Convey("fewer shared tokens are read again than were read once", func() {
+			So(again, ShouldBeLessThan, first)
+		})
+	})
+}
+
+func TestHome(t *testing.T) {
+	Convey("A shared part", t, func() {
+		f := newFleet(8, 4)
+		r := prompt(1, 1, 13300, 3700)
+		at, ok := f.Prefill("llm", r, 0, nil)
+		So(ok, ShouldBeTrue)
+		So(at.Reason, ShouldEqual, ReasonHome)
+		So(at.Server.Stage, ShouldEqual, fleet.RolePrefill)
+
+		Convey("has the same home on every instance", func() {
+			other := newFleet(8, 4)
+			other.config.DataCentre = "dc2"
+			c, _ := other.Prefill("llm", prompt(99, 1, 13300, 3700), 0, nil)
+			So(string(c.Server.ID), ShouldEqual, string(at.Server.ID))
+		})
+		Convey("moves when its home fails, and only then", func() {
+			c, _ := f.Prefill("llm", r, 0, []fleet.UpstreamID{at.Server.ID})
+			So(string(c.Server.ID), ShouldNotEqual, string(at.Server.ID))
+			f.Failed(at.Server.ID, 0)
+			f.Failed(at.Server.ID, 0)
+			c, _ = f.Prefill("llm", r, 0, nil)
+			So(string(c.Server.ID), ShouldNotEqual, string(at.Server.ID))
+			c, _ = f.Prefill("llm", r, time.Minute, nil)
+			So(string(c.Server.ID), ShouldEqual, string(at.Server.ID))
+		})
+		Convey("is read elsewhere while nothing waits there and much waits at home", func() {
+			f.Begin(at.Server.ID, 0, 80_000)
+			c, _ := f.Prefill("llm", r, 0, nil)
+			So(string(c.Server.ID), ShouldNotEqual, string(at.Server.ID))
+		})
+		Convey("costs only the rest once it was read", func() {
+			f.Read(at, r, time.Second)
+			c, _ := f.Prefill("llm", prompt(2, 1, 13300, 500), 0, nil)
+			So(c.Uncached, ShouldEqual, 500)
+		})
+		Convey("is forgotten when as much as the memory holds was read since", func() {
+			f.Read(at, r, time.Second)
+			for i := range 40 {
+				f.servers[at.Server.ID].cache.use(prompt(1000+i, 1000+i, 13300, 100), 0)
+			}
+			So(f.servers[at.Server.ID].cache.holds("p1"), ShouldBeFalse)
+		})
+	})
+}
+
+func TestUrgentWork(t *testing.T) {
+	Convey("An urgent request does not count what an engine reads after it", t, func() {
+		f := newFleet(1, 1)
+		f.Begin("e00", 1, 40_000)
+		r := prompt(1, 1, 100, 300)
+		r.Rank = 0
+		c, _ := f.Prefill("llm", r, 0, nil)
+		So(c.Queue, ShouldEqual, 0)
+		r.Rank = 1
+		c, _ = f.Prefill("llm", r, 0, nil)
+		So(c.Queue, ShouldBeGreaterThan, 500*time.Millisecond)
+	})
+}
+
+func TestOtherInstances(t *testing.T) {
+	Convey("What other instances have under way", t, func() {
+		f := newFleet(2, 1)
+		f.SetPeerWork("j", map[fleet.UpstreamID]Work{"e00": {Reads: [Ranks]float64{0, 60_000}, Runs: 3}}, 0)
+		r := &call.Request{ID: "r", PromptTokens: 400, Rank: 1}
+		c, _ := f.Prefill("llm", r, 0, nil)
+		So(string(c.Server.ID), ShouldEqual, "e01")
+		Convey("ends with its next report", func() {
+			f.SetPeerWork("j", nil, 0)
+			c, _ := f.Prefill("llm", r, 0, []fleet.UpstreamID{"e01"})
+			So(c.Queue, ShouldEqual, 0)
+		})
+		Convey("lapses when it falls silent", func() {
+			c, _ := f.Prefill("llm", r, 2*peerWorkTTL, []fleet.UpstreamID{"e01"})
+			So(c.Queue, ShouldEqual, 0)
+		})
+	})
+}
+
+func TestPlain(t *testing.T) {
+	Convey("Plain requests", t, func() {
+		f := newFleet(0, 0)
+		Convey("stay within the slots of the servers", func() {
+			counts := map[fleet.UpstreamID]int{}
+			for i := range 18 {
+				c, ok := f.Plain("app", fleet.RequestID(fmt.Sprint(i)), 0, nil)
+				So(ok, ShouldBeTrue)
+				f.Begin(c.Server.ID, 0, 0)
+				counts[c.Server.ID]++
+			}
+			for _, n := range counts {
+				So(n, ShouldBeLessThanOrEqualTo, 7)
+			}
+		})
+		Convey("avoid servers that leave, were tried or are held", func() {
+			f.servers["a0"].Leaving = true
+			f.Hold("a1", time.Second)
+			c, _ := f.Plain("app", "r", 0, nil)
+			So(string(c.Server.ID), ShouldEqual, "a2")
+			_, ok := f.Plain("app", "r", 0, []fleet.UpstreamID{"a2"})
+			So(ok, ShouldBeFalse)
+			c, _ = f.Plain("app", "r", 2*time.Second, []fleet.UpstreamID{"a2"})
+			So(string(c.Server.ID), ShouldEqual, "a1")
+		})
+	})
+}
+
+func TestLearning(t *testing.T) {
+	Convey("Speeds are learned from the time that prompts take", t, func() {
+		f := newFleet(2, 0)
+		r := prompt(1, 1, 0, 8000)
+		for range 60 {
+			f.Read(Choice{Server: f.servers["e00"].Server, Uncached: 8000}, r, callOverhead+100*time.Millisecond)
+			f.Read(Choice{Server: f.servers["e01"].Server, Uncached: 8000}, r, callOverhead+400*time.Millisecond)
+		}
+		So(f.servers["e00"].speed, ShouldAlmostEqual, 80, 1)
+		So(f.servers["e01"].speed, ShouldAlmostEqual, 20, 1)
+	})
+	Convey("A new process under the same id is not what was known", t, func() {
+		f := newFleet(1, 0)
+		f.Begin("e00", 0, 5000)
+		s := f.servers["e00"].Server
+		s.Born = 7
+		f.SetServers([]Server{s})
+		So(f.servers["e00"].own, ShouldResemble, Work{})
+	})
+}
--- /dev/null
+++ b/core/routes/routes_test.go
@@ -0,0 +1,56 @@
+package routes
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+func TestLookup(t *testing.T) {
+	Convey("Among the routes of a host", t, func() {
+		table := Compile(Configuration{Version: 3, Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/"},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+			{Name: "other", Host: "B.example", Prefix: "/x/"},
+		}})
+		for _, c := range []struct{ host, path, want string }{
+			{"a.example", "/x/1", "short"},
+			{"a.example", "/x/y/1", "long"},
+			{"a.example:80", "/x/y", "short"},
+			{"A.Example", "/x/", "short"},
+			{"b.example", "/x/y/", "other"},
+			{"a.example", "/y/", ""},
+			{"a.example", "/x", ""},
+			{"c.example", "/x/", ""},
+		} {
+			Convey(c.host+c.path, func() {
+				r := table.Lookup(c.host, c.path)
+				if c.want == "" {
+					So(r, ShouldBeNil)
+					return
+				}
+				So(r.Name, ShouldEqual, c.want)
+			})
+		}
+	})
+}
+
+func TestSplit(t *testing.T) {
+	Convey("A split route", t, func() {
+		r := Route{Name: "r", Shares: []Share{{"a", 90}, {"b", 10}, {"c", 0}}}
+		counts := map[fleet.GroupName]int{}
+		for i := range 10000 {
+			id := fleet.RequestID(fmt.Sprint(i))
+			if r.Service(id) != r.Service(id) {
+				t.Fatal("the choice changes")
+			}
+			counts[r.Service(id)]++
+		}
+		So(counts["a"], ShouldBeBetween, 8800, 9200)
+		So(counts["c"], ShouldEqual, 0)
+		So((&Route{}).Service("x"), ShouldBeEmpty)
+	})
+}
--- /dev/null
+++ b/core/stageplan/stageplan_test.go
@@ -0,0 +1,70 @@
+package stageplan
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/place"
+)
+
+func engines(prefill, decode, centres int) []place.Server {
+	var out []place.Server
+	for i := range prefill + decode {
+		s := place.Server{ID: fleet.UpstreamID(fmt.Sprint("e", i)), DataCentre: fleet.DataCentre(fmt.Sprint("dc", i%centres)), Stage: fleet.RoleDecode}
+		if i < prefill {
+			s.Stage = fleet.RolePrefill
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func TestChanges(t *testing.T) {
+	Convey("A plan of two thirds", t, func() {
+		plan := Plan{PrefillShare: 0.67}
+		for _, c := range []struct {
+			name                       string
+			prefill, decode, tolerance int
+			want                       int
+			stage                      fleet.Role
+		}{
+			{"is reached", 8, 4, 0, 0, 0},
+			{"needs more prefill", 5, 7, 0, 3, fleet.RolePrefill},
+			{"needs more decode", 11, 1, 0, 3, fleet.RoleDecode},
+			{"is near enough", 7, 5, 1, 0, 0},
+			{"is off by more than the tolerance", 6, 6, 1, 2, fleet.RolePrefill},
+			{"keeps one of each", 0, 2, 0, 1, fleet.RolePrefill},
+			{"cannot divide one engine", 0, 1, 0, 0, 0},
+		} {
+			Convey(c.name, func() {
+				plan.Tolerance = c.tolerance
+				changes := plan.Changes(engines(c.prefill, c.decode, 3))
+				So(len(changes), ShouldEqual, c.want)
+				for _, change := range changes {
+					So(change.Stage, ShouldEqual, c.stage)
+				}
+			})
+		}
+		Convey("leaves no data centre without decode engines", func() {
+			left := map[fleet.DataCentre]int{}
+			list := engines(0, 12, 3)
+			for _, s := range list {
+				left[s.DataCentre]++
+			}
+			for _, c := range plan.Changes(list) {
+				left[c.Server.DataCentre]--
+			}
+			for _, n := range left {
+				So(n, ShouldBeGreaterThan, 0)
+			}
+		})
+		Convey("counts no engine that leaves or has no stage", func() {
+			list := engines(2, 1, 1)
+			list = append(list, place.Server{ID: "x"}, place.Server{ID: "y", Stage: fleet.RoleDecode, Leaving: true})
+			So(plan.Changes(list), ShouldBeEmpty)
+		})
+	})
+}
--- a/core/turn/turn.go
+++ b/core/turn/turn.go
@@ -26,14 +26,13 @@
 }
 
 const (
-	// useOfTarget is the part of the latency target that queue and own prompt
-	// together may take. While more is asked than can be served, work that
-	// would be late only delays work that could be on time.
-	useOfTarget = 0.75
-	// queueShare is the part of the target that a request may wait whatever
-	// its size: a long prompt that is late by itself is worth serving late, and
-	// sizes must not be starved.
-	queueShare = 0.3
+	// queueShare is the part of the latency target that a request may wait
+	// behind others; the rest is for its own prompt and the first event. While
+	// more is asked than can be served, work that would be late only delays
+	// work that could be on time. The share is the same for all sizes: at the
+	// peak the queue stays just below the limit, so a lower one for long
+	// prompts would shut them out.
+	queueShare = 0.55
 	// useOfLeft is the part of the time left that an estimate may take: an
 	// answer that is expected after it would be read and made in vain.
 	useOfLeft = 0.8
@@ -48,7 +47,7 @@
 func Decide(e Estimate) Verdict {
 	limit := time.Duration(useOfLeft*float64(e.Left)) - e.Own
 	if e.Target > 0 {
-		limit = min(limit, max(time.Duration(useOfTarget*float64(e.Target))-e.Own, time.Duration(queueShare*float64(e.Target))))
+		limit = min(limit, time.Duration(queueShare*float64(e.Target)))
 	}
 	if e.Queue <= limit {
 		return Verdict{Admit: true}
--- /dev/null
+++ b/core/turn/turn_test.go
@@ -0,0 +1,93 @@
+package turn
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestDecide(t *testing.T) {
+	Convey("A request at its arrival", t, func() {
+		const target, left = 600 * time.Millisecond, 5 * time.Second
+		for _, c := range []struct {
+			name       string
+			queue, own time.Duration
+			admit      bool
+		}{
+			{"an idle engine", 0, 80 * time.Millisecond, true},
+			{"on time behind a queue", 300 * time.Millisecond, 80 * time.Millisecond, true},
+			{"late because of the queue", 500 * time.Millisecond, 80 * time.Millisecond, false},
+			{"late by its own length alone", 0, 1500 * time.Millisecond, true},
+			{"late by its own length, short queue", 300 * time.Millisecond, 1500 * time.Millisecond, true},
+			{"late by its own length, long queue", 400 * time.Millisecond, 1500 * time.Millisecond, false},
+			{"longer than its caller waits", 0, 4500 * time.Millisecond, false},
+		} {
+			Convey(c.name, func() {
+				v := Decide(Estimate{Queue: c.queue, Own: c.own, Target: target, Left: left})
+				So(v.Admit, ShouldEqual, c.admit)
+				if !c.admit {
+					So(v.RetryAfter, ShouldBeBetweenOrEqual, minReturn, maxReturn)
+				}
+			})
+		}
+	})
+}
+
+// replay serves requests of several lengths in order at one engine that reads
+// one token in a microsecond, while three times as much is asked as it can
+// read, and counts who is served on time and at all.
+func replay(decide func(Estimate) bool) (served, onTime, long, longServed int, waited time.Duration) {
+	const target, left = 600 * time.Millisecond, 5 * time.Second
+	lengths := []time.Duration{20, 40, 60, 80, 100, 120, 150, 200, 300, 900}
+	var free, at time.Duration
+	random := uint64(1)
+	for range 3000 {
+		// Knuth's linear congruential generator, so that lengths come in no
+		// rhythm with the engine.
+		random = random*6364136223846793005 + 1442695040888963407
+		own := lengths[random>>33%uint64(len(lengths))] * time.Millisecond
+		at += 65 * time.Millisecond
+		queue := max(free-at, 0)
+		isLong := own == 900*time.Millisecond
+		if isLong {
+			long++
+		}
+		if !decide(Estimate{Queue: queue, Own: own, Target: target, Left: left}) {
+			continue
+		}
+		free = max(free, at) + own
+		took := free - at
+		if took > left {
+			continue
+		}
+		served++
+		if isLong {
+			longServed++
+		}
+		if took <= target {
+			onTime++
+		}
+		waited = max(waited, queue)
+	}
+	return served, onTime, long, longServed, waited
+}
+
+// TestPeak answers the pattern of the ledger-heavy minutes: for a long time more
+// prompts are asked for than the engines can read.
+func TestPeak(t *testing.T) {
+	Convey("At three times the capacity", t, func() {
+		served, onTime, long, longServed, waited := replay(func(e Estimate) bool { return Decide(e).Admit })
+		_, onTimeOpen, _, _, _ := replay(func(Estimate) bool { return true })
+
+		Convey("no admitted request waits longer than its target", func() {
+			So(waited, ShouldBeLessThan, 600*time.Millisecond)
+		})
+		Convey("more are on time than if all were admitted", func() {
+			So(onTime, ShouldBeGreaterThan, 2*onTimeOpen)
+		})
+		Convey("the longest tenth is served at least half as often as all", func() {
+			So(float64(longServed)/float64(long), ShouldBeGreaterThan, 0.5*float64(served)/3000)
+		})
+	})
+}
