Keep a prompt's handle for the next engine and take every read from the budget

While decode engines refused a request or all connections to one were in use, each further try had the prompt read again; only one of its two calls was taken from the budget, none when nothing was sent. A busy connection pool also counted as a failure of the server. Ruled out: a wrong division of the slack (the extra calls were all reads of the same requests). Change: the handle goes to the next engine, reads after the first are taken from the budget, no blame without a sent request; the division between the stages follows the engines' slots.

--- a/core/stageplan/stageplan.go
+++ b/core/stageplan/stageplan.go
@@ -27,6 +27,21 @@
 	Tolerance int
 }
 
+const (
+	// leastDecode and decodePerSlot give the part of the engines that make
+	// answers, by the number of requests that an engine runs at once: with few
+	// slots, more engines are needed to hold the same answers.
+	leastDecode   = 0.22
+	decodePerSlot = 1.6
+	mostDecode    = 0.6
+)
+
+// ForSlots returns the plan for engines with the given number of slots.
+func ForSlots(slots, tolerance int) Plan {
+	decode := min(leastDecode+decodePerSlot/float64(max(slots, 1)), mostDecode)
+	return Plan{PrefillShare: 1 - decode, Tolerance: tolerance}
+}
+
 // Changes returns the changes that bring the division to the plan; none while it
 // is within the tolerance. Leaving engines and those without a stage are left
 // out.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -104,9 +104,9 @@
 }
 
 // blame notes a server's failure, unless the caller or the deadline ended the
-// attempt.
-func (p *passage) blame(id fleet.UpstreamID) {
-	if !p.gone() {
+// attempt, or the instance had no connection left for it.
+func (p *passage) blame(id fleet.UpstreamID, err error) {
+	if !p.gone() && !errors.Is(err, connpool.ErrBusy) {
 		p.g.State.failed(id)
 	}
 	p.tried = append(p.tried, id)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/bramleywick/bramleywick/connpool"
 	"github.com/bramleywick/bramleywick/core/call"
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/place"
 	"github.com/bramleywick/bramleywick/core/retry"
 	"github.com/bramleywick/bramleywick/core/routes"
 )
@@ -98,6 +99,12 @@
 	tried []fleet.UpstreamID
 	// sends counts the servers that were sent the request to run it.
 	sends int
+	// reads counts the engines that were asked to read the prompt.
+	reads int
+	// source is the KV cache of the prompt that no engine has taken yet, and
+	// reader the engine that holds it.
+	source *call.Source
+	reader place.Server
 	// mayHaveRun tells that a server may have run the request.
 	mayHaveRun bool
 	// committed tells that the head of the answer has been sent.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -32,47 +32,42 @@
 // generate serves a request to engines: its prompt is read at one engine and
 // the answer made at another, or both at one.
 func (p *passage) generate() {
-	decided := false
+	defer func() { p.free(p.source) }()
+	apart, direct, split := p.g.State.apart(p.group, &p.req, p.tried)
+	if apart.Candidates+direct.Candidates > 0 && !p.admit(apart, direct, split) {
+		return
+	}
 	for {
-		apart, direct, split := p.g.State.apart(p.group, &p.req, p.tried)
-		if apart.Candidates+direct.Candidates == 0 {
-			p.fail(fleet.ReasonNoUpstream, busyWait)
-			return
+		if p.source == nil && split {
+			p.prefill(apart)
 		}
-		if !decided {
-			decided = true
-			if !p.admit(apart, direct, split) {
-				return
-			}
+		if p.gone() {
+			return
 		}
-		var source *call.Source
-		run := direct
-		if split {
-			var from place.Choice
-			source, from = p.prefill(apart)
-			if p.gone() {
-				p.free(source)
-				return
-			}
-			var ok bool
-			if source != nil {
-				run, ok = p.g.State.decode(p.group, &p.req, from.Server, p.tried)
-			} else {
-				_, run, _ = p.g.State.apart(p.group, &p.req, p.tried)
-				ok = run.Candidates > 0
-			}
-			if !ok {
-				p.free(source)
-				p.fail(fleet.ReasonNoUpstream, busyWait)
-				return
-			}
+		run, ok := p.runner(direct)
+		if !ok {
+			p.fail(fleet.ReasonNoUpstream, busyWait)
+			return
 		}
-		if p.run(run, source) {
+		if p.run(run) {
 			return
 		}
+		apart, direct, split = p.g.State.apart(p.group, &p.req, p.tried)
 	}
 }
 
+// runner chooses the engine that makes the answer: one at the decode stage when
+// the prompt has been read, or else one that reads it itself.
+func (p *passage) runner(direct place.Choice) (place.Choice, bool) {
+	if p.source != nil {
+		return p.g.State.decode(p.group, &p.req, p.reader, p.tried)
+	}
+	if len(p.tried) > 0 {
+		_, direct, _ = p.g.State.apart(p.group, &p.req, p.tried)
+	}
+	return direct, direct.Candidates > 0
+}
+
 // admit decides whether the request is served and refuses it otherwise.
 func (p *passage) admit(apart, direct place.Choice, split bool) bool {
 	c := direct
@@ -89,28 +84,33 @@
 	return false
 }
 
-// prefill has the prompt read at an engine of the prefill stage; nil when no
-// engine did.
-func (p *passage) prefill(c place.Choice) (*call.Source, place.Choice) {
-	for reads := 1; ; reads++ {
-		source, res := p.readAt(c)
-		if source != nil || p.gone() || p.left() <= minAttempt || reads == maxReads {
-			return source, c
+// prefill has the prompt read at an engine of the prefill stage and notes where
+// its KV cache is; p.source stays nil when no engine did. The first call is no
+// extra request; each further one is taken from the budget, those after a
+// failed run too.
+func (p *passage) prefill(c place.Choice) {
+	for range maxReads {
+		if p.reads > 0 && !p.g.State.takeRepeat(p.group) {
+			return
 		}
-		if res != resultNotSent && !p.g.State.takeRepeat(p.group) {
-			return nil, c
+		res := p.readAt(c)
+		if res != resultNotSent {
+			p.reads++
+		}
+		if p.source != nil || p.gone() || p.left() <= minAttempt {
+			return
 		}
 		p.g.Observer.Retried(retry.ReasonPrefill)
-		next, _, _ := p.g.State.apart(p.group, &p.req, p.tried)
-		if next.Candidates == 0 {
-			return nil, c
+		var split bool
+		c, _, split = p.g.State.apart(p.group, &p.req, p.tried)
+		if !split {
+			return
 		}
-		c = next
 	}
 }
 
 // readAt has the prompt read at one engine.
-func (p *passage) readAt(c place.Choice) (*call.Source, result) {
+func (p *passage) readAt(c place.Choice) result {
 	began := time.Now()
 	read, end := p.g.State.begin(c.Server.ID, p.req.Rank, c.Uncached)
 	defer end()
@@ -118,24 +118,24 @@
 	defer stop()
 	answer, res, err := p.send(ctx, c.Server, call.Send{Priority: priority(p.route.Priority), PrefillOnly: true})
 	status := 0
-	var source *call.Source
 	if answer != nil {
 		defer answer.Close()
 		status = answer.Status
-		source, err = p.handle(answer, c.Server)
+		p.source, err = p.handle(answer, c.Server)
+		p.reader = c.Server
 	}
 	read()
 	p.observe(c, "prefill", res, status, began, err)
 	switch {
-	case source != nil:
+	case p.source != nil:
 		p.g.State.good(c.Server.ID)
 		p.g.State.read(c, &p.req, time.Since(began))
 	case res == resultNotRun:
 		p.tried = append(p.tried, c.Server.ID)
 	default:
-		p.blame(c.Server.ID)
+		p.blame(c.Server.ID, err)
 	}
-	return source, res
+	return res
 }
 
 // handle decodes the answer to a prompt that was read.
@@ -177,15 +177,21 @@
 }
 
 // run has an engine make the answer and passes it on. It returns false when the
-// request goes on at another engine.
-func (p *passage) run(c place.Choice, source *call.Source) bool {
+// request goes on at another engine. KV cache that was read stays under its
+// handle while the engine certainly did not take it.
+func (p *passage) run(c place.Choice) bool {
 	began := time.Now()
-	read, end := p.g.State.begin(c.Server.ID, p.req.Rank, c.Uncached)
+	uncached := c.Uncached
+	if p.source != nil {
+		uncached = 0
+	}
+	read, end := p.g.State.begin(c.Server.ID, p.req.Rank, uncached)
 	defer end()
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
 	dog := p.watch(cancel)
 	defer dog.Stop()
+	source := p.source
 	answer, res, err := p.send(ctx, c.Server, call.Send{
 		Priority: priority(p.route.Priority), Source: source, LastEventID: p.lastEvent,
 	})
@@ -201,23 +207,20 @@
 			res, err = p.pass(answer, c, source, dog, read, began)
 		}
 	}
-	if res == resultBroken {
-		p.mayHaveRun = true
-	}
 	p.observe(c, step(source), res, status, began, err)
 	switch res {
 	case resultAnswer:
+		p.source = nil
 		p.g.State.good(c.Server.ID)
 		return true
 	case resultNotRun:
 		p.tried = append(p.tried, c.Server.ID)
-		p.free(source)
 	case resultNotSent:
-		p.blame(c.Server.ID)
-		p.free(source)
+		p.blame(c.Server.ID, err)
 		return p.gone() || p.giveUp(p.left() > minAttempt)
 	case resultBroken:
-		p.blame(c.Server.ID)
+		p.source, p.mayHaveRun = nil, true
+		p.blame(c.Server.ID, err)
 	}
 	if p.gone() {
 		return true
@@ -332,7 +335,7 @@
 			p.fail(fleet.ReasonNoUpstream, busyWait)
 			return
 		}
-		if p.run(choice, nil) {
+		if p.run(choice) {
 			return
 		}
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -104,17 +104,17 @@
 	case resultAnswer:
 		p.mayHaveRun = true
 		if status >= http.StatusInternalServerError {
-			p.blame(c.Server.ID)
+			p.blame(c.Server.ID, err)
 		} else {
 			p.g.State.answered(c.Server.ID, time.Since(began))
 		}
 	case resultNotRun:
 		p.tried = append(p.tried, c.Server.ID)
 	case resultNotSent:
-		p.blame(c.Server.ID)
+		p.blame(c.Server.ID, err)
 	case resultBroken:
 		p.mayHaveRun = true
-		p.blame(c.Server.ID)
+		p.blame(c.Server.ID, err)
 	}
 	return out, res
 }
--- a/node/node.go
+++ b/node/node.go
@@ -23,7 +23,6 @@
 	"github.com/bramleywick/bramleywick/core/budget"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/place"
-	"github.com/bramleywick/bramleywick/core/stageplan"
 	"github.com/bramleywick/bramleywick/directory"
 	"github.com/bramleywick/bramleywick/gateway"
 	"github.com/bramleywick/bramleywick/leaseholder"
@@ -79,9 +78,9 @@
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes bounds a request's head.
 	maxHeaderBytes = 64 << 10
-	// prefillShare and tolerance are the division of engines between stages.
-	prefillShare = 0.67
-	tolerance    = 1
+	// tolerance is how many engines the division between the stages may be
+	// off: a change takes an engine out of service for seconds.
+	tolerance = 1
 	// turnStep is the wait per instance before it competes for a free lease,
 	// so that instances do not all ask at once.
 	turnStep = 400 * time.Millisecond
@@ -264,7 +263,7 @@
 		Instance: n.settings.Instance, Process: strconv.FormatInt(time.Now().UnixNano(), 36), Store: n.store,
 		Wire: n.platform.Wire, Documents: n.platform.Documents, Pool: connpool.New(), Engines: n.state,
 		Table: n.directory.Table, Turn: n.turn, LeaseTTL: max(n.settings.OrderLease, n.settings.MinLease),
-		Plan: stageplan.Plan{PrefillShare: prefillShare, Tolerance: tolerance}, Log: n.log,
+		Tolerance: tolerance, Log: n.log,
 	})
 }
 
--- a/stages/stages.go
+++ b/stages/stages.go
@@ -85,8 +85,9 @@
 	Turn func() bool
 	// LeaseTTL is the lease time; two holders never order within it.
 	LeaseTTL time.Duration
-	Plan     stageplan.Plan
-	Log      *zap.Logger
+	// Tolerance is how many engines the division may be off.
+	Tolerance int
+	Log       *zap.Logger
 }
 
 // Orders gives the orders of one instance while it holds the lease.
@@ -199,10 +200,11 @@
 // engine at a time.
 func (o *Orders) change(ctx context.Context, service *routes.Service, engines []place.Server, at fleet.Instant) {
 	bootstrap := at-o.listed < bootstrapTime && o.last.Fence == 1
-	plan := o.Plan
+	tolerance := o.Tolerance
 	if bootstrap {
-		plan.Tolerance = 0
+		tolerance = 0
 	}
+	plan := stageplan.ForSlots(service.Engine.Slots, tolerance)
 	busy := false
 	for _, until := range o.busy {
 		busy = busy || at < until
