Give engines homes in proportion to the speeds that all instances learn

Cause: the engines differ in speed by 2.7 times, and equal numbers of shared parts made the slowest the bottleneck of every ledger-heavy window; each instance saw too few reads to know the speeds. Ruled out: a better division of stages alone (same division before and after). Change: instances exchange what they learned, the mean is the speed, and the rendezvous hash is weighted by it in steps of 1.35. Test first: TestHomesFollowSpeeds.

--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"github.com/bramleywick/bramleywick/core/call"
@@ -45,14 +46,21 @@
 	return id, tokens
 }
 
-// home returns the engine that a part is assigned to, the same on every
-// instance that knows the same engines.
+// speedStep is the ratio between two weights of engines as homes, so that
+// instances with slightly different measurements agree.
+const speedStep = 1.35
+
+// home returns the engine that a part is assigned to, the same on every instance
+// that knows the same engines and speeds. Each engine gets parts in proportion
+// to its speed (weighted rendezvous hash).
 func home(part string, list []*server) *server {
 	var best *server
-	var bestHash uint64
+	bestScore := math.Inf(1)
 	for _, s := range list {
-		if h := membership.Hash(part, string(s.ID)); best == nil || h > bestHash {
-			best, bestHash = s, h
+		weight := math.Pow(speedStep, math.Round(math.Log(s.speed)/math.Log(speedStep)))
+		uniform := (float64(membership.Hash(part, string(s.ID))>>11) + 0.5) / (1 << 53)
+		if score := -math.Log(uniform) / weight; score < bestScore {
+			best, bestScore = s, score
 		}
 	}
 	return best
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -131,6 +131,7 @@
 			continue
 		}
 		s.others[peer] = peerWork{Work: w, heard: now}
+		s.mix()
 	}
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -242,5 +242,21 @@
 		s.Born = 7
 		f.SetServers([]Server{s})
 		So(f.servers["e00"].own, ShouldResemble, Work{})
+		So(f.servers["e00"].speed, ShouldEqual, initialSpeed)
+	})
+}
+
+// TestHomesFollowSpeeds answers fleets bought over years: with equal numbers of
+// parts the slowest engines would be the peak's bottleneck.
+func TestHomesFollowSpeeds(t *testing.T) {
+	Convey("An engine that reads four times as fast is home to more than twice the parts", t, func() {
+		f := newFleet(2, 0)
+		f.SetPeerWork("j", map[fleet.UpstreamID]Work{"e00": {Speed: 80}, "e01": {Speed: 20}}, 0)
+		counts := map[fleet.UpstreamID]int{}
+		for part := range 1000 {
+			counts[home(fmt.Sprint("p", part), f.groups["llm"]).ID]++
+		}
+		So(counts["e00"], ShouldBeGreaterThan, 2*counts["e01"])
+		So(counts["e01"], ShouldBeGreaterThan, 100)
 	})
 }
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -41,6 +41,9 @@
 	Reads [Ranks]float64
 	// Runs is the number of requests that run or wait to run.
 	Runs int
+	// Speed is what the instance has learned of the server's reading, in
+	// prompt tokens per millisecond at the prefill stage; 0 when nothing.
+	Speed float64
 }
 
 // ahead returns the tokens that are read before those of a new request.
@@ -83,9 +86,13 @@
 	Server
 	own    Work
 	others map[fleet.InstanceID]peerWork
-	// speed is in prompt tokens per millisecond at the prefill stage.
-	speed float64
-	cache cache
+	// learned is the own measurement of the speed, in prompt tokens per
+	// millisecond at the prefill stage; speed is the mean over all instances.
+	learned float64
+	speed   float64
+	// taught tells that learned holds a measurement.
+	taught bool
+	cache  cache
 	// available is false while the server is ejected for failures.
 	available bool
 	// latency is the mean time of answers of a plain service.
@@ -94,7 +101,7 @@
 
 func newServer(s Server) *server {
 	return &server{
-		Server: s, others: map[fleet.InstanceID]peerWork{}, speed: initialSpeed,
+		Server: s, others: map[fleet.InstanceID]peerWork{}, speed: initialSpeed, learned: initialSpeed,
 		cache: newCache(), available: true,
 	}
 }
@@ -119,7 +126,27 @@
 func (s *server) learn(tokens float64, took time.Duration) {
 	ms := float64(max(took-callOverhead, time.Millisecond)) / float64(time.Millisecond)
 	measured := min(max(tokens/ms, minSpeed), maxSpeed)
-	s.speed += speedWeight * (measured - s.speed)
+	s.learned += speedWeight * (measured - s.learned)
+	s.taught = true
+	s.own.Speed = s.learned
+	s.mix()
+}
+
+// mix takes the mean of what all instances have learned: each sees only its own
+// part of the requests, and all should agree on the homes of shared parts.
+func (s *server) mix() {
+	sum, n := 0.0, 0
+	if s.taught {
+		sum, n = s.learned, 1
+	}
+	for _, w := range s.others {
+		if w.Speed > 0 {
+			sum, n = sum+w.Speed, n+1
+		}
+	}
+	if n > 0 {
+		s.speed = sum / float64(n)
+	}
 }
 
 // EjectConfig ejects a server after two failures in a row for half a second at
