Exchange load and follow the store through a hub in each data centre

Ruled out: a longer interval alone (calls fall, but loads are then seconds old and grow with the square all the same). Change: above twelve instances each talks to the hub of its data centre, the instance with most processor; hubs sum their data centre's work and answer for the changes of the store from what they have followed, and an instance asks the store itself when its hub has not heard of it for 2.1 s.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -135,12 +135,42 @@
 	}
 }
 
-// OwnWork returns what this instance has under way, for the others.
-func (f *Fleet) OwnWork() map[fleet.UpstreamID]Work {
+// Work returns what this instance has under way, and what other instances have
+// that include names.
+func (f *Fleet) Work(include func(fleet.InstanceID) bool, now fleet.Instant) map[fleet.UpstreamID]Work {
 	out := map[fleet.UpstreamID]Work{}
 	for id, s := range f.servers {
-		if s.own != (Work{}) {
-			out[id] = s.own
+		total := s.own
+		speeds := 0
+		if total.Speed > 0 {
+			speeds = 1
+		}
+		for peer, w := range s.others {
+			if now-w.heard > peerWorkTTL || !include(peer) {
+				continue
+			}
+			total.plus(w.Work)
+			if w.Speed > 0 {
+				total.Speed += w.Speed
+				speeds++
+			}
+		}
+		if speeds > 0 {
+			total.Speed /= float64(speeds)
+		}
+		if total != (Work{}) {
+			out[id] = total
+		}
+	}
+	return out
+}
+
+// Held returns the engines that are held, and for how long from now.
+func (f *Fleet) Held(now fleet.Instant) map[fleet.UpstreamID]time.Duration {
+	out := map[fleet.UpstreamID]time.Duration{}
+	for id, until := range f.held {
+		if f.isHeld(id, now) {
+			out[id] = until - now
 		}
 	}
 	return out
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -55,6 +55,14 @@
 	return sum
 }
 
+// plus adds another instance's requests.
+func (w *Work) plus(other Work) {
+	for i := range w.Reads {
+		w.Reads[i] += other.Reads[i]
+	}
+	w.Runs += other.Runs
+}
+
 func (w *Work) add(rank int, tokens float64) {
 	i := min(max(rank, 0), Ranks-1)
 	w.Reads[i] = max(w.Reads[i]+tokens, 0)
@@ -114,10 +122,7 @@
 			delete(s.others, id)
 			continue
 		}
-		for i := range total.Reads {
-			total.Reads[i] += w.Reads[i]
-		}
-		total.Runs += w.Runs
+		total.plus(w.Work)
 	}
 	return total
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,6 +27,8 @@
 	// watchWait is how long the store may hold a watch. A silent connection is
 	// noticed at its end, and the operators' bound for a change is 2 s.
 	watchWait = 1500 * time.Millisecond
+	// gather is the wait after changes before the next call.
+	gather = 100 * time.Millisecond
 	// firstPause and lastPause bound the wait after a failed call.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 500 * time.Millisecond
@@ -52,6 +54,8 @@
 	DataCentre fleet.DataCentre `json:"data_centre"`
 	// Address is where it listens for other instances.
 	Address string `json:"address"`
+	// Cores is its processor in cores.
+	Cores float64 `json:"cores"`
 }
 
 // Observer is told of changes. The calls come from one goroutine at a time.
@@ -67,6 +71,9 @@
 	Decoder  Decoder
 	Observer Observer
 	Log      *zap.Logger
+	// Hub, which may be nil, follows the store for this instance; it fails
+	// with store.ErrUnavailable when there is none or it does not know.
+	Hub func(ctx context.Context, after int64, wait time.Duration) ([]store.Change, int64, error)
 	// SuspectTime is how long a server whose entry was lost with many others
 	// may still be used.
 	SuspectTime time.Duration
@@ -86,6 +93,7 @@
 	// logged once.
 	unreadable map[string]bool
 	start      time.Time
+	history    history
 	connected  bool
 	synced     atomic.Bool
 }
@@ -94,7 +102,7 @@
 func New(o Options) *Directory {
 	return &Directory{
 		Options: o, list: listing.New(listing.Config{SuspectTime: o.SuspectTime}),
-		instances: map[string]Instance{}, present: map[string]bool{}, unreadable: map[string]bool{}, start: time.Now(),
+		instances: map[string]Instance{}, present: map[string]bool{}, unreadable: map[string]bool{}, start: time.Now(), history: newHistory(),
 	}
 }
 
@@ -145,20 +153,48 @@
 		if err == nil {
 			d.found()
 			d.replace(entries)
+			d.history.restart(at)
 		}
 		return at, err
 	}
-	changes, at, err := d.Store.WatchPrefix(ctx, "", revision, watchWait)
+	changes, at, err := d.changes(ctx, revision)
 	if err != nil {
 		return 0, err
 	}
 	d.found()
-	if len(changes) > 0 {
-		d.apply(changes)
+	if len(changes) == 0 {
+		d.history.add(nil, max(at, revision))
+		return max(at, revision), nil
+	}
+	d.apply(changes)
+	d.history.add(changes, at)
+	// Changes often come together; one call takes all of the pause.
+	select {
+	case <-ctx.Done():
+	case <-time.After(gather):
 	}
 	return max(at, revision), nil
 }
 
+// changes asks the hub, where there is one that knows, and else the store.
+func (d *Directory) changes(ctx context.Context, revision int64) ([]store.Change, int64, error) {
+	if d.Hub != nil {
+		changes, at, err := d.Hub(ctx, revision, watchWait)
+		if !errors.Is(err, store.ErrUnavailable) {
+			return changes, at, err
+		}
+	}
+	return d.Store.WatchPrefix(ctx, "", revision, watchWait)
+}
+
+// After returns the changes after a revision that this instance has followed, as
+// soon as there is one or after wait. store.ErrUnavailable means that the
+// instance itself has not heard of the store lately, store.ErrCompacted that it
+// does not keep changes from so long ago.
+func (d *Directory) After(ctx context.Context, revision int64, wait time.Duration) ([]store.Change, int64, error) {
+	return d.history.after(ctx, revision, wait)
+}
+
 func (d *Directory) lost(err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/directory/history.go
@@ -0,0 +1,95 @@
+package directory
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bramleywick/bramleywick/store"
+)
+
+const (
+	// keptChanges bounds the changes that are kept for instances that follow
+	// the store through this one.
+	keptChanges = 1024
+	// staleTime is how long after its last contact with the store an instance
+	// passes on what it knows: a watch and some time for its answer.
+	staleTime = watchWait + 600*time.Millisecond
+)
+
+// history keeps the newest changes. Safe for concurrent use.
+type history struct {
+	mu sync.Mutex
+	// changes are complete after revision from, up to revision to.
+	changes  []store.Change
+	from, to int64
+	heard    time.Time
+	// changed is closed at the next change.
+	changed chan struct{}
+}
+
+func newHistory() history { return history{changed: make(chan struct{})} }
+
+// restart forgets all changes: everything was read anew at a revision.
+func (h *history) restart(at int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changes, h.from, h.to, h.heard = nil, at, at, time.Now()
+	h.wake()
+}
+
+// add appends the changes up to a revision; none when there was no change.
+func (h *history) add(changes []store.Change, at int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard = time.Now()
+	h.to = max(h.to, at)
+	if len(changes) == 0 {
+		return
+	}
+	h.changes = append(h.changes, changes...)
+	if over := len(h.changes) - keptChanges; over > 0 {
+		h.from = h.changes[over-1].Revision
+		h.changes = append([]store.Change(nil), h.changes[over:]...)
+	}
+	h.wake()
+}
+
+func (h *history) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+func (h *history) after(ctx context.Context, revision int64, wait time.Duration) ([]store.Change, int64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for ended := false; ; {
+		h.mu.Lock()
+		changed := h.changed
+		stale := time.Since(h.heard) > staleTime
+		compacted := revision < h.from
+		to := max(h.to, revision)
+		var out []store.Change
+		for _, c := range h.changes {
+			if c.Revision > revision {
+				out = append(out, c)
+			}
+		}
+		h.mu.Unlock()
+		switch {
+		case stale:
+			return nil, 0, store.ErrUnavailable
+		case compacted:
+			return nil, 0, store.ErrCompacted
+		case len(out) > 0 || ended:
+			return out, to, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			ended = true
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -23,14 +23,11 @@
 	told func(loadshare.Note)
 	// instances is the number of instances that the directory lists.
 	instances int
-	// ordered are the engines that this instance orders out of service, and
-	// until when.
-	ordered map[fleet.UpstreamID]fleet.Instant
 }
 
 // NewState returns a state without servers.
 func NewState(p place.Config, b budget.Config) *State {
-	return &State{fleet: place.New(p), budget: budget.New(b, minInstances), start: time.Now(), instances: minInstances, ordered: map[fleet.UpstreamID]fleet.Instant{}}
+	return &State{fleet: place.New(p), budget: budget.New(b, minInstances), start: time.Now(), instances: minInstances}
 }
 
 // minInstances is assumed until the directory lists more: shares of budgets and
@@ -70,10 +67,10 @@
 }
 
 // Work implements loadshare.View.
-func (s *State) Work() map[fleet.UpstreamID]place.Work {
+func (s *State) Work(include func(fleet.InstanceID) bool) map[fleet.UpstreamID]place.Work {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.fleet.OwnWork()
+	return s.fleet.Work(include, s.now())
 }
 
 // Heard implements loadshare.View.
@@ -93,7 +90,6 @@
 func (s *State) Hold(id fleet.UpstreamID, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ordered[id] = s.now() + d
 	s.fleet.Hold(id, s.now()+d)
 }
 
@@ -101,15 +97,7 @@
 func (s *State) Held() map[fleet.UpstreamID]time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := map[fleet.UpstreamID]time.Duration{}
-	for id, until := range s.ordered {
-		if left := until - s.now(); left > 0 {
-			out[id] = left
-		} else {
-			delete(s.ordered, id)
-		}
-	}
-	return out
+	return s.fleet.Held(s.now())
 }
 
 // Engines returns the engines of a service.
--- /dev/null
+++ b/loadshare/hub.go
@@ -0,0 +1,87 @@
+package loadshare
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleywick/bramleywick/store"
+)
+
+// Hub asks the hub of this instance's data centre for changes of the store, over
+// a connection of its own.
+type Hub struct {
+	exchange *Exchange
+	mu       sync.Mutex
+	address  string
+	client   *rpc.Client
+	conn     net.Conn
+}
+
+// Hub returns the client of the hub.
+func (e *Exchange) Hub() *Hub { return &Hub{exchange: e} }
+
+// After returns the changes that the hub has followed after a revision.
+// store.ErrUnavailable means that the store has to be asked itself.
+func (h *Hub) After(ctx context.Context, revision int64, wait time.Duration) ([]store.Change, int64, error) {
+	client, conn, err := h.connect(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	if err := conn.SetDeadline(time.Now().Add(wait + callTimeout)); err != nil {
+		return nil, 0, h.drop(err)
+	}
+	var out Told
+	if err := client.Call(name+".Changes", Ask{Revision: revision, Wait: wait}, &out); err != nil {
+		return nil, 0, h.drop(err)
+	}
+	switch {
+	case out.Compacted:
+		return nil, 0, store.ErrCompacted
+	case out.Fault != "":
+		return nil, 0, errors.Wrap(store.ErrUnavailable, "hub: "+out.Fault)
+	}
+	return out.Changes, out.Revision, nil
+}
+
+// connect returns the connection to the present hub.
+func (h *Hub) connect(ctx context.Context) (*rpc.Client, net.Conn, error) {
+	h.exchange.mu.Lock()
+	hub := h.exchange.place.Hub
+	address := h.exchange.address[hub]
+	h.exchange.mu.Unlock()
+	if hub == "" || address == "" {
+		return nil, nil, errors.Wrap(store.ErrUnavailable, "no hub")
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.client != nil && h.address == address {
+		return h.client, h.conn, nil
+	}
+	if h.client != nil {
+		_ = h.client.Close()
+		h.client = nil
+	}
+	dialer := net.Dialer{Timeout: callTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, nil, errors.Wrapf(store.ErrUnavailable, "hub %s: %v", hub, err)
+	}
+	h.client, h.conn, h.address = rpc.NewClient(conn), conn, address
+	return h.client, h.conn, nil
+}
+
+// drop ends a connection that failed.
+func (h *Hub) drop(err error) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.client != nil {
+		_ = h.client.Close()
+		h.client = nil
+	}
+	return errors.Wrapf(store.ErrUnavailable, "hub: %v", err)
+}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -1,5 +1,7 @@
 // Package loadshare tells the instances of a deployment what each of them has
-// under way at the servers, several times a second over net/rpc. Placement
+// under way at the servers, several times a second over net/rpc. In a large
+// deployment the hub of a data centre passes on what it hears, and what it
+// follows in the store. Placement
 // needs it because a server's own report of its load is late and a caller's
 // share of the traffic is uneven. Nothing depends on it for correctness: an
 // instance that hears nothing decides by its own requests.
@@ -9,6 +11,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +20,9 @@
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/place"
+	"github.com/bramleywick/bramleywick/core/topology"
 	"github.com/bramleywick/bramleywick/directory"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 const (
@@ -39,8 +44,14 @@
 	Server fleet.UpstreamID
 	Part   string
 	Tokens int
+	// Hops is how often the note was passed on: once from an instance to its
+	// hub, once between hubs and once from a hub to its instances.
+	Hops int
 }
 
+// maxHops ends the way of a note.
+const maxHops = 3
+
 // Report is what an instance tells another.
 type Report struct {
 	From fleet.InstanceID
@@ -54,8 +65,9 @@
 
 // View is the instance's own state.
 type View interface {
-	// Work returns what the instance has under way.
-	Work() map[fleet.UpstreamID]place.Work
+	// Work returns what the instance has under way, and what those of others
+	// have that include names.
+	Work(include func(fleet.InstanceID) bool) map[fleet.UpstreamID]place.Work
 	// Held returns the engines that this instance has ordered out of service,
 	// and for how long from now.
 	Held() map[fleet.UpstreamID]time.Duration
@@ -76,12 +88,20 @@
 	cursors map[fleet.InstanceID]int64
 	peers   map[fleet.InstanceID]context.CancelFunc
 	address map[fleet.InstanceID]string
+	place   topology.Topology
+	changes Changes
+}
+
+// Changes is the followed state of the store, which a hub passes on.
+type Changes interface {
+	// After returns the changes after a revision, as directory.After does.
+	After(ctx context.Context, revision int64, wait time.Duration) ([]store.Change, int64, error)
 }
 
 // New returns an exchange without peers.
-func New(self fleet.InstanceID, view View, log *zap.Logger) *Exchange {
+func New(self fleet.InstanceID, view View, changes Changes, log *zap.Logger) *Exchange {
 	return &Exchange{
-		self: self, view: view, log: log, cursors: map[fleet.InstanceID]int64{},
+		self: self, view: view, changes: changes, log: log, cursors: map[fleet.InstanceID]int64{},
 		peers: map[fleet.InstanceID]context.CancelFunc{}, address: map[fleet.InstanceID]string{},
 	}
 }
@@ -97,15 +117,41 @@
 	}
 }
 
-// report returns the report for one instance.
+// report returns the report for one instance. A hub adds to its own work that of
+// its data centre for other hubs, and everything for its own instances.
 func (e *Exchange) report(to fleet.InstanceID) Report {
-	r := Report{From: e.self, Work: e.view.Work(), Held: e.view.Held()}
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	place := e.place
 	from := max(e.cursors[to], e.first)
-	r.Notes = append(r.Notes, e.notes[from-e.first:]...)
+	var notes []Note
+	for _, n := range e.notes[from-e.first:] {
+		if place.Hubs[to] && n.Hops > 1 {
+			continue // heard from a hub, which tells the others itself
+		}
+		notes = append(notes, n)
+	}
 	e.cursors[to] = e.first + int64(len(e.notes))
-	return r
+	e.mu.Unlock()
+	include := func(id fleet.InstanceID) bool {
+		return place.IsHub && id != to && !(place.Hubs[to] && place.Hubs[id])
+	}
+	return Report{From: e.self, Work: e.view.Work(include), Held: e.view.Held(), Notes: notes}
+}
+
+// hear takes a report and passes its notes on where this instance is a hub.
+func (e *Exchange) hear(r Report) {
+	e.view.Heard(r)
+	e.mu.Lock()
+	hub := e.place.IsHub
+	e.mu.Unlock()
+	if !hub {
+		return
+	}
+	for _, n := range r.Notes {
+		if n.Hops++; n.Hops < maxHops {
+			e.Add(n)
+		}
+	}
 }
 
 // service is what net/rpc serves.
@@ -113,11 +159,43 @@
 
 // Exchange takes a report and answers with this instance's.
 func (s service) Exchange(in Report, out *Report) error {
-	s.e.view.Heard(in)
+	s.e.hear(in)
 	*out = s.e.report(in.From)
 	return nil
 }
 
+// Ask asks a hub for the changes of the store after a revision.
+type Ask struct {
+	Revision int64
+	Wait     time.Duration
+}
+
+// Told answers Ask.
+type Told struct {
+	Changes  []store.Change
+	Revision int64
+	// Compacted tells that the hub does not have the changes any more.
+	Compacted bool
+	// Fault is why the hub does not know; "" when it does.
+	Fault string
+}
+
+// Changes answers an instance that follows the store through its hub.
+func (s service) Changes(in Ask, out *Told) error {
+	changes, revision, err := s.e.changes.After(context.Background(), in.Revision, min(in.Wait, maxWait))
+	out.Changes, out.Revision = changes, revision
+	switch {
+	case errors.Is(err, store.ErrCompacted):
+		out.Compacted = true
+	case err != nil:
+		out.Fault = err.Error()
+	}
+	return nil
+}
+
+// maxWait bounds how long a hub lets an instance wait for a change.
+const maxWait = 2 * time.Second
+
 // Serve answers other instances until the listener is closed.
 func (e *Exchange) Serve(l net.Listener) {
 	server := rpc.NewServer()
@@ -148,14 +226,23 @@
 	return c.Conn.Read(p)
 }
 
-// SetPeers starts the exchange with new instances and ends it with those that
-// are gone. Of a pair, the instance with the lower id calls.
+// SetPeers starts the exchange with the instances that this one calls, and ends
+// it with those that it calls no more.
 func (e *Exchange) SetPeers(ctx context.Context, list []directory.Instance) {
+	all := make([]topology.Instance, 0, len(list))
+	for _, i := range list {
+		all = append(all, topology.Instance{ID: i.ID, DataCentre: i.DataCentre, Cores: i.Cores})
+	}
+	place := topology.Of(e.self, all)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if place.Hub != e.place.Hub || place.IsHub != e.place.IsHub {
+		e.log.Info("place among instances", zap.String("hub", string(place.Hub)), zap.Bool("is_hub", place.IsHub), zap.Int("instances", len(list)))
+	}
+	e.place = place
 	seen := map[fleet.InstanceID]bool{}
 	for _, i := range list {
-		if i.ID <= e.self {
+		if !slices.Contains(place.Calls, i.ID) {
 			continue
 		}
 		seen[i.ID] = true
@@ -223,7 +310,7 @@
 		if err := client.Call(name+".Exchange", e.report(i.ID), &answer); err != nil {
 			return errors.Wrapf(err, "exchange with %s", i.ID)
 		}
-		e.view.Heard(answer)
+		e.hear(answer)
 		if err := pause(ctx, interval); err != nil {
 			return err
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -131,7 +131,8 @@
 		Store: n.store, Decoder: p.Documents, Observer: n, Log: log,
 		SuspectTime: time.Duration(suspectShare * float64(s.DrainBound)),
 	})
-	n.exchange = loadshare.New(s.Instance, n.state, log)
+	n.exchange = loadshare.New(s.Instance, n.state, n.directory, log)
+	n.directory.Hub = n.exchange.Hub().After
 	n.state.Tell(n.exchange.Add)
 	n.gateway = gateway.New(gateway.Options{
 		Wire: p.Wire, Table: n.directory.Table, Pool: pool, State: n.state, Observer: n.metrics, Log: log,
@@ -189,7 +190,7 @@
 }
 
 func (n *Node) self() directory.Instance {
-	return directory.Instance{ID: n.settings.Instance, DataCentre: n.settings.DataCentre, Address: n.settings.PeerListen}
+	return directory.Instance{ID: n.settings.Instance, DataCentre: n.settings.DataCentre, Address: n.settings.PeerListen, Cores: n.settings.Cores}
 }
 
 type listeners struct{ callers, ready, peers, metrics net.Listener }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -25,6 +25,8 @@
 	MetricsListen string
 	// Store is the address of the platform's store.
 	Store string
+	// Cores is the processor in cores of this machine.
+	Cores float64
 	// MemoryBytes and Descriptors are the process's limits.
 	MemoryBytes int64
 	Descriptors int
