--- a/core/place/cache.go
+++ b/core/place/cache.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// drop forgets the parts of a prompt.
+func (c *cache) drop(r *call.Request) {
+	for _, p := range r.Parts {
+		delete(c.used, p.ID)
+	}
+}
+
 // note marks a part as used just now.
 func (c *cache) note(id string, tokens int) {
 	if tokens < minPartTokens {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -312,14 +312,12 @@
 	}
 }
 
-// Read learns from a prompt that was read: what the engine keeps now, and its
-// speed.
-func (f *Fleet) Read(c Choice, r *call.Request, took time.Duration) {
+// Read learns an engine's speed from a prompt that was read.
+func (f *Fleet) Read(c Choice, took time.Duration) {
 	s := f.servers[c.Server.ID]
 	if s == nil || s.Born != c.Server.Born {
 		return
 	}
-	s.cache.use(r, f.instances-1)
 	tokens := c.Ahead + c.Uncached
 	if tokens < minLearnTokens {
 		return
@@ -330,12 +328,20 @@
 	s.learn(tokens, took)
 }
 
-// Fetched notes that an engine got a prompt's KV cache from another.
-func (f *Fleet) Fetched(id fleet.UpstreamID, r *call.Request) {
+// Keeps notes that an engine is about to keep a prompt: it was sent the prompt or
+// got the KV cache of another engine. Requests that follow are read after it.
+func (f *Fleet) Keeps(id fleet.UpstreamID, r *call.Request) {
 	if s := f.servers[id]; s != nil {
 		s.cache.use(r, f.instances-1)
 	}
 }
 
+// Lost notes that an engine did not read a prompt after all.
+func (f *Fleet) Lost(id fleet.UpstreamID, r *call.Request) {
+	if s := f.servers[id]; s != nil {
+		s.cache.drop(r)
+	}
+}
+
 // minLearnTokens is the shortest read whose duration tells a speed.
 const minLearnTokens = 400
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -77,7 +77,7 @@
 				continue
 			}
 			f.End(x.c.Server.ID, x.r.Rank, x.c.Uncached)
-			f.Read(x.c, x.r, x.end-x.sent+callOverhead)
+			f.Read(x.c, x.end-x.sent+callOverhead)
 		}
 		open = kept
 		random = random*6364136223846793005 + 1442695040888963407
@@ -99,6 +99,7 @@
 		}
 		known[part][c.Server.ID] = true
 		f.Begin(c.Server.ID, r.Rank, c.Uncached)
+		f.Keeps(c.Server.ID, r)
 		free[c.Server.ID] = max(free[c.Server.ID], now) + ms(c.Uncached, speed)
 		open = append(open, running{c, r, free[c.Server.ID], now})
 	}
@@ -149,12 +150,12 @@
 			So(string(c.Server.ID), ShouldNotEqual, string(at.Server.ID))
 		})
 		Convey("costs only the rest once it was read", func() {
-			f.Read(at, r, time.Second)
+			f.Keeps(at.Server.ID, r)
 			c, _ := f.Prefill("llm", prompt(2, 1, 13300, 500), 0, nil)
 			So(c.Uncached, ShouldEqual, 500)
 		})
 		Convey("is forgotten when as much as the memory holds was read since", func() {
-			f.Read(at, r, time.Second)
+			f.Keeps(at.Server.ID, r)
 			for i := range 40 {
 				f.servers[at.Server.ID].cache.use(prompt(1000+i, 1000+i, 13300, 100), 0)
 			}
@@ -227,10 +228,9 @@
 func TestLearning(t *testing.T) {
 	Convey("Speeds are learned from the time that prompts take", t, func() {
 		f := newFleet(2, 0)
-		r := prompt(1, 1, 0, 8000)
 		for range 60 {
-			f.Read(Choice{Server: f.servers["e00"].Server, Uncached: 8000}, r, callOverhead+100*time.Millisecond)
-			f.Read(Choice{Server: f.servers["e01"].Server, Uncached: 8000}, r, callOverhead+400*time.Millisecond)
+			f.Read(Choice{Server: f.servers["e00"].Server, Uncached: 8000}, callOverhead+100*time.Millisecond)
+			f.Read(Choice{Server: f.servers["e01"].Server, Uncached: 8000}, callOverhead+400*time.Millisecond)
 		}
 		So(f.servers["e00"].speed, ShouldAlmostEqual, 80, 1)
 		So(f.servers["e01"].speed, ShouldAlmostEqual, 20, 1)
@@ -260,3 +260,33 @@
 		So(counts["e01"], ShouldBeGreaterThan, 100)
 	})
 }
+
+// TestFirstReads answers the start of a day and the return of a fleet: hundreds
+// of shared parts that no engine keeps yet.
+func TestFirstReads(t *testing.T) {
+	Convey("A shared part that no engine keeps", t, func() {
+		f := newFleet(8, 0)
+		r := prompt(1, 1, 13300, 3700)
+		at, _ := f.Prefill("llm", r, 0, nil)
+		for id := range f.servers {
+			f.Begin(id, 1, 4_000)
+		}
+		Convey("is read elsewhere when its home is behind the others", func() {
+			f.Begin(at.Server.ID, 1, 10_000)
+			c, _ := f.Prefill("llm", r, 0, nil)
+			So(string(c.Server.ID), ShouldNotEqual, string(at.Server.ID))
+			Convey("and is then used there, not read again at home", func() {
+				f.Keeps(c.Server.ID, r)
+				f.End(at.Server.ID, 1, 14_000)
+				again, _ := f.Prefill("llm", prompt(2, 1, 13300, 3700), 0, nil)
+				So(string(again.Server.ID), ShouldEqual, string(c.Server.ID))
+				So(again.Reason, ShouldEqual, ReasonKept)
+			})
+		})
+		Convey("is read at home when that is only a little behind", func() {
+			f.Begin(at.Server.ID, 1, 1_000)
+			c, _ := f.Prefill("llm", r, 0, nil)
+			So(string(c.Server.ID), ShouldEqual, string(at.Server.ID))
+		})
+	})
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -114,6 +114,7 @@
 	began := time.Now()
 	read, end := p.g.State.begin(c.Server.ID, p.req.Rank, c.Uncached)
 	defer end()
+	p.g.State.keeps(c.Server.ID, &p.req)
 	ctx, stop := context.WithTimeout(p.ctx, time.Duration(stallShare*float64(p.left())))
 	defer stop()
 	answer, res, err := p.send(ctx, c.Server, call.Send{Priority: priority(p.route.Priority), PrefillOnly: true})
@@ -129,10 +130,12 @@
 	switch {
 	case p.source != nil:
 		p.g.State.good(c.Server.ID)
-		p.g.State.read(c, &p.req, time.Since(began))
+		p.g.State.read(c, time.Since(began))
 	case res == resultNotRun:
+		p.g.State.lost(c.Server.ID, &p.req)
 		p.tried = append(p.tried, c.Server.ID)
 	default:
+		p.g.State.lost(c.Server.ID, &p.req)
 		p.blame(c.Server.ID, err)
 	}
 	return res
@@ -304,7 +307,8 @@
 // firstEvent learns from the time to the first event.
 func (p *passage) firstEvent(c place.Choice, source *call.Source, began time.Time) {
 	if source == nil {
-		p.g.State.read(c, &p.req, time.Since(began))
+		p.g.State.read(c, time.Since(began))
+		p.g.State.keeps(c.Server.ID, &p.req)
 	} else {
 		p.g.State.fetched(c.Server.ID, &p.req)
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -180,24 +180,38 @@
 // tellTokens is the least length of a part that other instances are told of.
 const tellTokens = 24
 
-func (s *State) read(c place.Choice, r *call.Request, took time.Duration) {
+// keeps notes that an engine is about to keep a prompt that it reads, and tells
+// the other instances, so that a burst of requests for one part goes to one engine.
+func (s *State) keeps(id fleet.UpstreamID, r *call.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet.Read(c, r, took)
+	s.fleet.Keeps(id, r)
 	if s.told == nil {
 		return
 	}
 	for i, p := range r.Parts {
 		if p.Tokens >= tellTokens && i < len(r.Parts)-1 {
-			s.told(loadshare.Note{Server: c.Server.ID, Part: p.ID, Tokens: p.Tokens})
+			s.told(loadshare.Note{Server: id, Part: p.ID, Tokens: p.Tokens})
 		}
 	}
 }
 
+func (s *State) lost(id fleet.UpstreamID, r *call.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Lost(id, r)
+}
+
+func (s *State) read(c place.Choice, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Read(c, took)
+}
+
 func (s *State) fetched(id fleet.UpstreamID, r *call.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet.Fetched(id, r)
+	s.fleet.Keeps(id, r)
 }
 
 const (
