Read first copies at their homes again

Ruled out: telling at sending instead of at the end, which stays and cuts only the reads of one instance. Change: a copy away from home costs the same whether or not the part is kept.

--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -13,13 +13,9 @@
 const (
 	// decodeReadFactor is how much slower an engine at the decode stage reads.
 	decodeReadFactor = 2.0
-	// spreadCost is charged for a second copy of a shared part, as a share of
-	// the time to read it: the copy takes memory from other parts.
+	// spreadCost is charged for a copy of a shared part away from its home, as
+	// a share of the time to read it: the copy takes memory from other parts.
 	spreadCost = 0.6
-	// awayCost is charged for the first reading of a shared part at an engine
-	// that is not its home. Until the others hear of it, they look for it at
-	// its home.
-	awayCost = 150 * time.Millisecond
 	// crowdWait is the mean wait at which a second copy of a shared part costs
 	// twice the time to read it.
 	crowdWait = 80 * time.Millisecond
@@ -88,7 +84,7 @@
 	list := f.usable(group, now, skip, fits)
 	part, shared := sharedPart(r)
 	at := home(part, list)
-	copyCost := f.copyCost(list, part, factor, now)
+	copyCost := f.copyCost(list, factor, now)
 	var best Choice
 	var bestScore time.Duration
 	for _, s := range list {
@@ -104,12 +100,8 @@
 			reason = ReasonHome
 		case s.cache.holds(part):
 			reason = ReasonKept
-		}
-		if !s.cache.holds(part) {
+		default:
 			score += time.Duration(float64(ms(shared, speed)) * copyCost)
-			if s != at {
-				score += awayCost
-			}
 		}
 		if s.DataCentre != f.config.DataCentre {
 			score += crossPenalty
@@ -125,19 +117,18 @@
 	return best, best.Candidates > 0
 }
 
-// copyCost is what reading a shared part costs besides its own wait, as a share
-// of the time to read it: nothing while no engine keeps the part, and else more
-// the more waits at the engines. While nothing waits, a second copy only takes
-// memory; at the peak it costs every request behind it.
-func (f *Fleet) copyCost(list []*server, part string, factor float64, now fleet.Instant) float64 {
+// copyCost is what reading a shared part away from its home costs besides the
+// wait, as a share of the time to read it: more, the more waits at the engines.
+// While nothing waits, a second copy only takes memory; at the peak it costs
+// every request behind it. A first copy costs the same: instances that do not
+// agree on its place read it several times.
+func (f *Fleet) copyCost(list []*server, factor float64, now fleet.Instant) float64 {
 	tokens, speed := 0.0, 0.0
-	kept := false
 	for _, s := range list {
 		tokens += s.work(now).ahead(Ranks - 1)
 		speed += s.speed / factor
-		kept = kept || s.cache.holds(part)
 	}
-	if !kept || speed == 0 {
+	if speed == 0 {
 		return 0
 	}
 	return spreadCost + float64(ms(tokens, speed))/float64(crowdWait)
