--- /dev/null
+++ b/loadshare/loadshare_test.go
@@ -0,0 +1,142 @@
+package loadshare
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/place"
+	"github.com/bramleywick/bramleywick/directory"
+	"github.com/bramleywick/bramleywick/store"
+)
+
+// fleetView is one instance's view with one server "s" that reads for it.
+type fleetView struct {
+	mu    sync.Mutex
+	fleet *place.Fleet
+	start time.Time
+	notes []Note
+}
+
+func newView() *fleetView {
+	v := &fleetView{fleet: place.New(place.Config{}), start: time.Now()}
+	v.fleet.SetServers([]place.Server{{ID: "s", Group: "g", Stage: fleet.RolePrefill}})
+	v.fleet.Begin("s", 0, 100)
+	return v
+}
+
+func (v *fleetView) Work(include func(fleet.InstanceID) bool) map[fleet.UpstreamID]place.Work {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.Work(include, time.Since(v.start))
+}
+
+func (v *fleetView) Held() map[fleet.UpstreamID]time.Duration { return nil }
+
+func (v *fleetView) Heard(r Report) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.fleet.SetPeerWork(r.From, r.Work, time.Since(v.start))
+	v.notes = append(v.notes, r.Notes...)
+}
+
+// total is the tokens that the instance believes are under way.
+func (v *fleetView) total() float64 {
+	return v.Work(func(fleet.InstanceID) bool { return true })["s"].Reads[0]
+}
+
+func (v *fleetView) heardOf(part string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, note := range v.notes {
+		if note.Part == part {
+			n++
+		}
+	}
+	return n
+}
+
+type noChanges struct{}
+
+func (noChanges) After(context.Context, int64, time.Duration) ([]store.Change, int64, error) {
+	return []store.Change{{Entry: store.Entry{Key: "k", Revision: 7}}}, 7, nil
+}
+
+// start runs n instances in the given number of data centres.
+func start(ctx context.Context, n, centres int) ([]*fleetView, []*Exchange) {
+	var views []*fleetView
+	var exchanges []*Exchange
+	var list []directory.Instance
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		context.AfterFunc(ctx, func() { _ = l.Close() })
+		id := fleet.InstanceID(fmt.Sprintf("i%02d", i))
+		v := newView()
+		e := New(id, v, noChanges{}, zap.NewNop())
+		go e.Serve(l)
+		views, exchanges = append(views, v), append(exchanges, e)
+		list = append(list, directory.Instance{ID: id, DataCentre: fleet.DataCentre(fmt.Sprint("dc", i%centres)), Address: l.Addr().String()})
+	}
+	for _, e := range exchanges {
+		e.SetPeers(ctx, list)
+	}
+	return views, exchanges
+}
+
+func await(holds func() bool) bool {
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return true
+		}
+	}
+	return false
+}
+
+// TestExchange checks that each instance learns the work of all others exactly
+// once, in a mesh and through hubs.
+func TestExchange(t *testing.T) {
+	for _, c := range []struct{ n, centres int }{{2, 1}, {8, 3}, {20, 3}} {
+		Convey(fmt.Sprintf("Among %d instances in %d data centres", c.n, c.centres), t, func() {
+			ctx, stop := context.WithCancel(context.Background())
+			Reset(stop)
+			views, exchanges := start(ctx, c.n, c.centres)
+			for i, v := range views {
+				if !await(func() bool { return v.total() == float64(100*c.n) }) {
+					t.Errorf("instance %d believes in %v tokens of %d", i, v.total(), 100*c.n)
+				}
+			}
+			exchanges[c.n-1].Add(Note{Server: "s", Part: "p", Tokens: 5})
+			for _, v := range views[:c.n-1] {
+				So(await(func() bool { return v.heardOf("p") > 0 }), ShouldBeTrue)
+			}
+		})
+	}
+}
+
+// TestHubAnswersForTheStore checks the way of an instance to its hub.
+func TestHubAnswersForTheStore(t *testing.T) {
+	Convey("In a large deployment", t, func() {
+		ctx, stop := context.WithCancel(context.Background())
+		Reset(stop)
+		_, exchanges := start(ctx, 14, 1)
+		Convey("an instance learns changes from its hub", func() {
+			changes, revision, err := exchanges[5].Hub().After(ctx, 3, time.Second)
+			So(err, ShouldBeNil)
+			So(revision, ShouldEqual, 7)
+			So(changes[0].Key, ShouldEqual, "k")
+		})
+		Convey("the hub itself asks the store", func() {
+			_, _, err := exchanges[0].Hub().After(ctx, 3, time.Second)
+			So(err, ShouldNotBeNil)
+		})
+	})
+}
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is what a proxy does to connections.
+type mode uint8
+
+const (
+	pass mode = iota
+	// silent holds all bytes back and takes no new connection.
+	silent
+	// reset ends all connections and refuses new ones.
+	reset
+	// slow delays all bytes.
+	slow
+)
+
+var modeNames = [...]string{"pass", "silent", "reset", "slow"}
+
+const slowDelay = 150 * time.Millisecond
+
+// proxy passes TCP connections on to one address.
+type proxy struct {
+	listener net.Listener
+	to       string
+	mu       sync.Mutex
+	mode     mode
+	changed  *sync.Cond
+	conns    map[net.Conn]bool
+}
+
+func newProxy(to string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, to: to, conns: map[net.Conn]bool{}}
+	p.changed = sync.NewCond(&p.mu)
+	go p.run()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	if m == reset {
+		for c := range p.conns {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}
+	p.changed.Broadcast()
+}
+
+// wait returns once bytes may pass.
+func (p *proxy) wait() {
+	p.mu.Lock()
+	for p.mode == silent {
+		p.changed.Wait()
+	}
+	m := p.mode
+	p.mu.Unlock()
+	if m == slow {
+		time.Sleep(slowDelay)
+	}
+}
+
+func (p *proxy) run() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		refuse := p.mode == reset
+		p.conns[c] = true
+		p.mu.Unlock()
+		if refuse {
+			_ = c.Close()
+			continue
+		}
+		go p.connect(c)
+	}
+}
+
+func (p *proxy) connect(c net.Conn) {
+	p.wait()
+	out, err := net.Dial("tcp", p.to)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[out] = true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Add(2)
+	go p.copy(out, c, &both)
+	go p.copy(c, out, &both)
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, c)
+	delete(p.conns, out)
+	p.mu.Unlock()
+}
+
+func (p *proxy) copy(to, from net.Conn, done *sync.WaitGroup) {
+	defer done.Done()
+	defer func() { _ = to.Close(); _ = from.Close() }()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			p.wait()
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err != io.EOF {
+				return
+			}
+			return
+		}
+	}
+}
