Replace a lost decode engine at once where there are few

Change: a shortage at the decode stage is borne only where there are eight engines for each that is missing. Test first: the row of TestChanges.

--- a/core/stageplan/stageplan.go
+++ b/core/stageplan/stageplan.go
@@ -34,6 +34,10 @@
 	leastDecode   = 0.22
 	decodePerSlot = 1.6
 	mostDecode    = 0.6
+	// decodePerTolerated is how many engines at the decode stage make the loss
+	// of one of them bearable. Without room there nothing can be answered,
+	// while fewer engines at the prefill stage only read more slowly.
+	decodePerTolerated = 8
 )
 
 // ForSlots returns the plan for engines with the given number of slots.
@@ -65,7 +69,7 @@
 	switch {
 	case missing > p.Tolerance:
 		return pick(decode, prefill, missing, fleet.RolePrefill)
-	case -missing > p.Tolerance:
+	case -missing > min(p.Tolerance, len(decode)/decodePerTolerated):
 		return pick(prefill, decode, -missing, fleet.RoleDecode)
 	default:
 		return nil
--- a/core/stageplan/stageplan_test.go
+++ b/core/stageplan/stageplan_test.go
@@ -36,6 +36,8 @@
 			{"needs more decode", 11, 1, 0, 3, fleet.RoleDecode},
 			{"is near enough", 7, 5, 1, 0, 0},
 			{"is off by more than the tolerance", 6, 6, 1, 2, fleet.RolePrefill},
+			{"replaces one of few decode engines that was lost", 8, 3, 1, 1, fleet.RoleDecode},
+			{"bears the loss of one of many", 18, 8, 1, 0, 0},
 			{"keeps one of each", 0, 2, 0, 1, fleet.RolePrefill},
 			{"cannot divide one engine", 0, 1, 0, 0, 0},
 		} {
