Explain each refusal and repeat from the request's id

Cause: a request without a route was counted as one without a server, a repeat after a connection that could not be opened was not counted, and nothing proved that a failed request's line tells its inputs. Ruled out: leaving it to the docs.

--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -30,6 +30,7 @@
 	ReasonQueueFull          Reason = "queue_full"
 	ReasonDeadlineUnmeetable Reason = "deadline_unmeetable"
 	ReasonNoUpstream         Reason = "no_upstream"
+	ReasonNoRoute            Reason = "no_route"
 	ReasonConfigUnknown      Reason = "config_unknown"
 	ReasonDraining           Reason = "draining"
 	ReasonClaimNotPossible   Reason = "claim_not_possible"
@@ -43,7 +44,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		ReasonBadRequest, ReasonUnknownKey, ReasonKindNotGranted, ReasonTooLarge,
-		ReasonShareUsedUp, ReasonQueueFull, ReasonDeadlineUnmeetable, ReasonNoUpstream,
+		ReasonShareUsedUp, ReasonQueueFull, ReasonDeadlineUnmeetable, ReasonNoUpstream, ReasonNoRoute,
 		ReasonConfigUnknown, ReasonDraining, ReasonClaimNotPossible,
 		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone,
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,7 +131,8 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	p.route = table.Lookup(r.Host, path)
 	if p.route == nil {
-		p.refuse(http.StatusNotFound, fleet.ReasonNoUpstream, 0)
+		p.trace = append(p.trace, zap.String("host", r.Host), zap.Int64("version", table.Version))
+		p.refuse(http.StatusNotFound, fleet.ReasonNoRoute, 0)
 		return
 	}
 	p.req.Rank = p.route.Priority
@@ -194,7 +195,7 @@
 		p.refuse(http.StatusRequestEntityTooLarge, fleet.ReasonTooLarge, 0)
 		return false
 	}
-	p.note("body", zap.Error(err))
+	p.trace = append(p.trace, zap.Error(err))
 	p.refuse(http.StatusBadRequest, fleet.ReasonBadRequest, 0)
 	return false
 }
@@ -204,9 +205,6 @@
 
 func (p *passage) gone() bool { return p.r.Context().Err() != nil }
 
-// note adds a field to the request's log line.
-func (p *passage) note(_ string, fields ...zap.Field) { p.trace = append(p.trace, fields...) }
-
 // mayRepeat tells whether the request may be sent to another server, and takes
 // the repeat from the budget.
 func (p *passage) mayRepeat(reason retry.Reason) bool {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -46,6 +46,7 @@
 			if p.left() <= minAttempt {
 				break
 			}
+			p.g.Observer.Retried(retry.ReasonNotSent)
 			continue
 		}
 		if !p.mayRepeat(reasonOf(res)) {
