--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -133,7 +133,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	answer, err := c.exchange(r, d)
 	if err != nil {
-		stop()
+		if !stop() {
+			// The connection was closed because the context ended.
+			err = errors.Wrap(context.Cause(ctx), err.Error())
+		}
 		p.discard(c)
 		return nil, errors.Wrapf(err, "%s", r.Address)
 	}
--- a/directory/register.go
+++ b/directory/register.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/bramleywick/bramleywick/logline"
 	"github.com/bramleywick/bramleywick/store"
 )
 
@@ -33,7 +34,7 @@
 func Register(ctx context.Context, s Registry, i Instance, log *zap.Logger) {
 	value, err := json.Marshal(i)
 	if err != nil {
-		log.Error("the instance cannot be listed", zap.Error(err))
+		log.Error("the instance cannot be listed", logline.Cause(err))
 		return
 	}
 	lease := ""
@@ -59,7 +60,7 @@
 	end, stop := context.WithTimeout(context.Background(), time.Second)
 	defer stop()
 	if err := s.RevokeLease(end, lease); err != nil {
-		log.Info("the listing lapses by itself", zap.Error(err))
+		log.Info("the listing lapses by itself", logline.Cause(err))
 	}
 }
 
@@ -68,11 +69,11 @@
 func enlist(ctx context.Context, s Registry, i Instance, value []byte, log *zap.Logger) string {
 	lease, err := s.GrantLease(ctx, registrationTTL)
 	if err != nil {
-		log.Info("the instance is not listed yet", zap.Error(err))
+		log.Info("the instance is not listed yet", logline.Cause(err))
 		return ""
 	}
 	if _, err := s.Put(ctx, InstancesPrefix+string(i.ID), value, lease.ID); err != nil {
-		log.Info("the instance is not listed yet", zap.Error(err))
+		log.Info("the instance is not listed yet", logline.Cause(err))
 		return ""
 	}
 	return lease.ID
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/bramleywick/bramleywick/core/call"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/place"
+	"github.com/bramleywick/bramleywick/logline"
 )
 
 // result is how an attempt at one server ended.
@@ -97,7 +98,7 @@
 		zap.Duration("left", p.left()),
 	}
 	if res != resultAnswer || err != nil {
-		p.g.Log.Warn("attempt failed", append(fields, zap.Error(err))...)
+		p.g.Log.Warn("attempt failed", append(fields, logline.Cause(err))...)
 		return
 	}
 	p.g.Log.Info("attempt", fields...)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/bramleywick/bramleywick/core/place"
 	"github.com/bramleywick/bramleywick/core/retry"
 	"github.com/bramleywick/bramleywick/core/routes"
+	"github.com/bramleywick/bramleywick/logline"
 )
 
 // Wire converts between the platform's headers and the project's types.
@@ -195,7 +196,7 @@
 		p.refuse(http.StatusRequestEntityTooLarge, fleet.ReasonTooLarge, 0)
 		return false
 	}
-	p.trace = append(p.trace, zap.Error(err))
+	p.trace = append(p.trace, logline.Cause(err))
 	p.refuse(http.StatusBadRequest, fleet.ReasonBadRequest, 0)
 	return false
 }
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -15,6 +15,7 @@
 	"github.com/bramleywick/bramleywick/core/place"
 	"github.com/bramleywick/bramleywick/core/retry"
 	"github.com/bramleywick/bramleywick/core/turn"
+	"github.com/bramleywick/bramleywick/logline"
 )
 
 const (
@@ -171,7 +172,7 @@
 			Address: source.Address, Limit: limit, Method: method, URI: path, Host: source.Address, Header: http.Header{},
 		}, p.g.Wire)
 		if err != nil {
-			p.g.Log.Debug("handle not freed", zap.String("request_id", string(p.req.ID)), zap.Error(err))
+			p.g.Log.Debug("handle not freed", zap.String("request_id", string(p.req.ID)), logline.Cause(err))
 			return
 		}
 		_, _ = whole(answer)
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -22,6 +22,7 @@
 	"github.com/bramleywick/bramleywick/core/place"
 	"github.com/bramleywick/bramleywick/core/topology"
 	"github.com/bramleywick/bramleywick/directory"
+	"github.com/bramleywick/bramleywick/logline"
 	"github.com/bramleywick/bramleywick/store"
 )
 
@@ -200,7 +201,7 @@
 func (e *Exchange) Serve(l net.Listener) {
 	server := rpc.NewServer()
 	if err := server.RegisterName(name, service{e}); err != nil {
-		e.log.Error("the exchange with other instances cannot be served", zap.Error(err))
+		e.log.Error("the exchange with other instances cannot be served", logline.Cause(err))
 		return
 	}
 	for {
@@ -275,7 +276,7 @@
 			return
 		}
 		if !lost {
-			e.log.Info("exchange with an instance lost", zap.String("instance", string(i.ID)), zap.Error(err))
+			e.log.Info("exchange with an instance lost", zap.String("instance", string(i.ID)), logline.Cause(err))
 			lost = true
 		}
 		if pause(ctx, redialPause) != nil {
--- a/stages/stages.go
+++ b/stages/stages.go
@@ -23,6 +23,7 @@
 	"github.com/bramleywick/bramleywick/core/routes"
 	"github.com/bramleywick/bramleywick/core/stageplan"
 	"github.com/bramleywick/bramleywick/leaseholder"
+	"github.com/bramleywick/bramleywick/logline"
 )
 
 const (
@@ -246,17 +247,17 @@
 	method, path := o.Documents.ReportCall()
 	status, raw, err := o.call(ctx, c.Server, method, path, nil)
 	if err != nil || status != http.StatusOK {
-		log.Warn("engine's state not known; no order", zap.Int("status", status), zap.Error(err))
+		log.Warn("engine's state not known; no order", zap.Int("status", status), logline.Cause(err))
 		return
 	}
 	report, err := o.Documents.Report(raw)
 	if err != nil || report.Busy || report.Stage == c.Stage {
-		log.Info("no order needed or possible", zap.Bool("busy", report.Busy), zap.Stringer("present", report.Stage), zap.Error(err))
+		log.Info("no order needed or possible", zap.Bool("busy", report.Busy), zap.Stringer("present", report.Stage), logline.Cause(err))
 		return
 	}
 	method, path, body, err := o.Documents.OrderCall(c.Stage, string(o.Instance), o.last.Fence, report.Orders)
 	if err != nil {
-		log.Error("order not sent", zap.Error(err))
+		log.Error("order not sent", logline.Cause(err))
 		return
 	}
 	if at := now(); !o.last.Valid(at) {
@@ -264,7 +265,7 @@
 		return
 	}
 	status, _, err = o.call(ctx, c.Server, method, path, body)
-	log.Info("order", zap.Int("status", status), zap.Int64("orders", report.Orders), zap.Error(err))
+	log.Info("order", zap.Int("status", status), zap.Int64("orders", report.Orders), logline.Cause(err))
 	if status == http.StatusPreconditionFailed {
 		o.mu.Lock()
 		o.refused = o.last.Fence
