Count every call after the first that reaches a server as an extra one

When every read of a prompt was refused, the run that followed was taken for the request's first call, though the refused read was; while all engines were full each request made one call more than was taken from the budget. Ruled out: new processes with a fresh budget (the excess is ten times their slack).

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -94,3 +94,10 @@
 	s.extra[s.bucket%(buckets+1)]++
 	return true
 }
+
+// Return gives back an extra request that was taken and not sent.
+func (b *Budget) Return(name fleet.GroupName, now fleet.Instant) {
+	s := b.at(name, now)
+	i := s.bucket % (buckets + 1)
+	s.extra[i] = max(s.extra[i]-1, 0)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,8 +100,12 @@
 	tried []fleet.UpstreamID
 	// sends counts the servers that were sent the request to run it.
 	sends int
-	// reads counts the engines that were asked to read the prompt.
-	reads int
+	// calls counts the calls that reached a server, but for the first read that
+	// an engine accepted, which read notes; paid is a call that was taken from
+	// the budget and not made yet.
+	calls int
+	read  bool
+	paid  bool
 	// source is the KV cache of the prompt that no engine has taken yet, and
 	// reader the engine that holds it.
 	source *call.Source
@@ -149,6 +153,7 @@
 	p.forward = g.Wire.Forward(r.Header)
 	p.lastEvent = p.req.LastEventID
 	g.State.arrived(p.group)
+	defer p.settle()
 	p.serve()
 }
 
@@ -206,25 +211,5 @@
 
 func (p *passage) gone() bool { return p.r.Context().Err() != nil }
 
-// mayRepeat tells whether the request may be sent to another server, and takes
-// the repeat from the budget.
-func (p *passage) mayRepeat(reason retry.Reason) bool {
-	if p.gone() || p.left() <= minAttempt {
-		return false
-	}
-	if p.sends >= p.route.MaxAttempts {
-		return false
-	}
-	if p.mayHaveRun && !p.route.Repeatable() {
-		return false
-	}
-	if !p.g.State.takeRepeat(p.group) {
-		p.trace = append(p.trace, zap.Bool("budget_used_up", true))
-		return false
-	}
-	p.g.Observer.Retried(reason)
-	return true
-}
-
 // minAttempt is the least time that makes another attempt worthwhile.
 const minAttempt = 20 * time.Millisecond
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -46,7 +46,7 @@
 			return
 		}
 		run, ok := p.runner(direct)
-		if !ok {
+		if !ok || !p.pay() {
 			p.fail(fleet.ReasonNoUpstream, busyWait)
 			return
 		}
@@ -86,18 +86,13 @@
 }
 
 // prefill has the prompt read at an engine of the prefill stage and notes where
-// its KV cache is; p.source stays nil when no engine did. The first call is no
-// extra request; each further one is taken from the budget, those after a
-// failed run too.
+// its KV cache is; p.source stays nil when no engine did.
 func (p *passage) prefill(c place.Choice) {
 	for range maxReads {
-		if p.reads > 0 && !p.g.State.takeRepeat(p.group) {
+		if !p.pay() {
 			return
 		}
-		res := p.readAt(c)
-		if res != resultNotSent {
-			p.reads++
-		}
+		p.readAt(c)
 		if p.source != nil || p.gone() || p.left() <= minAttempt {
 			return
 		}
@@ -111,7 +106,7 @@
 }
 
 // readAt has the prompt read at one engine.
-func (p *passage) readAt(c place.Choice) result {
+func (p *passage) readAt(c place.Choice) {
 	began := time.Now()
 	read, end := p.g.State.begin(c.Server.ID, p.req.Rank, c.Uncached)
 	defer end()
@@ -129,6 +124,12 @@
 	read()
 	p.observe(c, "prefill", res, status, began, err)
 	switch {
+	case p.source != nil && !p.read:
+		p.read = true
+	case res != resultNotSent:
+		p.called()
+	}
+	switch {
 	case p.source != nil:
 		p.g.State.good(c.Server.ID)
 		p.g.State.read(c, time.Since(began))
@@ -139,7 +140,6 @@
 		p.g.State.lost(c.Server.ID, &p.req)
 		p.blame(c.Server.ID, err)
 	}
-	return res
 }
 
 // handle decodes the answer to a prompt that was read.
@@ -201,6 +201,7 @@
 	})
 	if res != resultNotSent {
 		p.sends++
+		p.called()
 	}
 	status := 0
 	if answer != nil {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -92,6 +92,7 @@
 	answer, res, err := p.send(ctx, c.Server, call.Send{Priority: noPriority})
 	if res != resultNotSent {
 		p.sends++
+		p.called()
 	}
 	status := 0
 	var out *held
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -119,6 +119,12 @@
 	return s.budget.Take(group, s.now())
 }
 
+func (s *State) returnRepeat(group fleet.GroupName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Return(group, s.now())
+}
+
 func (s *State) plain(group fleet.GroupName, id fleet.RequestID, skip []fleet.UpstreamID) (place.Choice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
