Choose the soak's ports at the address that uses them

Ruled out: the product, which never started. Change: ports are tried at the instance's own address, the two for instances in a row.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,7 +15,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -525,32 +524,40 @@
 	lines              []string
 }
 
-func freePorts(n int) []int {
-	var ports []int
-	var open []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			continue
+// freePorts returns four ports that are free at an address, the last two in a
+// row. Ports that are free at another address may be taken at this one: seed 21
+// once met the process of a soak that ran beside it.
+func freePorts(ip string) []int {
+	for {
+		var ports []int
+		var open []net.Listener
+		listen := func(port int) bool {
+			l, err := net.Listen("tcp", fmt.Sprint(ip, ":", port))
+			if err != nil {
+				return false
+			}
+			open = append(open, l)
+			ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+			return true
+		}
+		ok := listen(0) && listen(0) && listen(0) && listen(ports[2]+1)
+		for _, l := range open {
+			_ = l.Close()
+		}
+		if ok {
+			return ports
 		}
-		open = append(open, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	for _, l := range open {
-		_ = l.Close()
 	}
-	return ports
 }
 
 func newProcess(s *soak, i int, store *proxy) *process {
-	ports := freePorts(3)
-	slices.Sort(ports)
-	p := &process{s: s, name: fmt.Sprint("front-", i), proxy: store, file: filepath.Join(s.t.TempDir(), fmt.Sprint("settings-", i, ".toml"))}
 	// Each instance has an address of its own, as machines have.
 	ip := fmt.Sprint("127.0.1.", i+1)
+	ports := freePorts(ip)
+	p := &process{s: s, name: fmt.Sprint("front-", i), proxy: store, file: filepath.Join(s.t.TempDir(), fmt.Sprint("settings-", i, ".toml"))}
 	p.front, p.ready = fmt.Sprint(ip, ":", ports[0]), fmt.Sprint(ip, ":", ports[1])
 	text := fmt.Sprintf("node-name = %q\nip = %q\nzone = \"dc%d\"\ninternal-ports = [%d,%d]\n[zones]\ndc0 = \"r\"\ndc1 = \"r\"\n[listen]\nfront = %q\nready = %q\n[limits]\nmemory-mb = 284\nmax-fds = 4100\ncpu-share = 0.4\ncores = 1\n[bounds]\ndrain-ms = 2000\ngrace-s = %d\nretry-budget-ratio = 0.2\nbudget-window-s = 10\nbudget-slack = 56\nlease-ms = 3000\n[platform]\naddress = %q\nmin-ttl-ms = 1000\n",
-		p.name, ip, i%2, ports[2], ports[2]+1, p.front, p.ready, int(grace/time.Second), store.address())
+		p.name, ip, i%2, ports[2], ports[3], p.front, p.ready, int(grace/time.Second), store.address())
 	s.must(os.WriteFile(p.file, []byte(text), 0o600))
 	return p
 }
