--- a/core/routes/routes_test.go
+++ b/core/routes/routes_test.go
@@ -44,10 +44,11 @@
 		counts := map[fleet.GroupName]int{}
 		for i := range 10000 {
 			id := fleet.RequestID(fmt.Sprint(i))
-			if r.Service(id) != r.Service(id) {
-				t.Fatal("the choice changes")
+			service := r.Service(id)
+			if again := r.Service(id); again != service {
+				t.Fatalf("the choice changes from %s to %s", service, again)
 			}
-			counts[r.Service(id)]++
+			counts[service]++
 		}
 		So(counts["a"], ShouldBeBetween, 8800, 9200)
 		So(counts["c"], ShouldEqual, 0)
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -26,12 +26,6 @@
 func NewGateway(read map[string]func() float64) *Gateway {
 	g := &Gateway{
 		registry: prometheus.NewRegistry(),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "bramleywick_refused_total", Help: "Requests refused, by reason.",
-		}, []string{"reason"}),
-		retried: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "bramleywick_retried_total", Help: "Attempts repeated, by reason.",
-		}, []string{"reason"}),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleywick_store_calls_total", Help: "Calls to the platform's store, by call and result.",
 		}, []string{"call", "result"}),
@@ -39,16 +33,11 @@
 			Name: "bramleywick_answer_seconds", Help: "Time to the answer or the first event, by route.", Buckets: firstTokenBuckets,
 		}, []string{"route"}),
 	}
-	g.registry.MustRegister(g.refused, g.retried, g.calls, g.answered)
+	g.refused, g.retried = newReasons(g.registry)
+	g.registry.MustRegister(g.calls, g.answered)
 	for name, value := range read {
 		g.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: "See docs/OPERATIONS.md."}, value))
 	}
-	for _, r := range fleet.Reasons() {
-		g.refused.WithLabelValues(string(r))
-	}
-	for _, r := range retry.Reasons() {
-		g.retried.WithLabelValues(string(r))
-	}
 	return g
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -30,17 +30,31 @@
 	tokenGapBuckets   = []float64{0.005, 0.01, 0.02, 0.03, 0.045, 0.06, 0.074, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 10}
 )
 
+// newReasons registers the counters of refusals and repeats with every reason at
+// zero.
+func newReasons(registry *prometheus.Registry) (refused, retried *prometheus.CounterVec) {
+	refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bramleywick_refused_total", Help: "Requests refused, by reason.",
+	}, []string{"reason"})
+	retried = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bramleywick_retried_total", Help: "Attempts repeated, by reason.",
+	}, []string{"reason"})
+	registry.MustRegister(refused, retried)
+	for _, r := range fleet.Reasons() {
+		refused.WithLabelValues(string(r))
+	}
+	for _, r := range retry.Reasons() {
+		retried.WithLabelValues(string(r))
+	}
+	return refused, retried
+}
+
 // New returns collectors with every refusal and retry reason at zero.
 func New() *Metrics {
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "bramleywick_refused_total", Help: "Requests refused, by reason.",
-		}, []string{"reason"}),
-		retried: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "bramleywick_retried_total", Help: "Attempts repeated, by reason.",
-		}, []string{"reason"}),
 	}
+	m.refused, m.retried = newReasons(m.registry)
 	m.interrupted = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "bramleywick_interrupted_total", Help: "Requests interrupted by a forced stop.",
 	})
@@ -50,14 +64,8 @@
 	m.tokenGap = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "bramleywick_token_gap_seconds", Help: "Time between two chunks of an answer, by kind.", Buckets: tokenGapBuckets,
 	}, []string{"kind"})
-	m.registry.MustRegister(m.refused, m.retried, m.interrupted, m.firstToken, m.tokenGap)
+	m.registry.MustRegister(m.interrupted, m.firstToken, m.tokenGap)
 	m.Authority = newAuthority(m.registry)
-	for _, r := range fleet.Reasons() {
-		m.refused.WithLabelValues(string(r))
-	}
-	for _, r := range retry.Reasons() {
-		m.retried.WithLabelValues(string(r))
-	}
 	return m
 }
 
