--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -69,13 +69,16 @@
 	stop   func() bool
 }
 
+// conn is one connection to a server.
 type conn struct {
 	net.Conn
 	address string
 	in      *bufio.Reader
 	limit   *headLimit
-	usable  time.Time
-	fresh   bool
+	// usable is until when the connection may be used again.
+	usable time.Time
+	// written tells that the whole request has been written; wrote gets the
+	// result of a write that runs beside the reading.
 	written atomic.Bool
 	wrote   chan error
 }
@@ -98,9 +101,9 @@
 
 const unlimited = 1 << 62
 
-func newConn(raw net.Conn, _ *Pool, address string) *conn {
+func newConn(raw net.Conn, address string) *conn {
 	limit := &headLimit{r: raw}
-	return &conn{Conn: raw, address: address, limit: limit, in: bufio.NewReaderSize(limit, readBufferBytes), fresh: true}
+	return &conn{Conn: raw, address: address, limit: limit, in: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // quiet tells that an idle connection is open and has no bytes to read, which
--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -82,7 +82,6 @@
 			return p.open(ctx, address)
 		}
 		if c.quiet() {
-			c.fresh = false
 			return c, nil
 		}
 		p.discard(c)
@@ -151,7 +150,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return newConn(raw, p, address), nil
+	return newConn(raw, address), nil
 }
 
 // tune sets the options that end silent connections. A failure leaves the
--- a/stages/stages.go
+++ b/stages/stages.go
@@ -94,9 +94,10 @@
 // Orders gives the orders of one instance while it holds the lease.
 type Orders struct {
 	Options
-	mu      sync.Mutex
 	machine *lease.Machine
-	last    lease.Authority
+	// mu guards refused, which orders that run side by side set.
+	mu   sync.Mutex
+	last lease.Authority
 	// from is the earliest time of an order under the present fencing number.
 	from fleet.Instant
 	// refused is the fencing number that an engine refused as stale.
