Wait for a slow reader on a connection that holds little, and lock a test's record

Ruled out: this change (both fail without it). Change: the slow reader's connection has a receive buffer of 4 KB, the bound stays; the record is read under its lock.

--- a/caller/engine_test.go
+++ b/caller/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -172,7 +173,7 @@
 		Convey("a slow reader delays its own stream only, and is dropped in the end", func() {
 			req, _ := http.NewRequest(http.MethodPost, b.url+"/v1/completions", strings.NewReader(long))
 			req.Header.Set("Authorization", "Bearer key")
-			resp, err := http.DefaultClient.Do(req)
+			resp, err := smallWindow.Do(req)
 			So(err, ShouldBeNil)
 			defer func() { _ = resp.Body.Close() }()
 			for range 20 {
@@ -220,3 +221,17 @@
 	t, refusal := s.Dispatcher.Submit(ctx, r)
 	return rewrite(t), refusal
 }
+
+// smallWindow is a client whose connections hold a few kilobytes, so that a
+// reader that stops blocks its writer at once: the write timeout, which the test
+// waits for, starts only then. With the default buffers of several megabytes a
+// busy machine took over two seconds to fill them.
+var smallWindow = &http.Client{Transport: &http.Transport{
+	DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return conn, conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	},
+}}
--- a/poll/poll_test.go
+++ b/poll/poll_test.go
@@ -100,7 +100,9 @@
 			if c.failed {
 				return
 			}
+			r.mu.Lock()
 			got := r.loads[0]
+			r.mu.Unlock()
 			So(got.At-time.Hour, ShouldBeBetween, c.want.At-time.Millisecond, c.want.At+400*time.Millisecond)
 			got.At, c.want.At, c.want.Upstream = 0, 0, "u"
 			So(got, ShouldResemble, c.want)
