--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -172,8 +172,10 @@
 	return time.Duration(bytes / service.Engine.LinkBytesPerSecond * float64(time.Second))
 }
 
-// Apart tells whether a prompt is read faster at an engine of the prefill
-// stage, its transfer included, and returns both estimates.
+// Apart chooses an engine for each way to read a prompt: at the prefill stage,
+// apart from the answer, or at the engine that makes the answer. split tells that
+// the first way is open; it is taken whenever it is, because prompts that are read
+// beside running answers delay these, and are read at half the speed.
 func (f *Fleet) Apart(group fleet.GroupName, r *call.Request, now fleet.Instant, skip []fleet.UpstreamID) (apart, direct Choice, split bool) {
 	apart, okApart := f.Prefill(group, r, now, skip)
 	direct, okDirect := f.Direct(group, r, now, skip)
