--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -10,8 +10,9 @@
 	"github.com/bramleywick/bramleywick/core/fleet"
 )
 
-// meshLimit is the number of instances up to which all talk to each other: ten
-// exchanges a second with eleven others take about 0.02 of a core.
+// meshLimit is the number of instances up to which all talk to each other. Eight
+// instances spend 0.024 of a core each on traffic and exchange together, in a
+// mesh of 88 it was 0.13 (docs/CAPACITY.md, docs/incidents).
 const meshLimit = 12
 
 // Instance is one instance as it is listed.
