Copy shared parts between engines instead of reading them again

Change: the choice of an engine weighs copying what it lacks from an engine at the prefill stage that has read it. A part counts as readable some time after it was sent, because it cannot be copied while its first reader holds it.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -56,6 +56,9 @@
 	PrefillOnly bool
 	// Source is KV cache to fetch before the run, or nil.
 	Source *Source
+	// FetchFrom is the address of an engine from which the server first copies
+	// what that engine keeps of the prompt; "" has it read the prompt alone.
+	FetchFrom string
 	// LastEventID is the last event that the caller has; "" for none.
 	LastEventID string
 }
--- a/core/place/cache.go
+++ b/core/place/cache.go
@@ -1,6 +1,9 @@
 package place
 
-import "github.com/bramleywick/bramleywick/core/call"
+import (
+	"github.com/bramleywick/bramleywick/core/call"
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
 
 const (
 	// minPartTokens is the least length of a part worth remembering.
@@ -19,15 +22,40 @@
 	capacity float64
 	// added counts the tokens that were ever added.
 	added float64
-	// used is the value of added when a part was last used.
-	used map[string]float64
+	used  map[string]kept
+}
+
+// kept is a part that the engine is believed to keep.
+type kept struct {
+	// mark is the value of added when the part was last used.
+	mark float64
+	// ready is when the part has been read, so that others can copy it.
+	ready fleet.Instant
 }
 
-func newCache() cache { return cache{used: map[string]float64{}} }
+func newCache() cache { return cache{used: map[string]kept{}} }
 
 func (c *cache) holds(id string) bool {
-	mark, ok := c.used[id]
-	return ok && (c.capacity == 0 || c.added-mark < c.capacity*useOfMemory)
+	part, ok := c.used[id]
+	return ok && c.lasts(part)
+}
+
+// lasts tells that a part has not been evicted yet.
+func (c *cache) lasts(part kept) bool {
+	return c.capacity == 0 || c.added-part.mark < c.capacity*useOfMemory
+}
+
+// readable returns the tokens at the prompt's beginning that others can copy.
+func (c *cache) readable(r *call.Request, now fleet.Instant) float64 {
+	sum := 0
+	for _, p := range r.Parts {
+		part, ok := c.used[p.ID]
+		if !ok || !c.lasts(part) || part.ready > now {
+			break
+		}
+		sum += p.Tokens
+	}
+	return float64(sum)
 }
 
 // uncached returns the tokens of the prompt that the engine has to read: all
@@ -43,9 +71,10 @@
 	return max(missing, 0)
 }
 
-// use notes that the engine has read the prompt. others is how many other
-// instances send as much as this one, whose unshared parts are not heard of.
-func (c *cache) use(r *call.Request, others int) {
+// use notes that the engine reads the prompt and has read it at ready. others is
+// how many other instances send as much as this one, whose unshared parts are not
+// heard of.
+func (c *cache) use(r *call.Request, others int, ready fleet.Instant) {
 	for i, p := range r.Parts {
 		held := c.holds(p.ID)
 		if !held {
@@ -56,7 +85,7 @@
 			c.added += float64(p.Tokens) * float64(others)
 			return
 		}
-		c.note(p.ID, p.Tokens)
+		c.note(p.ID, p.Tokens, ready)
 	}
 }
 
@@ -67,15 +96,19 @@
 	}
 }
 
-// note marks a part as used just now.
-func (c *cache) note(id string, tokens int) {
+// note marks a part as used just now; ready is when it has been read, unless it
+// is kept already.
+func (c *cache) note(id string, tokens int, ready fleet.Instant) {
 	if tokens < minPartTokens {
 		return
 	}
 	if len(c.used) >= maxParts {
 		c.prune()
 	}
-	c.used[id] = c.added
+	if part, ok := c.used[id]; ok && c.lasts(part) {
+		ready = min(ready, part.ready)
+	}
+	c.used[id] = kept{mark: c.added, ready: ready}
 }
 
 // prune drops parts that are gone, or all when none is.
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -19,6 +19,17 @@
 	// crowdWait is the mean wait at which a second copy of a shared part costs
 	// twice the time to read it.
 	crowdWait = 80 * time.Millisecond
+	// peerReadTime is how long after another instance's word on a part the part
+	// is taken to be read: the longest queue that admission allows at the usual
+	// targets, and the part itself.
+	peerReadTime = 900 * time.Millisecond
+	// copyTime is the fixed time of a copy between engines, and copyShare what a
+	// copy of a shared part costs as a share of the time to read it: it takes
+	// memory from other parts.
+	copyTime  = 5 * time.Millisecond
+	copyShare = 0.3
+	// acrossCentres is how much longer a transfer between data centres takes.
+	acrossCentres = 2
 	// runCost is the wait that each request at a decode engine adds.
 	runCost = 2 * time.Millisecond
 	// handOverCost is the fixed time of a transfer between stages.
@@ -85,6 +96,7 @@
 	part, shared := sharedPart(r)
 	at := home(part, list)
 	copyCost := f.copyCost(list, factor, now)
+	sources := f.sources(group, r, now)
 	var best Choice
 	var bestScore time.Duration
 	for _, s := range list {
@@ -92,31 +104,90 @@
 		speed := s.speed / factor
 		uncached := s.cache.uncached(r)
 		ahead := work.ahead(r.Rank)
-		wait := ms(ahead+uncached, speed)
-		score := wait + time.Duration(jitter(r.ID, s)*float64(2*time.Millisecond))
-		reason := ReasonLeastWait
+		c := Choice{Server: s.Server, Reason: ReasonLeastWait, Queue: ms(ahead, speed), Uncached: uncached, Ahead: ahead, Candidates: len(list)}
+		c.Wait = c.Queue + ms(uncached, speed)
+		cost := time.Duration(jitter(r.ID, s) * float64(2*time.Millisecond))
+		holds := s.cache.holds(part)
+		if source, took, ok := f.bestSource(group, sources, s, float64(r.PromptTokens)-uncached, speed); ok {
+			c.Source, c.Copied = source.Server, source.tokens-(float64(r.PromptTokens)-uncached)
+			c.Uncached -= c.Copied
+			c.Wait = c.Queue + took + ms(c.Uncached, speed)
+		}
 		switch {
 		case s == at:
-			reason = ReasonHome
-		case s.cache.holds(part):
-			reason = ReasonKept
+			c.Reason = ReasonHome
+		case holds:
+			c.Reason = ReasonKept
+		case c.Copied > 0:
+			c.Reason = ReasonCopy
+			cost += time.Duration(copyShare * float64(ms(shared, speed)))
 		default:
-			score += time.Duration(float64(ms(shared, speed)) * copyCost)
+			cost += time.Duration(float64(ms(shared, speed)) * copyCost)
 		}
 		if s.DataCentre != f.config.DataCentre {
-			score += crossPenalty
+			cost += crossPenalty
 		}
-		if best.Candidates == 0 || score < bestScore {
-			bestScore = score
-			best = Choice{
-				Server: s.Server, Reason: reasonOf(len(list), reason), Wait: wait, Queue: ms(ahead, speed),
-				Uncached: uncached, Ahead: ahead, Candidates: len(list),
-			}
+		if best.Candidates == 0 || c.Wait+cost < bestScore {
+			bestScore, best = c.Wait+cost, c
 		}
 	}
+	best.Reason = reasonOf(len(list), best.Reason)
 	return best, best.Candidates > 0
 }
 
+// source is an engine and the tokens of a prompt's beginning that it keeps.
+type source struct {
+	*server
+	tokens float64
+}
+
+// sources returns the engines that keep most of a prompt's beginning.
+func (f *Fleet) sources(group fleet.GroupName, r *call.Request, now fleet.Instant) []source {
+	var out []source
+	most := 0.0
+	for _, s := range f.groups[group] {
+		if s.Leaving || !s.available || isDecode(s) || f.isHeld(s.ID, now) {
+			continue
+		}
+		tokens := s.cache.readable(r, now)
+		if tokens < minCopyTokens || tokens < most {
+			continue
+		}
+		if tokens > most {
+			out, most = out[:0], tokens
+		}
+		out = append(out, source{s, tokens})
+	}
+	return out
+}
+
+// minCopyTokens is the least length worth a copy: a shorter one is read in less
+// than the fixed time of a copy on a usual engine.
+const minCopyTokens = 512
+
+// bestSource returns the engine from which to copies what it lacks in the least
+// time, when that is less than reading it takes. keeps is what it keeps itself.
+func (f *Fleet) bestSource(group fleet.GroupName, list []source, to *server, keeps, speed float64) (best source, took time.Duration, ok bool) {
+	for _, s := range list {
+		lacks := s.tokens - keeps
+		if s.server == to || lacks < minCopyTokens {
+			continue
+		}
+		t, possible := f.transferTime(group, lacks)
+		if !possible {
+			return source{}, 0, false
+		}
+		if s.DataCentre != to.DataCentre {
+			t *= acrossCentres
+		}
+		t += copyTime
+		if t < ms(lacks, speed) && (!ok || t < took) {
+			best, took, ok = s, t, true
+		}
+	}
+	return best, took, ok
+}
+
 // copyCost is what reading a shared part away from its home costs besides the
 // wait, as a share of the time to read it: more, the more waits at the engines.
 // While nothing waits, a second copy only takes memory; at the peak it costs
@@ -161,15 +232,22 @@
 
 // transfer is the time to move a prompt's KV cache within a data centre.
 func (f *Fleet) transfer(group fleet.GroupName, r *call.Request) time.Duration {
+	t, _ := f.transferTime(group, float64(r.PromptTokens))
+	return t
+}
+
+// transferTime is the time to move KV cache of some tokens within a data centre;
+// ok is false where the service does not declare what a transfer takes.
+func (f *Fleet) transferTime(group fleet.GroupName, tokens float64) (took time.Duration, ok bool) {
 	if f.table == nil {
-		return 0
+		return 0, false
 	}
 	service := f.table.Service(group)
 	if service == nil || service.Engine == nil || service.Engine.LinkBytesPerSecond <= 0 {
-		return 0
+		return 0, false
 	}
-	bytes := float64(r.PromptTokens) * service.Engine.KVBytesPerToken
-	return time.Duration(bytes / service.Engine.LinkBytesPerSecond * float64(time.Second))
+	bytes := tokens * service.Engine.KVBytesPerToken
+	return time.Duration(bytes / service.Engine.LinkBytesPerSecond * float64(time.Second)), true
 }
 
 // Apart chooses an engine for each way to read a prompt: at the prefill stage,
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -21,6 +21,8 @@
 	ReasonHome Reason = "home"
 	// ReasonKept is another engine that keeps the shared part.
 	ReasonKept Reason = "kept"
+	// ReasonCopy is an engine with a shorter wait that copies the shared part.
+	ReasonCopy Reason = "copy"
 	// ReasonLeastWait is the server with the shortest estimated wait.
 	ReasonLeastWait Reason = "least_wait"
 )
@@ -36,6 +38,11 @@
 	Queue time.Duration
 	// Uncached is the number of prompt tokens that the server has to read.
 	Uncached float64
+	// Source is another engine that keeps more of the prompt's beginning, from
+	// which the server copies it first; its ID is "" when nothing is copied.
+	Source Server
+	// Copied is the number of prompt tokens that are copied.
+	Copied float64
 	// Ahead is the number of prompt tokens that it has to read before.
 	Ahead float64
 	// Candidates is the number of servers that were scored.
@@ -188,13 +195,13 @@
 	return ok
 }
 
-// Note records parts that another instance has had read.
-func (f *Fleet) Note(id fleet.UpstreamID, part string, tokens int) {
+// Note records a part that another instance is having read.
+func (f *Fleet) Note(id fleet.UpstreamID, part string, tokens int, now fleet.Instant) {
 	if s := f.servers[id]; s != nil {
 		if !s.cache.holds(part) {
 			s.cache.added += float64(tokens)
 		}
-		s.cache.note(part, tokens)
+		s.cache.note(part, tokens, now+peerReadTime)
 	}
 }
 
@@ -328,11 +335,12 @@
 	s.learn(tokens, took)
 }
 
-// Keeps notes that an engine is about to keep a prompt: it was sent the prompt or
-// got the KV cache of another engine. Requests that follow are read after it.
-func (f *Fleet) Keeps(id fleet.UpstreamID, r *call.Request) {
+// Keeps notes that an engine is about to keep a prompt and has read it at ready:
+// it was sent the prompt or got the KV cache of another engine. Requests that
+// follow are read after it.
+func (f *Fleet) Keeps(id fleet.UpstreamID, r *call.Request, ready fleet.Instant) {
 	if s := f.servers[id]; s != nil {
-		s.cache.use(r, f.instances-1)
+		s.cache.use(r, f.instances-1, ready)
 	}
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -16,10 +16,14 @@
 
 // newFleet returns a view of engines of a service "llm" and of three plain
 // servers of a service "app".
-func newFleet(prefill, decode int) *Fleet {
+func newFleet(prefill, decode int) *Fleet { return newFleetWithLink(prefill, decode, 9e10) }
+
+// newFleetWithLink returns the same with links of the given bytes a second; 0
+// declares none.
+func newFleetWithLink(prefill, decode int, link float64) *Fleet {
 	f := New(Config{Instance: "i", DataCentre: "dc0"})
 	f.Configure(routes.Compile(routes.Configuration{Version: 1, Services: []routes.Service{
-		{Name: "llm", Engine: &routes.Engine{Slots: 64, KVTokens: kvTokens, KVBytesPerToken: 18432, LinkBytesPerSecond: 9e10}},
+		{Name: "llm", Engine: &routes.Engine{Slots: 64, KVTokens: kvTokens, KVBytesPerToken: 18432, LinkBytesPerSecond: link}},
 		{Name: "app"},
 	}}))
 	var list []Server
@@ -53,8 +57,8 @@
 // peak plays the ledger-heavy minutes at one instance that sends all requests:
 // 126 shared parts of 13,300 tokens, prompts asked for faster than the engines
 // can read them. It returns the shared tokens read for the first time and again,
-// and the engines that were asked for each part.
-func peak(f *Fleet, load float64, seconds int) (first, again float64, engines map[int]map[fleet.UpstreamID]bool) {
+// and the number of prompts that were read.
+func peak(f *Fleet, load float64, seconds int) (first, again float64, served int) {
 	const speed, shared, own = 40.0, 13300, 3700
 	free := map[fleet.UpstreamID]fleet.Instant{}
 	type running struct {
@@ -99,11 +103,12 @@
 		}
 		known[part][c.Server.ID] = true
 		f.Begin(c.Server.ID, r.Rank, c.Uncached)
-		f.Keeps(c.Server.ID, r)
-		free[c.Server.ID] = max(free[c.Server.ID], now) + ms(c.Uncached, speed)
+		f.Keeps(c.Server.ID, r, now+c.Wait)
+		served++
+		free[c.Server.ID] = max(free[c.Server.ID], now) + c.Wait - c.Queue
 		open = append(open, running{c, r, free[c.Server.ID], now})
 	}
-	return first, again, known
+	return first, again, served
 }
 
 // TestPeakKeepsHomes answers the pattern in which more long prompts are asked
@@ -119,6 +124,68 @@
 	})
 }
 
+// TestPeakCopies answers the same pattern where engines can copy from each other:
+// the homes of the parts asked for just then crowd a few engines while others
+// have time.
+func TestPeakCopies(t *testing.T) {
+	Convey("At the capacity of the engines", t, func() {
+		_, againAlone, servedAlone := peak(newFleetWithLink(8, 4, 0), 1, 20)
+		_, again, served := peak(newFleet(8, 4), 1, 20)
+		Convey("less is read again than where nothing can be copied", func() {
+			So(again, ShouldBeLessThan, 0.5*againAlone)
+		})
+		Convey("more prompts are read within the limit", func() {
+			So(served, ShouldBeGreaterThan, servedAlone+servedAlone/20)
+		})
+	})
+}
+
+func TestCopy(t *testing.T) {
+	Convey("A shared part that is kept at a busy engine", t, func() {
+		f := newFleet(3, 1)
+		at, _ := f.Prefill("llm", prompt(1, 1, 13300, 3700), 0, nil)
+		f.Keeps(at.Server.ID, prompt(1, 1, 13300, 3700), time.Second)
+		f.Begin(at.Server.ID, 1, 30_000)
+		ask := func(now fleet.Instant) Choice {
+			c, ok := f.Prefill("llm", prompt(2, 1, 13300, 500), now, nil)
+			So(ok, ShouldBeTrue)
+			return c
+		}
+		Convey("is copied to an engine that has time", func() {
+			c := ask(time.Second)
+			So(c.Reason, ShouldEqual, ReasonCopy)
+			So(string(c.Source.ID), ShouldEqual, string(at.Server.ID))
+			So(c.Copied, ShouldEqual, 13300)
+			So(c.Uncached, ShouldEqual, 500)
+			So(c.Wait, ShouldBeLessThan, 50*time.Millisecond)
+		})
+		Convey("is not copied before it has been read", func() {
+			So(ask(time.Second/2).Copied, ShouldEqual, 0)
+		})
+		Convey("is not copied from an engine that leaves, fails or is about to be ordered", func() {
+			for _, out := range []func(){
+				func() { f.servers[at.Server.ID].Leaving = true },
+				func() { f.Failed(at.Server.ID, time.Second); f.Failed(at.Server.ID, time.Second) },
+				func() { f.Hold(at.Server.ID, time.Minute) },
+			} {
+				out()
+				So(ask(time.Second).Copied, ShouldEqual, 0)
+			}
+		})
+		Convey("is read anew where the link is slower than the engine", func() {
+			slow := f.table.Service("llm")
+			slow.Engine.LinkBytesPerSecond = 1e8
+			So(ask(time.Second).Copied, ShouldEqual, 0)
+		})
+		Convey("is read at its engine when nothing waits there", func() {
+			f.End(at.Server.ID, 1, 30_000)
+			c := ask(time.Second)
+			So(string(c.Server.ID), ShouldEqual, string(at.Server.ID))
+			So(c.Copied, ShouldEqual, 0)
+		})
+	})
+}
+
 func TestHome(t *testing.T) {
 	Convey("A shared part", t, func() {
 		f := newFleet(8, 4)
@@ -150,14 +217,14 @@
 			So(string(c.Server.ID), ShouldNotEqual, string(at.Server.ID))
 		})
 		Convey("costs only the rest once it was read", func() {
-			f.Keeps(at.Server.ID, r)
+			f.Keeps(at.Server.ID, r, 0)
 			c, _ := f.Prefill("llm", prompt(2, 1, 13300, 500), 0, nil)
 			So(c.Uncached, ShouldEqual, 500)
 		})
 		Convey("is forgotten when as much as the memory holds was read since", func() {
-			f.Keeps(at.Server.ID, r)
+			f.Keeps(at.Server.ID, r, 0)
 			for i := range 40 {
-				f.servers[at.Server.ID].cache.use(prompt(1000+i, 1000+i, 13300, 100), 0)
+				f.servers[at.Server.ID].cache.use(prompt(1000+i, 1000+i, 13300, 100), 0, 0)
 			}
 			So(f.servers[at.Server.ID].cache.holds("p1"), ShouldBeFalse)
 		})
@@ -269,7 +336,7 @@
 		r := prompt(1, 1, 13300, 3700)
 		c, _ := f.Prefill("llm", r, 0, nil)
 		f.Begin(c.Server.ID, r.Rank, c.Uncached)
-		f.Keeps(c.Server.ID, r)
+		f.Keeps(c.Server.ID, r, c.Wait)
 		second, _ := f.Prefill("llm", prompt(2, 1, 13300, 3700), 0, nil)
 		So(second.Uncached, ShouldEqual, 3700)
 		So(second.Ahead, ShouldEqual, 17000)
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -110,10 +110,10 @@
 	began := time.Now()
 	read, end := p.g.State.begin(c.Server.ID, p.req.Rank, c.Uncached)
 	defer end()
-	p.g.State.keeps(c.Server.ID, &p.req)
+	p.g.State.keeps(c, &p.req)
 	ctx, stop := context.WithTimeout(p.ctx, time.Duration(stallShare*float64(p.left())))
 	defer stop()
-	answer, res, err := p.send(ctx, c.Server, call.Send{Priority: priority(p.route.Priority), PrefillOnly: true})
+	answer, res, err := p.send(ctx, c.Server, call.Send{Priority: priority(p.route.Priority), PrefillOnly: true, FetchFrom: c.Source.Address})
 	status := 0
 	if answer != nil {
 		defer answer.Close()
@@ -196,9 +196,11 @@
 	dog := p.watch(cancel)
 	defer dog.Stop()
 	source := p.source
-	answer, res, err := p.send(ctx, c.Server, call.Send{
-		Priority: priority(p.route.Priority), Source: source, LastEventID: p.lastEvent,
-	})
+	add := call.Send{Priority: priority(p.route.Priority), Source: source, LastEventID: p.lastEvent}
+	if source == nil {
+		add.FetchFrom = c.Source.Address
+	}
+	answer, res, err := p.send(ctx, c.Server, add)
 	if res != resultNotSent {
 		p.sends++
 		p.called()
@@ -310,7 +312,7 @@
 func (p *passage) firstEvent(c place.Choice, source *call.Source, began time.Time) {
 	if source == nil {
 		p.g.State.read(c, time.Since(began))
-		p.g.State.keeps(c.Server.ID, &p.req)
+		p.g.State.keeps(c, &p.req)
 	} else {
 		p.g.State.fetched(c.Server.ID, &p.req)
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -82,7 +82,7 @@
 		s.fleet.Hold(id, s.now()+left)
 	}
 	for _, n := range r.Notes {
-		s.fleet.Note(n.Server, n.Part, n.Tokens)
+		s.fleet.Note(n.Server, n.Part, n.Tokens, s.now())
 	}
 }
 
@@ -188,10 +188,11 @@
 
 // keeps notes that an engine is about to keep a prompt that it reads, and tells
 // the other instances, so that a burst of requests for one part goes to one engine.
-func (s *State) keeps(id fleet.UpstreamID, r *call.Request) {
+func (s *State) keeps(c place.Choice, r *call.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet.Keeps(id, r)
+	id := c.Server.ID
+	s.fleet.Keeps(id, r, s.now()+3*c.Wait/2+200*time.Millisecond)
 	if s.told == nil {
 		return
 	}
@@ -217,7 +218,7 @@
 func (s *State) fetched(id fleet.UpstreamID, r *call.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet.Keeps(id, r)
+	s.fleet.Keeps(id, r, s.now())
 }
 
 const (
