Avoid servers by the share of attempts that failed lately

Cause: servers that leave a part of their requests unanswered, while they answer others, were never ejected: ejection needs two failures in a row, and such a request fails only at its deadline.

Change: core/place keeps the recent share of failed attempts of each server, which halves in 2 s without attempts, and adds it as a wait to the choice for answers, and as load for plain calls. An attempt that has had no answer for twice the expected time and 0.4 s counts as overdue at once.

--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -223,7 +223,7 @@
 		work := s.work(now)
 		queue, first := answerTime(work.Runs, s.Slots, paceOf(s, usual), events)
 		wait := queue + first + min(ms(work.ahead(r.Rank), s.speed/decodeReadFactor), pieceWait) + handOverCost + transfer
-		score := wait + time.Duration(jitter(r.ID, s)*float64(3*time.Millisecond))
+		score := wait + time.Duration(jitter(r.ID, s)*float64(3*time.Millisecond)) + s.risk(now)
 		if s.DataCentre != from.DataCentre {
 			score += transfer + crossPenalty
 		}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -263,6 +263,7 @@
 			score += 0.6 / float64(max(s.Slots, 1))
 		}
 		score *= 1 + float64(s.latency)/float64(100*time.Millisecond)
+		score += failLoad * s.fails(now)
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -308,10 +309,27 @@
 }
 
 // Good counts an answer as a sign of health.
-func (f *Fleet) Good(id fleet.UpstreamID) { f.ejector.Good(id) }
+func (f *Fleet) Good(id fleet.UpstreamID, now fleet.Instant) {
+	if s := f.servers[id]; s != nil {
+		s.outcome(0, now)
+	}
+	f.ejector.Good(id)
+}
 
 // Failed counts a failure of a server.
-func (f *Fleet) Failed(id fleet.UpstreamID, now fleet.Instant) { f.ejector.Trouble(id, now) }
+func (f *Fleet) Failed(id fleet.UpstreamID, now fleet.Instant) {
+	f.Overdue(id, now)
+	f.ejector.Trouble(id, now)
+}
+
+// Overdue counts an attempt that has had no answer for much longer than was
+// expected, before it has failed: a server that leaves requests unanswered would
+// get many more until the first of them ends at its deadline.
+func (f *Fleet) Overdue(id fleet.UpstreamID, now fleet.Instant) {
+	if s := f.servers[id]; s != nil {
+		s.outcome(1, now)
+	}
+}
 
 // Answered learns the latency of a plain service.
 func (f *Fleet) Answered(id fleet.UpstreamID, took time.Duration) {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -447,3 +447,74 @@
 		So(apart.QueueForAnswer, ShouldBeGreaterThan, 300*time.Millisecond)
 	})
 }
+
+// grey plays ten seconds of short prompts at four engines, one of which leaves a
+// third of its requests unanswered for four seconds while it answers the others.
+// It returns the requests lost, and how many the engine got in the last two
+// seconds.
+func grey(f *Fleet) (lost, after int) {
+	const perSecond, bad = 100, "e01"
+	type running struct {
+		id   fleet.UpstreamID
+		end  fleet.Instant
+		lost bool
+	}
+	var open []running
+	var now fleet.Instant
+	ill := 0
+	for i := range 10 * perSecond {
+		now += time.Second / perSecond
+		kept := open[:0]
+		for _, x := range open {
+			switch {
+			case x.end > now:
+				kept = append(kept, x)
+			case x.lost:
+				f.Overdue(x.id, now)
+				f.End(x.id, 0, 0)
+			default:
+				f.End(x.id, 0, 0)
+				f.Good(x.id, now)
+			}
+		}
+		open = kept
+		c, _ := f.Decode("llm", prompt(i, 1, 90, 290), Server{DataCentre: "dc0"}, now, nil)
+		x := running{id: c.Server.ID, end: now + 150*time.Millisecond}
+		if x.id == bad {
+			ill++
+			if now < 4*time.Second && ill%3 == 0 {
+				x.lost, x.end = true, now+500*time.Millisecond
+				lost++
+			}
+			if now > 8*time.Second {
+				after++
+			}
+		}
+		f.Begin(x.id, 0, 0)
+		open = append(open, x)
+	}
+	return lost, after
+}
+
+// TestGreyEngine answers a server that fails some of its requests while it answers
+// the others and its health check: no two failures come in a row, and each ends at
+// its deadline only.
+func TestGreyEngine(t *testing.T) {
+	Convey("An engine that leaves a third of its requests unanswered", t, func() {
+		play := func(slots int) (lost, after int) {
+			f := newFleet(0, 4)
+			for _, s := range f.groups["llm"] {
+				s.DataCentre, s.Slots = "dc0", slots
+			}
+			return grey(f)
+		}
+		Convey("loses less than a third of what it would with its share", func() {
+			lost, _ := play(16)
+			So(lost, ShouldBeLessThan, 400/4/3/3)
+		})
+		Convey("is used again once it is well and the others are full", func() {
+			_, after := play(4)
+			So(after, ShouldBeGreaterThan, 200/4/2)
+		})
+	})
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -115,7 +115,9 @@
 	p.g.State.keeps(c, &p.req)
 	ctx, stop := context.WithTimeout(p.ctx, time.Duration(stallShare*float64(p.left())))
 	defer stop()
+	late := p.g.State.expect(c)
 	answer, res, err := p.send(ctx, c.Server, call.Send{Priority: priority(p.route.Priority), PrefillOnly: true, FetchFrom: c.Source.Address})
+	late.Stop()
 	status := 0
 	if answer != nil {
 		defer answer.Close()
@@ -197,6 +199,8 @@
 	defer cancel()
 	dog := p.watch(cancel)
 	defer dog.Stop()
+	late := p.g.State.expect(c)
+	defer late.Stop()
 	source := p.source
 	add := call.Send{Priority: priority(p.route.Priority), Source: source, LastEventID: p.lastEvent}
 	if source == nil {
@@ -213,7 +217,7 @@
 		status = answer.Status
 		if res == resultAnswer {
 			p.mayHaveRun = true
-			res, err = p.pass(answer, c, source, dog, read, began)
+			res, err = p.pass(answer, c, source, dog, func() { read(); late.Stop() }, began)
 		}
 	}
 	p.observe(c, step(source), res, status, began, err)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -89,6 +89,8 @@
 	defer end()
 	ctx, stop := p.attemptContext()
 	defer stop()
+	late := p.g.State.expect(c)
+	defer late.Stop()
 	answer, res, err := p.send(ctx, c.Server, call.Send{Priority: noPriority})
 	if res != resultNotSent {
 		p.sends++
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -167,7 +167,7 @@
 func (s *State) good(id fleet.UpstreamID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet.Good(id)
+	s.fleet.Good(id, s.now())
 }
 
 func (s *State) failed(id fleet.UpstreamID) {
@@ -176,10 +176,30 @@
 	s.fleet.Failed(id, s.now())
 }
 
+const (
+	// overdueTimes and overdueLeast tell when an attempt has taken much longer than
+	// was expected: estimates at a peak are off by up to a half, and pauses of an
+	// engine that reads long prompts last up to 0.3 s.
+	overdueTimes = 2
+	overdueLeast = 400 * time.Millisecond
+)
+
+// expect counts the attempt as overdue when its timer is not stopped in time.
+func (s *State) expect(c place.Choice) *time.Timer {
+	return time.AfterFunc(overdueTimes*c.Wait+overdueLeast, func() { s.overdue(c.Server.ID) })
+}
+
+// overdue counts an attempt that has had no answer for much longer than expected.
+func (s *State) overdue(id fleet.UpstreamID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Overdue(id, s.now())
+}
+
 func (s *State) answered(id fleet.UpstreamID, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet.Good(id)
+	s.fleet.Good(id, s.now())
 	s.fleet.Answered(id, took)
 }
 
