Weigh the declared time of a hand-over

Change: all engines make answers where moving a token takes more than a quarter of reading one; a prompt is read beside answers where its declared transfer takes longer than that costs these.

--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -36,6 +36,11 @@
 	// pieceWait bounds how long a prompt that is read beside answers delays the
 	// next event of one of them: engines read it in pieces between the events.
 	pieceWait = 20 * time.Millisecond
+	// besideCost is what a read beside running answers costs these, whatever its
+	// length, and besideShare the part of its time by which each is delayed: it
+	// waits while a piece is read before each of its events.
+	besideCost  = 30 * time.Millisecond
+	besideShare = 0.3
 	// handOverCost is the fixed time of a transfer between stages.
 	handOverCost = 8 * time.Millisecond
 )
@@ -181,10 +186,7 @@
 		if !possible {
 			return source{}, 0, false
 		}
-		if s.DataCentre != to.DataCentre {
-			t *= acrossCentres
-		}
-		t += copyTime
+		t = between(t, s.DataCentre, to.DataCentre) + copyTime
 		if t < ms(lacks, speed) && (!ok || t < took) {
 			best, took, ok = s, t, true
 		}
@@ -214,7 +216,7 @@
 // of it until a slot is free.
 func (f *Fleet) Decode(group fleet.GroupName, r *call.Request, from Server, now fleet.Instant, skip []fleet.UpstreamID) (Choice, bool) {
 	list := f.usable(group, now, skip, isDecode)
-	transfer := f.transfer(group, r)
+	nominal, _ := f.transferTime(group, float64(r.PromptTokens))
 	usual := usualPace(list)
 	events := f.usualEvents(group)
 	var best Choice
@@ -222,14 +224,15 @@
 	for _, s := range list {
 		work := s.work(now)
 		queue, first := answerTime(work.Runs, s.Slots, paceOf(s, usual), events)
+		transfer := between(nominal, from.DataCentre, s.DataCentre)
 		wait := queue + first + min(ms(work.ahead(r.Rank), s.speed/decodeReadFactor), pieceWait) + handOverCost + transfer
 		score := wait + time.Duration(jitter(r.ID, s)*float64(3*time.Millisecond)) + s.risk(now)
 		if s.DataCentre != from.DataCentre {
-			score += transfer + crossPenalty
+			score += crossPenalty
 		}
 		if best.Candidates == 0 || score < bestScore {
 			bestScore = score
-			best = Choice{Server: s.Server, Reason: reasonOf(len(list), ReasonLeastWait), Wait: wait, Queue: queue, Candidates: len(list)}
+			best = Choice{Server: s.Server, Reason: reasonOf(len(list), ReasonLeastWait), Wait: wait, Queue: queue, Transfer: transfer, Candidates: len(list)}
 		}
 	}
 	return best, best.Candidates > 0
@@ -263,10 +266,13 @@
 	return paces.or(initialPace)
 }
 
-// transfer is the time to move a prompt's KV cache within a data centre.
-func (f *Fleet) transfer(group fleet.GroupName, r *call.Request) time.Duration {
-	t, _ := f.transferTime(group, float64(r.PromptTokens))
-	return t
+// between is the time of a transfer between two data centres that takes nominal
+// within one.
+func between(nominal time.Duration, from, to fleet.DataCentre) time.Duration {
+	if from != to {
+		return acrossCentres * nominal
+	}
+	return nominal
 }
 
 // transferTime is the time to move KV cache of some tokens within a data centre;
@@ -285,10 +291,10 @@
 
 // Apart chooses an engine for each way to read a prompt: at the prefill stage,
 // apart from the answer, or at the engine that makes the answer. split tells that
-// the first way is open; it is taken whenever it is, because prompts that are read
-// beside running answers delay these, and are read at half the speed. The wait and
-// the queue of the first way include those for the answer's first event, so that a
-// request whose answer cannot be made in time is refused before it is read.
+// the first way is taken: whenever it is open and the transfer takes no longer than
+// the read beside running answers takes more, which delays these. ForAnswer of the
+// first way counts the wait for the answer's first event, so that a request whose
+// answer cannot be made in time is refused before it is read.
 func (f *Fleet) Apart(group fleet.GroupName, r *call.Request, now fleet.Instant, skip []fleet.UpstreamID) (apart, direct Choice, split bool) {
 	apart, split = f.Prefill(group, r, now, skip)
 	direct, _ = f.Direct(group, r, now, skip)
@@ -298,8 +304,22 @@
 	if answer, ok := f.Decode(group, r, apart.Server, now, skip); ok {
 		apart.ForAnswer = answer.Wait
 		apart.QueueForAnswer = answer.Queue
+		apart.Transfer = answer.Transfer
+	}
+	return apart, direct, !f.dearer(apart, direct, now)
+}
+
+// dearer tells that handing a prompt over takes longer than reading it beside
+// answers costs, and that its first event comes sooner that way.
+func (f *Fleet) dearer(apart, direct Choice, now fleet.Instant) bool {
+	s := f.servers[direct.Server.ID]
+	if s == nil {
+		return false
 	}
-	return apart, direct, true
+	read := direct.Wait - direct.Queue
+	extra := read - (apart.Wait - apart.Queue)
+	beside := besideCost + time.Duration(besideShare*float64(s.work(now).Runs)*float64(read))
+	return apart.Transfer > extra+beside && direct.Wait+beside < apart.Wait+apart.ForAnswer
 }
 
 // Engines returns the engines of a service, for the plan of the stages.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -40,6 +40,8 @@
 	// event, where the answer is made at another engine, and QueueForAnswer the
 	// part of it that other requests take.
 	ForAnswer, QueueForAnswer time.Duration
+	// Transfer is the part of Wait, or of ForAnswer, in which KV cache is moved.
+	Transfer time.Duration
 	// Uncached is the number of prompt tokens that the server has to read.
 	Uncached float64
 	// Source is another engine that keeps more of the prompt's beginning, from
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -518,3 +518,33 @@
 		})
 	})
 }
+
+// TestSlowLinks answers deployments whose links make a hand-over dear.
+func TestSlowLinks(t *testing.T) {
+	Convey("A prompt whose transfer takes a tenth of a second", t, func() {
+		f := newFleetWithLink(4, 2, 3e9)
+		r := prompt(1, 1, 13300, 300)
+		for _, s := range f.groups["llm"] {
+			f.Keeps(s.ID, r, 0)
+		}
+		Convey("is read where its answer is made", func() {
+			_, direct, split := f.Apart("llm", prompt(2, 1, 13300, 300), time.Second, nil)
+			So(split, ShouldBeFalse)
+			So(direct.Server.Stage, ShouldEqual, fleet.RoleDecode)
+		})
+		Convey("is handed over when many answers run there", func() {
+			for _, id := range []fleet.UpstreamID{"e04", "e05"} {
+				for range 60 {
+					f.Begin(id, 3, 1000)
+				}
+			}
+			_, _, split := f.Apart("llm", prompt(2, 1, 13300, 300), time.Second, nil)
+			So(split, ShouldBeTrue)
+		})
+	})
+	Convey("A prompt whose transfer takes milliseconds is handed over", t, func() {
+		f := newFleet(4, 2)
+		_, _, split := f.Apart("llm", prompt(1, 1, 13300, 300), 0, nil)
+		So(split, ShouldBeTrue)
+	})
+}
--- a/core/stageplan/stageplan.go
+++ b/core/stageplan/stageplan.go
@@ -11,6 +11,7 @@
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/membership"
 	"github.com/bramleywick/bramleywick/core/place"
+	"github.com/bramleywick/bramleywick/core/routes"
 )
 
 // Change is one engine's next stage.
@@ -34,14 +35,24 @@
 	leastDecode   = 0.22
 	decodePerSlot = 1.6
 	mostDecode    = 0.6
+	// dearTransfer is the time to move the KV cache of a token, as a share of the
+	// time to read one, above which all engines make answers and read the prompts
+	// themselves: a prompt is moved whole while most of it need not be read.
+	// usualRead is the reading speed that is assumed, in tokens a second.
+	dearTransfer = 0.25
+	usualRead    = 40_000.0
 	// decodePerTolerated is how many engines at the decode stage make the loss
 	// of one of them bearable. Without room there nothing can be answered,
 	// while fewer engines at the prefill stage only read more slowly.
 	decodePerTolerated = 8
 )
 
-// ForSlots returns the plan for engines with the given number of slots.
-func ForSlots(slots, tolerance int) Plan {
+// For returns the plan for a service's engines.
+func For(e *routes.Engine, tolerance int) Plan {
+	if e.LinkBytesPerSecond > 0 && e.KVBytesPerToken/e.LinkBytesPerSecond > dearTransfer/usualRead {
+		return Plan{PrefillShare: 0, Tolerance: tolerance}
+	}
+	slots := e.Slots
 	decode := min(leastDecode+decodePerSlot/float64(max(slots, 1)), mostDecode)
 	return Plan{PrefillShare: 1 - decode, Tolerance: tolerance}
 }
@@ -65,6 +76,9 @@
 		return nil
 	}
 	wanted := min(max(int(math.Round(p.PrefillShare*float64(total))), 1), total-1)
+	if p.PrefillShare == 0 {
+		wanted = 0
+	}
 	missing := wanted - len(prefill)
 	switch {
 	case missing > p.Tolerance:
--- a/stages/stages.go
+++ b/stages/stages.go
@@ -206,7 +206,7 @@
 	if bootstrap {
 		tolerance = 0
 	}
-	plan := stageplan.ForSlots(service.Engine.Slots, tolerance)
+	plan := stageplan.For(service.Engine, tolerance)
 	busy := false
 	for _, until := range o.busy {
 		busy = busy || at < until
