Test the decisions on deployments that no sheet describes

Adds tests of one and six data centres, an engine in each, two engines, one slot, memory for one prompt, engines without stages and 400 routes added at once.

One failed first: an engine with memory for one prompt was believed to keep a part after the next was read, because a part's own length was not counted. Change: the mark of a kept part is set before its own length.

--- a/core/place/cache.go
+++ b/core/place/cache.go
@@ -27,7 +27,8 @@
 
 // kept is a part that the engine is believed to keep.
 type kept struct {
-	// mark is the value of added when the part was last used.
+	// mark is the value of added when the part was last used, less its own length:
+	// the part is gone once as much was added since as fits beside it.
 	mark float64
 	// ready is when the part has been read, so that others can copy it.
 	ready fleet.Instant
@@ -108,7 +109,7 @@
 	if part, ok := c.used[id]; ok && c.lasts(part) {
 		ready = min(ready, part.ready)
 	}
-	c.used[id] = kept{mark: c.added, ready: ready}
+	c.used[id] = kept{mark: c.added - float64(tokens), ready: ready}
 }
 
 // prune drops parts that are gone, or all when none is.
--- /dev/null
+++ b/core/place/deployments_test.go
@@ -0,0 +1,104 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/routes"
+)
+
+// deployment returns a view of engines spread over data centres, a quarter of them
+// at the decode stage.
+func deployment(engines, centres, slots, kv int) *Fleet {
+	f := New(Config{Instance: "i", DataCentre: "dc0"})
+	f.Configure(routes.Compile(routes.Configuration{Version: 1, Services: []routes.Service{
+		{Name: "llm", Engine: &routes.Engine{Slots: slots, KVTokens: kv, KVBytesPerToken: 18432, LinkBytesPerSecond: 9e10}},
+	}}))
+	var list []Server
+	for i := range engines {
+		stage := fleet.RolePrefill
+		if i%4 == 0 {
+			stage = fleet.RoleDecode
+		}
+		list = append(list, Server{
+			ID: fleet.UpstreamID(fmt.Sprintf("e%02d", i)), Group: "llm", Slots: slots, Stage: stage,
+			DataCentre: fleet.DataCentre(fmt.Sprint("dc", i%centres)),
+		})
+	}
+	f.SetServers(list)
+	return f
+}
+
+// TestDeployments answers deployments that no sheet describes: each request finds
+// an engine, and instances of all data centres agree on the home of a shared part.
+func TestDeployments(t *testing.T) {
+	for _, c := range []struct {
+		name                        string
+		engines, centres, slots, kv int
+	}{
+		{"one data centre", 12, 1, 64, kvTokens},
+		{"six data centres", 24, 6, 12, kvTokens},
+		{"an engine in each data centre", 6, 6, 12, kvTokens},
+		{"two engines", 2, 2, 4, kvTokens},
+		{"memory for one prompt", 12, 3, 12, 20_000},
+		{"one slot", 12, 3, 1, kvTokens},
+	} {
+		Convey("With "+c.name, t, func() {
+			homes := map[string]fleet.UpstreamID{}
+			for dc := range c.centres {
+				f := deployment(c.engines, c.centres, c.slots, c.kv)
+				f.config.DataCentre = fleet.DataCentre(fmt.Sprint("dc", dc))
+				for i := range 50 {
+					r := prompt(i, i%10, 13300, 500)
+					apart, _, split := f.Apart("llm", r, 0, nil)
+					So(split, ShouldBeTrue)
+					run, ok := f.Decode("llm", r, apart.Server, 0, nil)
+					So(ok, ShouldBeTrue)
+					So(run.Server.Stage, ShouldEqual, fleet.RoleDecode)
+					if i < 10 {
+						part := r.Parts[0].ID
+						if homes[part] == "" {
+							homes[part] = apart.Server.ID
+						}
+						So(string(apart.Server.ID), ShouldEqual, string(homes[part]))
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestTinyMemory answers engines whose memory holds one shared part: what is gone
+// is not counted on, neither for a read nor for a copy.
+func TestTinyMemory(t *testing.T) {
+	Convey("An engine with memory for one prompt", t, func() {
+		f := deployment(4, 1, 12, 20_000)
+		r := prompt(1, 1, 13300, 500)
+		at, _ := f.Prefill("llm", r, 0, nil)
+		f.Keeps(at.Server.ID, r, 0)
+		f.Keeps(at.Server.ID, prompt(2, 2, 13300, 500), 0)
+		c, _ := f.Prefill("llm", prompt(3, 1, 13300, 500), time.Second, nil)
+		So(c.Uncached, ShouldEqual, 13800)
+		So(c.Copied, ShouldEqual, 0)
+	})
+}
+
+// TestMixedEngines answers engines without stages: each reads and answers.
+func TestMixedEngines(t *testing.T) {
+	Convey("Engines without a stage read the prompts of their answers", t, func() {
+		f := deployment(4, 2, 12, kvTokens)
+		var list []Server
+		for _, s := range f.groups["llm"] {
+			s.Server.Stage = fleet.RoleMixed
+			list = append(list, s.Server)
+		}
+		f.SetServers(list)
+		_, direct, split := f.Apart("llm", prompt(1, 1, 13300, 500), 0, nil)
+		So(split, ShouldBeFalse)
+		So(direct.Candidates, ShouldEqual, 4)
+	})
+}
--- a/core/routes/routes_test.go
+++ b/core/routes/routes_test.go
@@ -55,3 +55,21 @@
 		So((&Route{}).Service("x"), ShouldBeEmpty)
 	})
 }
+
+// TestManyRoutes answers a configuration that grows by 400 routes at once: each is
+// found, and those before are found as before.
+func TestManyRoutes(t *testing.T) {
+	Convey("After 400 routes were added", t, func() {
+		c := Configuration{Version: 1, Routes: []Route{{Name: "old", Host: "h", Prefix: "/"}, {Name: "deep", Host: "h", Prefix: "/a/b/"}}}
+		for i := range 400 {
+			c.Routes = append(c.Routes, Route{Name: fmt.Sprint("new", i), Host: fmt.Sprint("h", i%7), Prefix: fmt.Sprintf("/n%d/", i)})
+		}
+		table := Compile(c)
+		for i := range 400 {
+			So(table.Lookup(fmt.Sprint("h", i%7), fmt.Sprintf("/n%d/x", i)).Name, ShouldEqual, fmt.Sprint("new", i))
+		}
+		So(table.Lookup("h", "/a/b/c").Name, ShouldEqual, "deep")
+		So(table.Lookup("h", "/n1/x").Name, ShouldEqual, "old")
+		So(table.Lookup("h1", "/n2/x"), ShouldBeNil)
+	})
+}
