Bring refused callers back after the burst

Giving returning callers a longer queue: most of them would be late, in the place of callers who would not.

Change: core/turn remembers the share of refused requests of a service and rank; Retry-After grows with it by up to 0.7 s. The decision moved from a function to a type, and the share with it.

--- a/core/turn/turn.go
+++ b/core/turn/turn.go
@@ -4,7 +4,11 @@
 // the servers order what waits by its rank, so that a refusal is never late.
 package turn
 
-import "time"
+import (
+	"time"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
 
 // Estimate is what is known of a request at its arrival.
 type Estimate struct {
@@ -40,17 +44,46 @@
 	// return.
 	minReturn = 100 * time.Millisecond
 	maxReturn = 2 * time.Second
+	// peakReturn is after what time a caller returns while all are refused: the
+	// queue stays just above the limit then, and its excess says nothing of when
+	// the peak ends.
+	peakReturn = 700 * time.Millisecond
+	// refusedWeight is the part of one request in the recent share of refusals, so
+	// that the share follows within about ten requests.
+	refusedWeight = 0.1
 )
 
-// Decide refuses a request that would be late because of the work ahead of it.
-// The caller should return when the excess has been worked off.
-func Decide(e Estimate) Verdict {
+// Turns decides by estimates and by what was refused lately. Not safe for
+// concurrent use.
+type Turns struct {
+	// refused is the recent share of refused requests.
+	refused map[kind]float64
+}
+
+// kind is what requests have in common that wait for each other.
+type kind struct {
+	group fleet.GroupName
+	rank  int
+}
+
+// New returns Turns that have refused nothing.
+func New() *Turns { return &Turns{refused: map[kind]float64{}} }
+
+// Decide refuses a request that would be late because of the work ahead of it. The
+// caller should return when the excess has been worked off, and the later the more
+// is refused.
+func (t *Turns) Decide(group fleet.GroupName, rank int, e Estimate) Verdict {
+	k := kind{group, rank}
+	share := t.refused[k]
 	limit := time.Duration(useOfLeft*float64(e.Left)) - e.Own
 	if e.Target > 0 {
 		limit = min(limit, time.Duration(queueShare*float64(e.Target)))
 	}
 	if e.Queue <= limit {
+		t.refused[k] = share - refusedWeight*share
 		return Verdict{Admit: true}
 	}
-	return Verdict{RetryAfter: min(max(e.Queue-limit, minReturn), maxReturn)}
+	t.refused[k] = share + refusedWeight*(1-share)
+	wait := e.Queue - limit + time.Duration(share*float64(peakReturn))
+	return Verdict{RetryAfter: min(max(wait, minReturn), maxReturn)}
 }
--- a/core/turn/turn_test.go
+++ b/core/turn/turn_test.go
@@ -24,7 +24,7 @@
 			{"longer than its caller waits", 0, 4500 * time.Millisecond, false},
 		} {
 			Convey(c.name, func() {
-				v := Decide(Estimate{Queue: c.queue, Own: c.own, Target: target, Left: left})
+				v := New().Decide("s", 1, Estimate{Queue: c.queue, Own: c.own, Target: target, Left: left})
 				So(v.Admit, ShouldEqual, c.admit)
 				if !c.admit {
 					So(v.RetryAfter, ShouldBeBetweenOrEqual, minReturn, maxReturn)
@@ -77,7 +77,8 @@
 // prompts are asked for than the engines can read.
 func TestPeak(t *testing.T) {
 	Convey("At three times the capacity", t, func() {
-		served, onTime, long, longServed, waited := replay(func(e Estimate) bool { return Decide(e).Admit })
+		turns := New()
+		served, onTime, long, longServed, waited := replay(func(e Estimate) bool { return turns.Decide("s", 1, e).Admit })
 		_, onTimeOpen, _, _, _ := replay(func(Estimate) bool { return true })
 
 		Convey("no admitted request waits longer than its target", func() {
@@ -91,3 +92,64 @@
 		})
 	})
 }
+
+// returns plays bursts of 2.8 s at three times what an engine can read, with 2.8 s
+// at half of it between. A refused caller returns once, when it is told to. It
+// returns how many are served, and how many are refused twice.
+func returns(remember bool) (served, twice int) {
+	const target, left, own = 600 * time.Millisecond, 5 * time.Second, 80 * time.Millisecond
+	type call struct {
+		at    time.Duration
+		again bool
+	}
+	var calls []call
+	for at := time.Duration(0); at < 28*time.Second; {
+		calls = append(calls, call{at: at})
+		gap := own * 2
+		if at/(2800*time.Millisecond)%2 == 0 {
+			gap = own / 3
+		}
+		at += gap
+	}
+	var free time.Duration
+	turns := New()
+	for len(calls) > 0 {
+		first := 0
+		for i := range calls {
+			if calls[i].at < calls[first].at {
+				first = i
+			}
+		}
+		c := calls[first]
+		calls = append(calls[:first], calls[first+1:]...)
+		e := Estimate{Queue: max(free-c.at, 0), Own: own, Target: target, Left: left}
+		if !remember {
+			turns = New()
+		}
+		v := turns.Decide("s", 1, e)
+		switch {
+		case v.Admit:
+			free = max(free, c.at) + own
+			served++
+		case c.again:
+			twice++
+		default:
+			calls = append(calls, call{at: c.at + v.RetryAfter, again: true})
+		}
+	}
+	return served, twice
+}
+
+// TestReturns answers bursts in which most are refused: the queue stays just above
+// the limit, so that the time in which its excess is worked off brings callers back
+// into the same burst.
+func TestReturns(t *testing.T) {
+	Convey("When Retry-After grows with the share that is refused", t, func() {
+		served, twice := returns(true)
+		servedBlind, twiceBlind := returns(false)
+		Convey("more callers are served and fewer are refused twice", func() {
+			So(served, ShouldBeGreaterThan, servedBlind)
+			So(twice, ShouldBeLessThan, twiceBlind)
+		})
+	})
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -76,7 +76,9 @@
 		c = apart
 	}
 	queue := c.Queue + c.QueueForAnswer
-	v := turn.Decide(turn.Estimate{Queue: queue, Own: c.Wait + c.ForAnswer - queue, Target: p.route.Target, Left: p.left()})
+	v := p.g.State.decide(p.group, p.req.Rank, turn.Estimate{
+		Queue: queue, Own: c.Wait + c.ForAnswer - queue, Target: p.route.Target, Left: p.left(),
+	})
 	if v.Admit {
 		return true
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -9,6 +9,7 @@
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/place"
 	"github.com/bramleywick/bramleywick/core/routes"
+	"github.com/bramleywick/bramleywick/core/turn"
 	"github.com/bramleywick/bramleywick/directory"
 	"github.com/bramleywick/bramleywick/loadshare"
 )
@@ -23,11 +24,19 @@
 	told func(loadshare.Note)
 	// instances is the number of instances that the directory lists.
 	instances int
+	turns     *turn.Turns
+}
+
+// decide decides on a request by the estimate and what was refused lately.
+func (s *State) decide(group fleet.GroupName, rank int, e turn.Estimate) turn.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.turns.Decide(group, rank, e)
 }
 
 // NewState returns a state without servers.
 func NewState(p place.Config, b budget.Config) *State {
-	return &State{fleet: place.New(p), budget: budget.New(b, minInstances), start: time.Now(), instances: minInstances}
+	return &State{fleet: place.New(p), budget: budget.New(b, minInstances), start: time.Now(), instances: minInstances, turns: turn.New()}
 }
 
 // minInstances is assumed until the directory lists more: shares of budgets and
