Add bramleywickctl explain

Prints what the logs of instances say of one request, in the order of time, from files or the standard input. Before, the way from a failed request's id to its cause needed grep and jq, which not every on-call machine has.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -1,5 +1,6 @@
 // Package ctl is the operators' command line: each subcommand makes calls on
-// the operators' listener of one entry instance and prints tables or JSON.
+// the operators' listener of one entry instance and prints tables or JSON; explain
+// reads the log files of instances instead.
 package ctl
 
 import (
@@ -49,6 +50,7 @@
 		Subcommands: []*ffcli.Command{
 			a.planCommand(), a.applyCommand(), a.diffCommand(), a.showCommand(), a.historyCommand(),
 			a.revertCommand(), a.statusCommand(), a.topCommand(), a.drainCommand(), a.ordersCommand(),
+			a.explainCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
