Score a bounded number of engines for each request

Each request scored all engines in three passes, and each score added up the work of all peers.

Ruled out: the exchange; the instances in the middle hear one hub only.

Change: at most 96 engines are scored, a part that differs by request, and besides the home and those that keep the shared part; the sum of the peers' work and the weight of a home are kept; the engines that read prompts themselves are looked for only where a transfer is longer than such a read costs the answers beside it.

--- a/core/place/answer.go
+++ b/core/place/answer.go
@@ -23,6 +23,9 @@
 // of it until a slot is free.
 func (f *Fleet) Decode(group fleet.GroupName, r *call.Request, from Server, now fleet.Instant, skip []fleet.UpstreamID) (Choice, bool) {
 	list := f.usable(group, now, skip, isDecode)
+	if len(list) > maxScored {
+		list = scored(list, r.ID, func(*server) bool { return false })
+	}
 	nominal, _ := f.transferTime(group, float64(r.PromptTokens))
 	usual := usualPace(list)
 	events := f.usualEvents(group)
--- /dev/null
+++ b/core/place/bench_test.go
@@ -0,0 +1,31 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+// BenchmarkApart measures the choices of one request by the number of engines, with
+// the work of three other instances at each.
+func BenchmarkApart(b *testing.B) {
+	for _, n := range []int{18, 60, 600, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := deployment(n, 3, 12, kvTokens)
+			for peer := range 3 {
+				work := map[fleet.UpstreamID]Work{}
+				for id := range f.servers {
+					work[id] = Work{Runs: 2, Speed: 40 + float64(peer), Pace: 30}
+				}
+				f.SetPeerWork(fleet.InstanceID(fmt.Sprint("j", peer)), work, 0)
+			}
+			for i := range b.N {
+				r := prompt(i, i%100, 13300, 300)
+				apart, _, _ := f.Apart("llm", r, 0, nil)
+				f.Keeps(apart.Server.ID, r, 0)
+				f.Decode("llm", r, apart.Server, 0, nil)
+			}
+		})
+	}
+}
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -46,6 +46,11 @@
 // instances with slightly different measurements agree.
 const speedStep = 1.35
 
+// homeWeight is the weight of an engine of a speed as a home.
+func homeWeight(speed float64) float64 {
+	return math.Pow(speedStep, math.Round(math.Log(speed)/math.Log(speedStep)))
+}
+
 // home returns the engine that a part is assigned to, the same on every instance
 // that knows the same engines and speeds. Each engine gets parts in proportion
 // to its speed (weighted rendezvous hash).
@@ -53,9 +58,8 @@
 	var best *server
 	bestScore := math.Inf(1)
 	for _, s := range list {
-		weight := math.Pow(speedStep, math.Round(math.Log(s.speed)/math.Log(speedStep)))
 		uniform := (float64(membership.Hash(part, string(s.ID))>>11) + 0.5) / (1 << 53)
-		if score := -math.Log(uniform) / weight; score < bestScore {
+		if score := -math.Log(uniform) / s.weight; score < bestScore {
 			best, bestScore = s, score
 		}
 	}
@@ -94,20 +98,20 @@
 // the first way is taken: whenever it is open and the transfer takes no longer than
 // the read beside running answers takes more, which delays these. ForAnswer of the
 // first way counts the wait for the answer's first event, so that a request whose
-// answer cannot be made in time is refused before it is read.
+// answer cannot be made in time is refused before it is read. direct is not looked
+// for, and has no candidates, where the transfer is short.
 func (f *Fleet) Apart(group fleet.GroupName, r *call.Request, now fleet.Instant, skip []fleet.UpstreamID) (apart, direct Choice, split bool) {
 	apart, split = f.Prefill(group, r, now, skip)
-	direct, _ = f.Direct(group, r, now, skip)
-	if !split {
-		return apart, direct, false
-	}
 	answer, ok := f.Decode(group, r, apart.Server, now, skip)
-	if !ok {
-		// Nobody could make the answer, so the prompt would be read in vain.
-		return apart, direct, false
+	if split && ok {
+		apart.ForAnswer, apart.QueueForAnswer, apart.Transfer = answer.Wait, answer.Queue, answer.Transfer
+		if apart.Transfer <= besideCost {
+			return apart, Choice{}, true
+		}
 	}
-	apart.ForAnswer, apart.QueueForAnswer, apart.Transfer = answer.Wait, answer.Queue, answer.Transfer
-	return apart, direct, !f.dearer(apart, direct, now)
+	direct, _ = f.Direct(group, r, now, skip)
+	// Without an engine that makes the answer the prompt would be read in vain.
+	return apart, direct, split && ok && !f.dearer(apart, direct, now)
 }
 
 // dearer tells that handing a prompt over takes longer than reading it beside
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -143,6 +143,7 @@
 		w, ok := work[id]
 		if !ok {
 			delete(s.others, peer)
+			s.stale = true
 			continue
 		}
 		s.others[peer] = peerWork{Work: w, heard: now}
@@ -190,6 +191,9 @@
 func (f *Fleet) Hold(id fleet.UpstreamID, until fleet.Instant) { f.held[id] = max(f.held[id], until) }
 
 func (f *Fleet) isHeld(id fleet.UpstreamID, now fleet.Instant) bool {
+	if len(f.held) == 0 {
+		return false
+	}
 	until, ok := f.held[id]
 	if ok && now >= until {
 		delete(f.held, id)
--- a/core/place/read.go
+++ b/core/place/read.go
@@ -5,6 +5,7 @@
 
 	"github.com/bramleywick/bramleywick/core/call"
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/membership"
 )
 
 const (
@@ -43,6 +44,9 @@
 	list := f.usable(group, now, skip, fits)
 	part, shared := sharedPart(r)
 	at := home(part, list)
+	if len(list) > maxScored {
+		list = scored(list, r.ID, func(s *server) bool { return s == at || s.cache.holds(part) })
+	}
 	copyCost := f.copyCost(list, factor, now)
 	sources := f.sources(group, r, now)
 	var best Choice
@@ -84,6 +88,25 @@
 	return best, best.Candidates > 0
 }
 
+// maxScored is how many engines are scored for one request: more make the choice
+// dear and hardly better, while the home and those that keep the shared part are
+// always among them.
+const maxScored = 96
+
+// scored returns a part of the list that differs by request, and besides all
+// engines that keep is true for.
+func scored(list []*server, id fleet.RequestID, keep func(*server) bool) []*server {
+	out := make([]*server, 0, maxScored+8)
+	begin := int(membership.Hash(string(id)) % uint64(len(list)))
+	for i := range list {
+		s := list[(begin+i)%len(list)]
+		if i < maxScored || keep(s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // source is an engine and the tokens of a prompt's beginning that it keeps.
 type source struct {
 	*server
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -6,6 +6,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
@@ -101,10 +102,16 @@
 	Server
 	own    Work
 	others map[fleet.InstanceID]peerWork
+	// peers is the sum of others, which holds until peersUntil unless it is stale.
+	peers      Work
+	peersUntil fleet.Instant
+	stale      bool
 	// learned is the own measurement of the speed, in prompt tokens per
 	// millisecond at the prefill stage; speed is the mean over all instances.
 	learned float64
 	speed   float64
+	// weight is the server's as a home of shared parts.
+	weight float64
 	// pace is the mean of the learned paces over all instances, in milliseconds
 	// between two events; 0 when nothing was learned.
 	pace float64
@@ -123,23 +130,38 @@
 func newServer(s Server) *server {
 	return &server{
 		Server: s, others: map[fleet.InstanceID]peerWork{}, speed: initialSpeed, learned: initialSpeed,
-		cache: newCache(), available: true,
+		weight: homeWeight(initialSpeed), cache: newCache(), available: true,
 	}
 }
 
 // work returns the work of all instances at the server.
 func (s *server) work(now fleet.Instant) Work {
+	if s.stale || now >= s.peersUntil {
+		s.sumPeers(now)
+	}
 	total := s.own
+	total.plus(s.peers)
+	return total
+}
+
+// sumPeers adds up what other instances have under way, and notes until when the
+// sum holds.
+func (s *server) sumPeers(now fleet.Instant) {
+	s.peers, s.stale, s.peersUntil = Work{}, false, never
 	for id, w := range s.others {
-		if now-w.heard > peerWorkTTL {
+		until := w.heard + peerWorkTTL + 1
+		if now >= until {
 			delete(s.others, id)
 			continue
 		}
-		total.plus(w.Work)
+		s.peers.plus(w.Work)
+		s.peersUntil = min(s.peersUntil, until)
 	}
-	return total
 }
 
+// never is later than any time.
+const never = fleet.Instant(math.MaxInt64)
+
 // learn takes the time in which the server read tokens, those ahead included.
 func (s *server) learn(tokens float64, took time.Duration) {
 	ms := float64(max(took-callOverhead, time.Millisecond)) / float64(time.Millisecond)
@@ -172,7 +194,10 @@
 		speeds.add(w.Speed)
 		paces.add(w.Pace)
 	}
-	s.speed = speeds.or(s.speed)
+	s.stale = true
+	if speed := speeds.or(s.speed); speed != s.speed {
+		s.speed, s.weight = speed, homeWeight(speed)
+	}
 	s.pace = paces.or(s.pace)
 }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -63,10 +63,10 @@
 	if p.source != nil {
 		return p.g.State.decode(p.group, &p.req, p.reader, p.tried)
 	}
-	if len(p.tried) > 0 {
-		_, direct, _ = p.g.State.apart(p.group, &p.req, p.tried)
+	if len(p.tried) > 0 || direct.Candidates == 0 {
+		return p.g.State.direct(p.group, &p.req, p.tried)
 	}
-	return direct, direct.Candidates > 0
+	return direct, true
 }
 
 // admit decides whether the request is served and refuses it otherwise.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -146,6 +146,12 @@
 	return s.fleet.Apart(group, r, s.now(), skip)
 }
 
+func (s *State) direct(group fleet.GroupName, r *call.Request, skip []fleet.UpstreamID) (place.Choice, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Direct(group, r, s.now(), skip)
+}
+
 func (s *State) decode(group fleet.GroupName, r *call.Request, from place.Server, skip []fleet.UpstreamID) (place.Choice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
