Test that thousands of engines keep the homes

A part of the engines is scored for each request; the homes of shared parts must stay the same for all. Ruled out: nothing, the test passes on the change before.

--- a/core/place/deployments_test.go
+++ b/core/place/deployments_test.go
@@ -102,3 +102,26 @@
 		So(direct.Candidates, ShouldEqual, 4)
 	})
 }
+
+// TestManyEngines answers fleets of thousands of engines, of which a part is scored
+// for each request: shared parts keep their homes.
+func TestManyEngines(t *testing.T) {
+	Convey("With 3,000 engines", t, func() {
+		f := deployment(3000, 11, 12, kvTokens)
+		first := map[string]fleet.UpstreamID{}
+		for i := range 200 {
+			r := prompt(i, i%20, 13300, 500)
+			c, ok := f.Prefill("llm", r, 0, nil)
+			So(ok, ShouldBeTrue)
+			So(c.Candidates, ShouldBeLessThanOrEqualTo, maxScored+1)
+			part := r.Parts[0].ID
+			if first[part] == "" {
+				first[part] = c.Server.ID
+			}
+			So(string(c.Server.ID), ShouldEqual, string(first[part]))
+			run, ok := f.Decode("llm", r, c.Server, 0, nil)
+			So(ok, ShouldBeTrue)
+			So(run.Candidates, ShouldBeLessThanOrEqualTo, maxScored)
+		}
+	})
+}
