Name the time after which a part can be copied

Found in reading the change as a newcomer: a formula without names, and functions without a line on what they do. No value changes.

--- a/gateway/state.go
+++ b/gateway/state.go
@@ -24,7 +24,8 @@
 	told func(loadshare.Note)
 	// instances is the number of instances that the directory lists.
 	instances int
-	turns     *turn.Turns
+	// turns decides who is served.
+	turns *turn.Turns
 }
 
 // decide decides on a request by the estimate and what was refused lately.
@@ -146,6 +147,7 @@
 	return s.fleet.Apart(group, r, s.now(), skip)
 }
 
+// direct chooses an engine that reads the prompt of its own answer.
 func (s *State) direct(group fleet.GroupName, r *call.Request, skip []fleet.UpstreamID) (place.Choice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,13 +223,21 @@
 // tellTokens is the least length of a part that other instances are told of.
 const tellTokens = 24
 
+const (
+	// readyTimes halves of the expected wait and readySlack are the time after which
+	// a part that an engine was sent can be copied: estimates at a peak are off by
+	// up to a half, and its first request holds it until the answer has begun.
+	readyTimes = 3
+	readySlack = 200 * time.Millisecond
+)
+
 // keeps notes that an engine is about to keep a prompt that it reads, and tells
 // the other instances, so that a burst of requests for one part goes to one engine.
 func (s *State) keeps(c place.Choice, r *call.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := c.Server.ID
-	s.fleet.Keeps(id, r, s.now()+3*c.Wait/2+200*time.Millisecond)
+	s.fleet.Keeps(id, r, s.now()+readyTimes*c.Wait/2+readySlack)
 	if s.told == nil {
 		return
 	}
@@ -250,12 +260,14 @@
 	s.fleet.Read(c, took)
 }
 
+// made learns the pace of an engine's answers.
 func (s *State) made(id fleet.UpstreamID, events int, span time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleet.Made(id, events, span)
 }
 
+// fetched notes that an engine has got a prompt's KV cache from another.
 func (s *State) fetched(id fleet.UpstreamID, r *call.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
