--- a/caller/engine_test.go
+++ b/caller/engine_test.go
@@ -224,10 +224,8 @@
 	return makeSplit(t), refusal
 }
 
-// smallWindow is a client whose connections buffer only a few kilobytes, so
-// that the server's writes block as soon as the client stops reading. The
-// write timeout that the test waits for starts only then; a busy machine took
-// over two seconds to fill the default buffers of several megabytes.
+// smallWindow is a client whose connections buffer only a few kilobytes. With
+// smallBuffers at the server, writes block soon after the client stops reading.
 var smallWindow = &http.Client{Transport: &http.Transport{
 	DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -136,10 +137,34 @@
 		Index: func() *declare.Index { return index }, Requests: requests, Engines: engines,
 		Services: services, Observer: b.counts, Log: zap.NewNop(), Limits: o.limits, Seed: 1,
 	})
-	b.url = "http://" + serve(b.server.Handler())
+	b.url = "http://" + serveSmallBuffers(t, b.server.Handler())
 	return b
 }
 
+// smallBuffers is a listener whose connections buffer only a few kilobytes of
+// unsent bytes. The kernel would otherwise let the send buffer grow to several
+// megabytes, and writes to a caller that does not read would block only after
+// as many bytes, which a busy machine takes seconds to produce.
+type smallBuffers struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l smallBuffers) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
+}
+
+// serveSmallBuffers serves a handler and returns its address.
+func serveSmallBuffers(t testing.TB, h http.Handler) string {
+	s := httptest.NewUnstartedServer(h)
+	s.Listener = smallBuffers{s.Listener}
+	s.Start()
+	t.Cleanup(s.CloseClientConnections)
+	return s.Listener.Addr().String()
+}
+
 // response is what a caller received.
 type response struct {
 	status int
