Spread the choices of instances with old views, and mend the cache model

Cause: each instance took the server with the least known wait from a view that is one to three exchanges old. The model of an engine's cache counted each unshared prompt of this instance as if all others had sent one too; at 195 instances one prompt of 3,720 tokens filled an engine's memory (725,000 of 366,000 tokens), so that shared parts counted as evicted at once, the estimate of the work was too high and nothing could be copied.

Change: for answers and plain services the requests that others have sent since their reports are estimated (Little's law over the age of the view, or their measured rate) and filled in up to a common wait, and a server is drawn in proportion to what it is given (Dahlin 2000). For reads at least three engines by the request's hash are scored besides the home and those that have the part, fewer the more prompts are unseen. Reports carry their age and the demand of their sender; a hub adds those of its instances. Other instances' unshared tokens are added to the cache model from their measured rate.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -37,6 +37,15 @@
 	LastEventID string
 }
 
+// UnsharedTokens returns the length of the part of the prompt that belongs to the
+// request alone: the whole prompt when no parts are declared.
+func (r *Request) UnsharedTokens() float64 {
+	if n := len(r.Parts); n > 0 {
+		return float64(r.Parts[n-1].Tokens)
+	}
+	return float64(r.PromptTokens)
+}
+
 // KVSource identifies KV cache that another server holds for a request.
 type KVSource struct {
 	// Address is the address of that server.
--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -18,7 +18,7 @@
 				for id := range f.servers {
 					work[id] = Work{Runs: 2, Speed: 40 + float64(peer), Pace: 30}
 				}
-				f.SetPeerWork(fleet.InstanceID(fmt.Sprint("j", peer)), work, 0)
+				f.SetPeerWork(fleet.InstanceID(fmt.Sprint("j", peer)), Snapshot{Work: work}, 0)
 			}
 			for i := range b.N {
 				r := prompt(i, i%100, 13300, 300)
--- a/core/placement/cache.go
+++ b/core/placement/cache.go
@@ -78,10 +78,8 @@
 	return max(missing, 0)
 }
 
-// addPrompt records that the engine has the prompt prefilled at ready. others
-// is the number of other instances, each assumed to send as much as this one;
-// their unshared parts are not reported.
-func (c *cache) addPrompt(r *call.Request, others int, ready fleet.Instant) {
+// addPrompt records that the engine has the prompt prefilled at ready.
+func (c *cache) addPrompt(r *call.Request, ready fleet.Instant) {
 	for i, p := range r.Parts {
 		cached := c.holds(p.ID)
 		if !cached {
@@ -89,7 +87,6 @@
 		}
 		if i == len(r.Parts)-1 && len(r.Parts) > 1 {
 			// The last part is the request's own; no other request will use it.
-			c.added += float64(p.Tokens) * float64(others)
 			return
 		}
 		c.addPart(p.ID, p.Tokens, ready)
--- a/core/placement/decode.go
+++ b/core/placement/decode.go
@@ -26,39 +26,53 @@
 func (f *Fleet) ChooseDecode(group fleet.GroupName, r *call.Request, from Server, now fleet.Instant, skip []fleet.UpstreamID) (Choice, bool) {
 	list := f.usable(group, now, skip, isDecode)
 	if len(list) > maxScored {
-		list = sample(list, r.ID, func(*server) bool { return false })
+		list = sample(list, r.ID, maxScored, func(*server) bool { return false })
+	}
+	if len(list) == 0 {
+		return Choice{}, false
 	}
 	nominal, _ := f.transferTime(group, float64(r.PromptTokens))
 	fallbackPace := meanPace(list)
 	events := f.meanEvents(group)
-	var best Choice
-	var bestScore time.Duration
+	others := 0
+	for _, s := range list {
+		others += s.totalWork(now).Runs - s.own.Runs
+	}
+	duration := time.Duration((events+1)*fallbackPace*float64(time.Millisecond)) + nominal + handoverOverhead
+	ended, unseen := f.unseenRequests(group, others, duration, now)
+	f.options = f.options[:0]
 	for _, s := range list {
-		work := s.totalWork(now)
-		queue, first := decodeTime(work.Runs, s.Slots, paceOr(s, fallbackPace), events)
+		pace := paceOr(s, fallbackPace) * float64(time.Millisecond)
+		o := option{server: s, runs: s.runsNow(ended, now), slots: float64(max(s.Slots, 1)), first: time.Duration(pace)}
+		o.next = time.Duration(pace * events / o.slots)
 		transfer := transferBetween(nominal, from.DataCentre, s.DataCentre)
-		wait := queue + first + min(prefillTime(work.tokensAhead(r.Rank), s.speed/decodeSlowdown), maxPrefillDelay) + handoverOverhead + transfer
-		score := wait + time.Duration(jitter(r.ID, s)*float64(3*time.Millisecond)) + s.failurePenalty(now)
+		prefillDelay := min(prefillTime(s.totalWork(now).tokensAhead(r.Rank), s.speed/decodeSlowdown), maxPrefillDelay)
+		o.fixed = time.Duration(pace) + transfer + prefillDelay + handoverOverhead + time.Duration(jitter(r.ID, s)*float64(3*time.Millisecond)) + s.failurePenalty(now)
 		if s.DataCentre != from.DataCentre {
-			score += crossCentrePenalty
-		}
-		if best.Candidates == 0 || score < bestScore {
-			bestScore = score
-			best = Choice{Server: s.Server, Reason: reasonFor(len(list), ReasonLeastWait), Wait: wait, Queue: queue, Transfer: transfer, Candidates: len(list)}
+			o.fixed += crossCentrePenalty
 		}
+		f.options = append(f.options, o)
 	}
-	return best, best.Candidates > 0
+	i, runs := draw(f.options, unseen, r.ID)
+	s := f.options[i].server
+	queue, first := decodeTime(runs, s.Slots, paceOr(s, fallbackPace), events)
+	transfer := transferBetween(nominal, from.DataCentre, s.DataCentre)
+	prefillDelay := min(prefillTime(s.totalWork(now).tokensAhead(r.Rank), s.speed/decodeSlowdown), maxPrefillDelay)
+	return Choice{
+		Server: s.Server, Reason: f.drawReason(i, len(list)), Wait: queue + first + prefillDelay + handoverOverhead + transfer,
+		Queue: queue, Transfer: transfer, Candidates: len(list), ViewAge: f.viewAge(now), Unseen: unseen,
+	}, true
 }
 
 // decodeTime returns the estimated time that a new answer waits for a slot, and
 // the time from there to its first event, on an engine with the given number of
 // running requests and slots. pace is the token gap in milliseconds, events the
 // mean number of events per answer. Concurrent answers slow each event down.
-func decodeTime(running, slots int, pace, events float64) (queue, first time.Duration) {
+func decodeTime(running float64, slots int, pace, events float64) (queue, first time.Duration) {
 	slots = max(slots, 1)
-	utilisation := min(float64(running)/float64(slots), 1)
-	if over := running - slots; over >= 0 {
-		queue = time.Duration(float64(over+1) * pace * events / float64(slots) * float64(time.Millisecond))
+	utilisation := min(running/float64(slots), 1)
+	if over := running - float64(slots); over >= 0 {
+		queue = time.Duration((over + 1) * pace * events / float64(slots) * float64(time.Millisecond))
 	}
 	return queue, time.Duration(pace * (1 + utilisation) * float64(time.Millisecond))
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -27,6 +27,10 @@
 	ReasonCopy Reason = "copy"
 	// ReasonLeastWait means the server with the shortest estimated wait.
 	ReasonLeastWait Reason = "least_wait"
+	// ReasonSpread means a server with a longer known wait, because the other
+	// instances are expected to have sent requests to those with a shorter one
+	// since their reports.
+	ReasonSpread Reason = "spread"
 )
 
 // Choice is a chosen server and the estimates behind the choice.
@@ -59,6 +63,11 @@
 	TokensAhead float64
 	// Candidates is the number of servers that were scored.
 	Candidates int
+	// ViewAge is the mean age of what the other instances had reported, and
+	// Unseen the number of requests that they are expected to have sent to the
+	// candidates since.
+	ViewAge time.Duration
+	Unseen  float64
 }
 
 // Config identifies the instance that chooses.
@@ -74,28 +83,32 @@
 	groups  map[fleet.GroupName][]*server
 	table   *routes.Table
 	ejector *retry.Ejector
-	// instances is the number of instances in the deployment, including this
-	// one.
-	instances int
 	// held maps engines that get no new requests, because an order is about to
 	// take them out of service, to the end of the hold.
 	held map[fleet.UpstreamID]fleet.Instant
 	// events is the exponentially weighted average number of events per answer
-	// of a service.
-	events map[fleet.GroupName]float64
+	// of a service, and answers their number.
+	events  map[fleet.GroupName]float64
+	answers map[fleet.GroupName]int
+	// peers holds the age and the demand of each other instance's last report.
+	peers map[fleet.InstanceID]peerView
+	// meters measure this instance's own demand by service.
+	meters map[fleet.GroupName]*demandMeter
+	// foreignAt is when the prompts of other instances were last counted.
+	foreignAt fleet.Instant
+	// options is scratch space for the choice of a server.
+	options []option
 }
 
 // New returns a Fleet without servers.
 func New(config Config) *Fleet {
 	return &Fleet{
 		config: config, servers: map[fleet.UpstreamID]*server{}, groups: map[fleet.GroupName][]*server{},
-		held: map[fleet.UpstreamID]fleet.Instant{}, events: map[fleet.GroupName]float64{}, ejector: retry.NewEjector(EjectorConfig), instances: 1,
+		held: map[fleet.UpstreamID]fleet.Instant{}, events: map[fleet.GroupName]float64{}, answers: map[fleet.GroupName]int{},
+		peers: map[fleet.InstanceID]peerView{}, meters: map[fleet.GroupName]*demandMeter{}, ejector: retry.NewEjector(EjectorConfig),
 	}
 }
 
-// SetInstances sets the number of instances that send requests.
-func (f *Fleet) SetInstances(n int) { f.instances = max(n, 1) }
-
 // Configure applies the declared services of a table.
 func (f *Fleet) Configure(t *routes.Table) {
 	f.table = t
@@ -145,27 +158,43 @@
 	return Server{}, false
 }
 
-// SetPeerWork replaces the work in flight that another instance has reported.
-func (f *Fleet) SetPeerWork(peer fleet.InstanceID, work map[fleet.UpstreamID]Work, now fleet.Instant) {
+// Snapshot is an instance's work in flight and demand, with those of the other
+// instances that it reports for.
+type Snapshot struct {
+	Work map[fleet.UpstreamID]Work
+	// Age is the mean age of the work, weighted by runs; an instance's own is
+	// 0.
+	Age    time.Duration
+	Demand map[fleet.GroupName]Demand
+}
+
+// SetPeerWork replaces what another instance has reported.
+func (f *Fleet) SetPeerWork(peer fleet.InstanceID, report Snapshot, now fleet.Instant) {
+	view := peerView{receivedAt: now, age: report.Age, demand: report.Demand}
 	for id, s := range f.servers {
-		w, ok := work[id]
+		w, ok := report.Work[id]
 		if !ok {
 			delete(s.byPeer, peer)
 			s.peerSumStale = true
 			continue
 		}
+		view.runs += w.Runs
 		s.byPeer[peer] = peerWork{Work: w, receivedAt: now}
 		s.updateMeans()
 	}
+	f.peers[peer] = view
+	f.addForeignPrompts(now)
 }
 
-// Work returns the work in flight of this instance plus that of the other
-// instances for which include returns true. Reports older than peerWorkTTL
-// don't count.
-func (f *Fleet) Work(include func(fleet.InstanceID) bool, now fleet.Instant) map[fleet.UpstreamID]Work {
-	out := map[fleet.UpstreamID]Work{}
+// Snapshot returns the work in flight and the demand of this instance plus those
+// of the other instances for which include returns true. Reports older than
+// peerWorkTTL don't count.
+func (f *Fleet) Snapshot(include func(fleet.InstanceID) bool, now fleet.Instant) Snapshot {
+	out := Snapshot{Work: map[fleet.UpstreamID]Work{}, Demand: map[fleet.GroupName]Demand{}}
+	ownRuns := 0
 	for id, s := range f.servers {
 		total := s.own
+		ownRuns += s.own.Runs
 		var speeds, paces mean
 		speeds.add(total.Speed)
 		paces.add(total.Pace)
@@ -179,9 +208,29 @@
 		}
 		total.Speed, total.Pace = speeds.valueOr(0), paces.valueOr(0)
 		if total != (Work{}) {
-			out[id] = total
+			out.Work[id] = total
 		}
 	}
+	for group, m := range f.meters {
+		out.Demand[group] = m.rate(now)
+	}
+	age, weight := 0.0, float64(ownRuns+1)
+	for peer, view := range f.peers {
+		if now-view.receivedAt > peerWorkTTL {
+			delete(f.peers, peer)
+			continue
+		}
+		if !include(peer) {
+			continue
+		}
+		w := float64(view.runs + 1)
+		age += w * float64(view.age+now-view.receivedAt)
+		weight += w
+		for group, d := range view.demand {
+			out.Demand[group] = out.Demand[group].plus(d)
+		}
+	}
+	out.Age = time.Duration(age / weight)
 	return out
 }
 
@@ -269,28 +318,62 @@
 func anyStage(*server) bool { return true }
 
 // ChoosePlain chooses the server of a plain service with the fewest requests
-// per slot, weighted by its latency and recent failures. It returns false when
-// there is no candidate.
+// per slot, weighted by its latency and recent failures, and spreads the
+// choices of instances with old views. It returns false when there is no
+// candidate.
 func (f *Fleet) ChoosePlain(group fleet.GroupName, id fleet.RequestID, now fleet.Instant, skip []fleet.UpstreamID) (Choice, bool) {
 	list := f.usable(group, now, skip, anyStage)
-	var best *server
-	var bestScore float64
+	if len(list) == 0 {
+		return Choice{}, false
+	}
+	others, latency := 0, time.Duration(0)
+	for _, s := range list {
+		others += s.totalWork(now).Runs - s.own.Runs
+		latency += s.latency / time.Duration(len(list))
+	}
+	if latency == 0 {
+		latency = initialLatency
+	}
+	ended, unseen := f.unseenRequests(group, others, latency, now)
+	f.options = f.options[:0]
 	for _, s := range list {
-		runs := s.totalWork(now).Runs
-		score := (float64(runs) + 0.9*jitter(id, s)) / float64(max(s.Slots, 1))
+		slots := float64(max(s.Slots, 1))
+		slowness := 1 + float64(s.latency)/float64(slowLatency)
+		o := option{server: s, runs: s.runsNow(ended, now), slots: slots}
+		o.first = time.Duration(slowness * float64(plainUnit))
+		o.next = time.Duration(slowness * float64(plainUnit) / slots)
+		handicap := 0.9 * jitter(id, s) / slots
 		if s.DataCentre != f.config.DataCentre {
-			score += 0.6 / float64(max(s.Slots, 1))
+			handicap += 0.6 / slots
 		}
-		score *= 1 + float64(s.latency)/float64(100*time.Millisecond)
-		score += failureLoad * s.recentFailureRate(now)
-		if best == nil || score < bestScore {
-			best, bestScore = s, score
+		o.fixed = time.Duration((slowness*handicap + failureLoad*s.recentFailureRate(now)) * float64(plainUnit))
+		f.options = append(f.options, o)
+	}
+	i, _ := draw(f.options, unseen, id)
+	return Choice{
+		Server: f.options[i].server.Server, Reason: f.drawReason(i, len(list)), Candidates: len(list),
+		ViewAge: f.viewAge(now), Unseen: unseen,
+	}, true
+}
+
+const (
+	// plainUnit is the score of a plain server whose slots are all in use.
+	plainUnit = 100 * time.Millisecond
+	// slowLatency is the mean latency that doubles a plain server's score.
+	slowLatency = 100 * time.Millisecond
+	// initialLatency is the latency of a plain service assumed before the first
+	// answer.
+	initialLatency = 50 * time.Millisecond
+)
+
+// drawReason returns the reason for the option drawn among the candidates.
+func (f *Fleet) drawReason(drawn, candidates int) Reason {
+	for i := range f.options {
+		if f.options[i].score < f.options[drawn].score {
+			return ReasonSpread
 		}
 	}
-	if best == nil {
-		return Choice{}, false
-	}
-	return Choice{Server: best.Server, Reason: reasonFor(len(list), ReasonLeastWait), Candidates: len(list)}, true
+	return reasonFor(candidates, ReasonLeastWait)
 }
 
 // reasonFor returns ReasonOnly for a single candidate, r otherwise.
@@ -388,8 +471,10 @@
 	if s == nil || events == 0 {
 		return
 	}
+	f.answers[s.Group]++
 	average := f.meanEvents(s.Group)
-	f.events[s.Group] = average + eventsWeight*(float64(events)-average)
+	weight := max(eventsWeight, 1/(1+float64(f.answers[s.Group])))
+	f.events[s.Group] = average + weight*(float64(events)-average)
 	if events > 1 {
 		s.learnPace(span / time.Duration(events-1))
 	}
@@ -404,7 +489,7 @@
 
 const (
 	// initialEvents is the number of events per answer assumed before the first
-	// answer, and eventsWeight the weight of one answer in the average.
+	// answer, and eventsWeight the least weight of one answer in the average.
 	initialEvents = 6.0
 	eventsWeight  = 0.02
 )
@@ -414,7 +499,7 @@
 // Later requests can count on it, since the engine processes them afterwards.
 func (f *Fleet) AddCachedPrompt(id fleet.UpstreamID, r *call.Request, ready fleet.Instant) {
 	if s := f.servers[id]; s != nil {
-		s.cache.addPrompt(r, f.instances-1, ready)
+		s.cache.addPrompt(r, ready)
 	}
 }
 
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -226,7 +226,7 @@
 		Convey("counts as evicted once as many tokens as the memory holds were prefilled since", func() {
 			f.AddCachedPrompt(at.Server.ID, r, 0)
 			for i := range 40 {
-				f.servers[at.Server.ID].cache.addPrompt(prompt(1000+i, 1000+i, 13300, 100), 0, 0)
+				f.servers[at.Server.ID].cache.addPrompt(prompt(1000+i, 1000+i, 13300, 100), 0)
 			}
 			So(f.servers[at.Server.ID].cache.holds("p1"), ShouldBeFalse)
 		})
@@ -250,12 +250,12 @@
 func TestOtherInstances(t *testing.T) {
 	Convey("The work in flight of other instances", t, func() {
 		f := newFleet(2, 1)
-		f.SetPeerWork("j", map[fleet.UpstreamID]Work{"e00": {Reads: [NumRanks]float64{0, 60_000}, Runs: 3}}, 0)
+		f.SetPeerWork("j", Snapshot{Work: map[fleet.UpstreamID]Work{"e00": {Reads: [NumRanks]float64{0, 60_000}, Runs: 3}}}, 0)
 		r := &call.Request{ID: "r", PromptTokens: 400, Rank: 1}
 		c, _ := f.ChoosePrefill("llm", r, 0, nil)
 		So(string(c.Server.ID), ShouldEqual, "e01")
 		Convey("ends with its next report", func() {
-			f.SetPeerWork("j", nil, 0)
+			f.SetPeerWork("j", Snapshot{}, 0)
 			c, _ := f.ChoosePrefill("llm", r, 0, []fleet.UpstreamID{"e01"})
 			So(c.Queue, ShouldEqual, 0)
 		})
@@ -321,7 +321,7 @@
 func TestHomesFollowSpeeds(t *testing.T) {
 	Convey("An engine that prefills four times as fast is home to more than twice the parts", t, func() {
 		f := newFleet(2, 0)
-		f.SetPeerWork("j", map[fleet.UpstreamID]Work{"e00": {Speed: 80}, "e01": {Speed: 20}}, 0)
+		f.SetPeerWork("j", Snapshot{Work: map[fleet.UpstreamID]Work{"e00": {Speed: 80}, "e01": {Speed: 20}}}, 0)
 		counts := map[fleet.UpstreamID]int{}
 		for part := range 1000 {
 			counts[home(fmt.Sprint("p", part), f.groups["llm"]).ID]++
--- a/core/placement/prefill.go
+++ b/core/placement/prefill.go
@@ -51,10 +51,16 @@
 	part, shared := sharedPart(r)
 	homeServer := home(part, list)
 	if len(list) > maxScored {
-		list = sample(list, r.ID, func(s *server) bool { return s == homeServer || s.cache.holds(part) })
+		list = sample(list, r.ID, maxScored, func(s *server) bool { return s == homeServer || s.cache.holds(part) })
 	}
 	duplicateCost := f.duplicateCost(list, slowdown, now)
 	sources := f.sources(group, r, now)
+	candidates := len(list)
+	age := f.viewAge(now)
+	unseen := f.othersDemand(group, now).Requests * age.Seconds()
+	if n := max(int(float64(len(list))/(1+unseen)), minScored); len(list) > n {
+		list = sample(list, r.ID, n, func(s *server) bool { return s == homeServer || s.cache.holds(part) })
+	}
 	var best Choice
 	var bestScore time.Duration
 	for _, s := range list {
@@ -62,7 +68,7 @@
 		speed := s.speed / slowdown
 		uncached := s.cache.uncachedTokens(r)
 		tokensAhead := work.tokensAhead(r.Rank)
-		c := Choice{Server: s.Server, Reason: ReasonLeastWait, Queue: prefillTime(tokensAhead, speed), UncachedTokens: uncached, TokensAhead: tokensAhead, Candidates: len(list)}
+		c := Choice{Server: s.Server, Reason: ReasonLeastWait, Queue: prefillTime(tokensAhead, speed), UncachedTokens: uncached, TokensAhead: tokensAhead, Candidates: candidates, ViewAge: age, Unseen: unseen}
 		c.Wait = c.Queue + prefillTime(uncached, speed)
 		cost := time.Duration(jitter(r.ID, s) * float64(2*time.Millisecond))
 		holds := s.cache.holds(part)
@@ -90,7 +96,7 @@
 			bestScore, best = c.Wait+cost, c
 		}
 	}
-	best.Reason = reasonFor(len(list), best.Reason)
+	best.Reason = reasonFor(candidates, best.Reason)
 	return best, best.Candidates > 0
 }
 
@@ -99,14 +105,21 @@
 // part cached are always scored too.
 const maxScored = 96
 
-// sample returns maxScored engines, starting at a position that depends on the
-// request, and all other engines for which always returns true.
-func sample(list []*server, id fleet.RequestID, always func(*server) bool) []*server {
-	out := make([]*server, 0, maxScored+8)
+// minScored is how many engines besides the home and those with the shared part
+// cached are scored at least. Where other instances send many prompts between
+// two reports, scoring few engines that depend on the request keeps all
+// instances from taking the same one (the power of d choices; Mitzenmacher, How
+// Useful Is Old Information, 2000).
+const minScored = 3
+
+// sample returns n engines, starting at a position that depends on the request,
+// and all other engines for which always returns true.
+func sample(list []*server, id fleet.RequestID, n int, always func(*server) bool) []*server {
+	out := make([]*server, 0, n+8)
 	begin := int(membership.Hash(string(id)) % uint64(len(list)))
 	for i := range list {
 		s := list[(begin+i)%len(list)]
-		if i < maxScored || always(s) {
+		if i < n || always(s) {
 			out = append(out, s)
 		}
 	}
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -151,6 +151,13 @@
 	return total
 }
 
+// runsNow returns the estimated number of runs: this instance's own, and those
+// of the other instances of which the given share has ended since they were
+// reported.
+func (s *server) runsNow(ended float64, now fleet.Instant) float64 {
+	return float64(s.own.Runs) + (1-ended)*float64(s.totalWork(now).Runs-s.own.Runs)
+}
+
 // updatePeerSum drops expired reports and recomputes peerSum and peerSumUntil.
 func (s *server) updatePeerSum(now fleet.Instant) {
 	s.peerSum, s.peerSumStale, s.peerSumUntil = Work{}, false, maxInstant
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -100,7 +100,7 @@
 	fields := []zap.Field{
 		zap.String("request_id", string(p.req.ID)), zap.String("route", p.route.Name), zap.String("step", step),
 		zap.String("server", string(c.Server.ID)), zap.String("choice", string(c.Reason)), zap.Int("candidates", c.Candidates),
-		zap.Duration("expected", c.Wait), zap.Float64("uncached", c.UncachedTokens), zap.Float64("ahead", c.TokensAhead),
+		zap.Duration("view_age", c.ViewAge), zap.Float64("unseen", c.Unseen), zap.Duration("expected", c.Wait), zap.Float64("uncached", c.UncachedTokens), zap.Float64("ahead", c.TokensAhead),
 		zap.String("copied_from", string(c.CopyFrom.ID)), zap.Float64("copied", c.CopiedTokens),
 		zap.Stringer("result", res), zap.Int("status", status), zap.Duration("took", time.Since(began)),
 		zap.Duration("left", p.remaining()),
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -78,7 +78,7 @@
 		c = prefill
 	}
 	queue := c.Queue + c.DecodeQueue
-	v := p.g.State.decide(p.group, p.req.Rank, overload.Estimate{
+	v := p.g.State.decide(p.group, &p.req, c.UncachedTokens, overload.Estimate{
 		Queue: queue, Processing: c.Wait + c.DecodeWait - queue, LatencyTarget: p.route.LatencyTarget, Remaining: p.remaining(),
 	})
 	if v.Admit {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -30,12 +30,14 @@
 	overload *overload.Controller
 }
 
-// decide admits or rejects a request by its estimate and the recent rejection
-// rate.
-func (s *State) decide(group fleet.GroupName, rank int, e overload.Estimate) overload.Decision {
+// decide admits or rejects a request for an engine by its estimate and the
+// recent rejection rate, and counts it as demand; uncached is the number of
+// prompt tokens to prefill.
+func (s *State) decide(group fleet.GroupName, r *call.Request, uncached float64, e overload.Estimate) overload.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.overload.Decide(group, rank, e)
+	s.fleet.RecordDemand(group, uncached, r.UnsharedTokens(), s.now())
+	return s.overload.Decide(group, r.Rank, e)
 }
 
 // NewState returns a State without servers.
@@ -78,22 +80,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.instances = max(s.instances, len(list))
-	s.fleet.SetInstances(len(list))
 	s.budget.SetInstances(len(list))
 }
 
-// Work implements loadshare.View.
-func (s *State) Work(include func(fleet.InstanceID) bool) map[fleet.UpstreamID]placement.Work {
+// Snapshot implements loadshare.View.
+func (s *State) Snapshot(include func(fleet.InstanceID) bool) placement.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.fleet.Work(include, s.now())
+	return s.fleet.Snapshot(include, s.now())
 }
 
 // ApplyReport implements loadshare.View.
 func (s *State) ApplyReport(r loadshare.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet.SetPeerWork(r.From, r.Work, s.now())
+	s.fleet.SetPeerWork(r.From, r.Snapshot(), s.now())
 	for id, remaining := range r.Held {
 		s.fleet.Hold(id, s.now()+remaining)
 	}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -58,7 +58,11 @@
 // Report is the message that one instance sends to another.
 type Report struct {
 	From fleet.InstanceID
-	Work map[fleet.UpstreamID]placement.Work
+	// Work, Age and Demand are the sender's placement.Snapshot, which on a hub
+	// includes the instances that it reports for.
+	Work   map[fleet.UpstreamID]placement.Work
+	Age    time.Duration
+	Demand map[fleet.GroupName]placement.Demand
 	// Held maps engines that an order is about to take out of service to the
 	// remaining time of the hold.
 	Held map[fleet.UpstreamID]time.Duration
@@ -66,11 +70,16 @@
 	Notes []Note
 }
 
+// Snapshot returns the reported work and demand.
+func (r Report) Snapshot() placement.Snapshot {
+	return placement.Snapshot{Work: r.Work, Age: r.Age, Demand: r.Demand}
+}
+
 // View gives access to the instance's own state.
 type View interface {
-	// Work returns the work in flight of the instance plus that of the other
-	// instances for which include returns true.
-	Work(include func(fleet.InstanceID) bool) map[fleet.UpstreamID]placement.Work
+	// Snapshot returns the work and the demand of the instance plus those of
+	// the other instances for which include returns true.
+	Snapshot(include func(fleet.InstanceID) bool) placement.Snapshot
 	// Held returns the held engines and the remaining time of each hold.
 	Held() map[fleet.UpstreamID]time.Duration
 	// ApplyReport applies another instance's report.
@@ -142,7 +151,8 @@
 	include := func(id fleet.InstanceID) bool {
 		return topo.IsHub && id != to && !(topo.Hubs[to] && topo.Hubs[id])
 	}
-	return Report{From: e.self, Work: e.view.Work(include), Held: e.view.Held(), Notes: notes}
+	own := e.view.Snapshot(include)
+	return Report{From: e.self, Work: own.Work, Age: own.Age, Demand: own.Demand, Held: e.view.Held(), Notes: notes}
 }
 
 // receive applies a report and, on a hub, forwards its notes.
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -33,10 +33,10 @@
 	return v
 }
 
-func (v *fleetView) Work(include func(fleet.InstanceID) bool) map[fleet.UpstreamID]placement.Work {
+func (v *fleetView) Snapshot(include func(fleet.InstanceID) bool) placement.Snapshot {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.fleet.Work(include, time.Since(v.start))
+	return v.fleet.Snapshot(include, time.Since(v.start))
 }
 
 func (v *fleetView) Held() map[fleet.UpstreamID]time.Duration { return nil }
@@ -44,13 +44,13 @@
 func (v *fleetView) ApplyReport(r Report) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.fleet.SetPeerWork(r.From, r.Work, time.Since(v.start))
+	v.fleet.SetPeerWork(r.From, r.Snapshot(), time.Since(v.start))
 	v.notes = append(v.notes, r.Notes...)
 }
 
 // total returns the number of queued tokens that the instance knows of.
 func (v *fleetView) total() float64 {
-	return v.Work(func(fleet.InstanceID) bool { return true })["s"].Reads[0]
+	return v.Snapshot(func(fleet.InstanceID) bool { return true }).Work["s"].Reads[0]
 }
 
 // notesOf returns the number of received notes of a part.
