Refuse answers that may belong to another request, and bound endless bytes

Second copy of an answer, late, on a connection in use again: an answer without an id and a status from 300 on was taken for that of the request under way, also a 503 that promises the request has not run; a call without an id took any answer, and its own late copy could answer the next request (TestSecondCopy, five cases, four failed). Now a call without an id has a connection of its own, and an answer without an id counts only on a connection that has carried no other request.

Interim answers are bounded, answers being buffered share 0.15 of the process's memory, the search for the end of an event no longer starts over.

Streams: comments now and then kept a stalled stream open until its deadline (TestProgress); only events with an id or data count as progress. A slow stream that makes an event each 0.7 s is not cut (held before).

Broken answers: a caller of HTTP/1.0 saw an orderly end in the middle of a stream (TestOldCallers); it gets a reset. A caller that closed its sending side got an empty 200 that no server had sent (TestHalfClosedCallers); its connection is ended. Stalled callers: one that does not read, or stops in its body, held its request for good (TestStalledCallers); both are bounded by the request's time.

Ruled out by the same tests: answers with the id of an earlier request, endless heads, garbage without a line end, a body of a terabyte.

--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -25,6 +25,8 @@
 	// maxStaleAnswerBytes bounds the body of a skipped answer to another
 	// request; a longer one closes the connection.
 	maxStaleAnswerBytes = 64 << 10
+	// maxInterimAnswers bounds the number of interim answers (1xx) to a request.
+	maxInterimAnswers = 8
 	// maxStaleAnswers bounds the number of skipped answers to other requests.
 	maxStaleAnswers = 3
 	// maxSyncWriteBytes is the size up to which a request fits into the
@@ -47,8 +49,11 @@
 	// MaxConns is the number of connections that this instance may hold to the
 	// server.
 	MaxConns int
-	ID       fleet.RequestID
-	Method   string
+	// ID is the request's id, which servers echo; "" for a call that has none.
+	// Such a call gets a connection of its own, since only the id shows which
+	// request an answer belongs to.
+	ID     fleet.RequestID
+	Method string
 	// URI is the path and query as the caller sent them.
 	URI    string
 	Host   string
@@ -84,6 +89,8 @@
 	limit   *headLimit
 	// usableUntil is the time after which the connection must not be reused.
 	usableUntil time.Time
+	// reused reports whether the connection has carried another request.
+	reused bool
 	// written reports whether the whole request has been written. writeDone
 	// receives the result of a write that runs concurrently with the read.
 	written   atomic.Bool
@@ -139,7 +146,7 @@
 // When the context ends, the connection is closed, also while the body is read.
 // An error that doesn't wrap ErrNotSent means that the request may have run.
 func (p *Pool) Do(ctx context.Context, r *Request, d Decoder) (*Answer, error) {
-	c, err := p.acquire(ctx, r.Address, r.MaxConns)
+	c, err := p.acquire(ctx, r.Address, r.MaxConns, r.ID == "")
 	if err != nil {
 		return nil, err
 	}
@@ -172,7 +179,9 @@
 			return answer, nil
 		}
 		if answer.Meta.RequestID == "" {
-			if answer.Status >= http.StatusMultipleChoices {
+			// On a connection that carried other requests, the answer may be a
+			// second copy of theirs.
+			if answer.Status >= http.StatusMultipleChoices && !c.reused {
 				return answer, nil
 			}
 			return nil, errors.New("the answer has no request id")
@@ -218,7 +227,7 @@
 // readHead reads the head of the next final answer; interim ones (1xx) are
 // skipped.
 func (c *conn) readHead(r *Request, d Decoder) (*Answer, error) {
-	for {
+	for range maxInterimAnswers + 1 {
 		c.limit.left = maxHeadBytes
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: r.Method})
 		c.limit.left = unlimited
@@ -232,9 +241,10 @@
 		framed := chunked || resp.ContentLength >= 0
 		return &Answer{
 			Status: resp.StatusCode, Header: resp.Header, Meta: d.ParseAnswer(resp.StatusCode, resp.Header),
-			Framed: framed, body: resp.Body, conn: c, reusable: framed && !resp.Close,
+			Framed: framed, body: resp.Body, conn: c, reusable: framed && !resp.Close && r.ID != "",
 		}, nil
 	}
+	return nil, errors.New("received only interim answers")
 }
 
 // Read reads the body. The error is io.EOF when the body is complete.
--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -74,11 +74,12 @@
 	return p.opened
 }
 
-// acquire returns an idle connection or opens one. It returns ErrBusy when
-// limit connections to the address are open.
-func (p *Pool) acquire(ctx context.Context, address string, limit int) (*conn, error) {
+// acquire returns an idle connection or opens one; if fresh is set, it opens
+// one in any case. It returns ErrBusy when limit connections to the address are
+// in use.
+func (p *Pool) acquire(ctx context.Context, address string, limit int, fresh bool) (*conn, error) {
 	for {
-		c, reserved := p.reuse(address, limit)
+		c, reserved := p.reuse(address, limit, fresh)
 		if c == nil && !reserved {
 			return nil, ErrBusy
 		}
@@ -94,8 +95,9 @@
 
 // reuse takes the most recently used idle connection, which is least likely to
 // have been closed. Without one it returns nil and reserves a new connection;
-// reserved is then false when limit connections are open.
-func (p *Pool) reuse(address string, limit int) (c *conn, reserved bool) {
+// reserved is then false when limit connections are open. If fresh is set, it
+// closes an idle connection where that is needed to make room.
+func (p *Pool) reuse(address string, limit int, fresh bool) (c *conn, reserved bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -105,10 +107,10 @@
 		h = &host{}
 		p.hosts[address] = h
 	}
-	for len(h.idle) > 0 {
+	for len(h.idle) > 0 && !(fresh && h.open < max(limit, 1)) {
 		last := h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
-		if now.Before(last.usableUntil) {
+		if now.Before(last.usableUntil) && !fresh {
 			return last, true
 		}
 		h.open--
@@ -196,6 +198,7 @@
 	if idle <= 0 {
 		idle = defaultIdle
 	}
+	c.reused = true
 	c.usableUntil = time.Now().Add(time.Duration(float64(idle) * idleShare))
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -81,19 +80,6 @@
 
 func success(status int) bool { return status >= 200 && status < 300 }
 
-// maxAnswerBytes bounds an answer that is buffered before it is passed on.
-const maxAnswerBytes = 16 << 20
-
-// readAnswer reads an answer's body to its end. It fails when the body exceeds
-// maxAnswerBytes.
-func readAnswer(a *connpool.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		return nil, errors.New("the answer exceeds the size limit")
-	}
-	return body, err
-}
-
 // logAttempt logs an attempt and the estimates from which its server was
 // chosen; step is "prefill", "decode", "direct" or "call".
 func (p *proxyRequest) logAttempt(c placement.Choice, step string, res result, status int, began time.Time, err error) {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -18,17 +18,23 @@
 const maxEventBytes = 1 << 20
 
 var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
+	eventEnd  = []byte("\n\n")
+	idField   = []byte("id:")
+	dataField = []byte("data:")
 )
 
 // eventReader reads a stream of server-sent events and returns only complete
 // events: a server may fail in the middle of one, and a partial event that was
 // forwarded could not be taken back.
 type eventReader struct {
-	in  io.Reader
-	buf []byte
-	err error
+	in      io.Reader
+	buffers *buffers
+	buf     []byte
+	// searched is the length of the start of buf that holds no end of an event,
+	// and reserved the part of buffers that buf takes.
+	searched int
+	reserved int64
+	err      error
 }
 
 // next returns all complete events that have been read, at least one, and the
@@ -37,30 +43,58 @@
 func (e *eventReader) next() (data []byte, id string, err error) {
 	var chunk [4 << 10]byte
 	for {
-		if end := bytes.LastIndex(e.buf, eventEnd); end >= 0 {
-			data = e.buf[:end+len(eventEnd)]
-			e.buf = append([]byte(nil), e.buf[end+len(eventEnd):]...)
+		if end := bytes.LastIndex(e.buf[e.searched:], eventEnd); end >= 0 {
+			end += e.searched + len(eventEnd)
+			data = e.buf[:end]
+			e.buf, e.searched = append([]byte(nil), e.buf[end:]...), 0
+			e.release()
 			return data, lastID(data), nil
 		}
+		e.searched = max(len(e.buf)-len(eventEnd)+1, 0)
 		if e.err != nil {
 			return e.remainder()
 		}
 		if len(e.buf) > maxEventBytes {
 			return nil, "", errTooLong
 		}
+		if over := int64(len(e.buf)-freeBufferBytes) - e.reserved; over > 0 {
+			if err := e.buffers.reserve(freeBufferBytes); err != nil {
+				return nil, "", err
+			}
+			e.reserved += freeBufferBytes
+		}
 		n, err := e.in.Read(chunk[:])
 		e.buf = append(e.buf, chunk[:n]...)
 		e.err = err
 	}
 }
 
+// release gives back the reserved bytes.
+func (e *eventReader) release() {
+	if e.reserved > 0 {
+		e.buffers.used.Add(-e.reserved)
+		e.reserved = 0
+	}
+}
+
+// hasEvent reports whether data, which holds complete events, has more than
+// comments, which show no progress of the answer.
+func hasEvent(data []byte) bool {
+	for line := range bytes.Lines(data) {
+		if bytes.HasPrefix(line, dataField) || bytes.HasPrefix(line, idField) {
+			return true
+		}
+	}
+	return false
+}
+
 // remainder returns the bytes after the last event once the stream is complete,
 // and the stream's error when there are none or the stream is broken.
 func (e *eventReader) remainder() (data []byte, id string, err error) {
 	if e.err != io.EOF || len(e.buf) == 0 {
 		return nil, "", e.err
 	}
-	data, e.buf = e.buf, nil
+	data, e.buf, e.searched = e.buf, nil, 0
 	return data, lastID(data), nil
 }
 
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -13,7 +13,7 @@
 // readAll returns the bytes of all events that eventReader returns for a stream,
 // and the last id among them.
 func readAll(r io.Reader) (out string, last string, err error) {
-	e := &eventReader{in: r}
+	e := &eventReader{buffers: &buffers{limit: defaultBufferBytes}, in: r}
 	for {
 		data, id, err := e.next()
 		if err == io.EOF {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -60,7 +61,10 @@
 	Pool     *connpool.Pool
 	State    *State
 	Observer Observer
-	Log      *zap.Logger
+	// BufferBytes bounds the memory of answers that are buffered at the same
+	// time; 0 selects a default.
+	BufferBytes int64
+	Log         *zap.Logger
 }
 
 // Gateway is the HTTP handler for callers' requests.
@@ -68,10 +72,17 @@
 	Options
 	draining atomic.Bool
 	inFlight atomic.Int64
+	buffers  buffers
 }
 
 // New returns a Gateway.
-func New(o Options) *Gateway { return &Gateway{Options: o} }
+func New(o Options) *Gateway {
+	g := &Gateway{Options: o}
+	if g.buffers.limit = o.BufferBytes; g.buffers.limit <= 0 {
+		g.buffers.limit = defaultBufferBytes
+	}
+	return g
+}
 
 // Drain makes the gateway close callers' connections after the current request.
 func (g *Gateway) Drain() { g.draining.Store(true) }
@@ -120,10 +131,15 @@
 	mayHaveRun bool
 	// headWritten reports whether the head of the answer has been written.
 	headWritten bool
+	// answered reports whether the caller got an answer or the head of one, and
+	// bodyTimedOut whether it did not send its body in time.
+	answered, bodyTimedOut bool
 	// events is the number of events of the last attempt.
 	events int
 	// lastEvent is the id of the last complete event that was forwarded.
 	lastEvent string
+	// releases give back the memory of buffered answers.
+	releases  []func()
 	logFields []zap.Field
 }
 
@@ -132,6 +148,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	p := &proxyRequest{g: g, w: w, r: r, start: time.Now()}
+	defer p.finish()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -149,10 +166,11 @@
 		return
 	}
 	p.req.Rank = p.route.Priority
+	p.deadline = p.start.Add(p.timeout())
+	p.boundConnection(p.deadline)
 	if !p.readBody(table) {
 		return
 	}
-	p.deadline = p.start.Add(p.timeout())
 	ctx, stop := context.WithDeadline(r.Context(), p.deadline)
 	defer stop()
 	p.ctx = ctx
@@ -165,6 +183,22 @@
 	p.serve()
 }
 
+// finish gives back the memory of buffered answers. It ends the connection of a
+// caller that got no answer, because it seemed to have left; net/http would send
+// an empty success otherwise, and a caller that has only closed its sending side
+// would take it for the answer.
+func (p *proxyRequest) finish() {
+	for _, release := range p.releases {
+		release()
+	}
+	if cause := recover(); cause != nil {
+		panic(cause)
+	}
+	if !p.answered {
+		p.abort()
+	}
+}
+
 // serve serves a request in the way that suits its route and service.
 func (p *proxyRequest) serve() {
 	switch {
@@ -204,6 +238,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(p.w, p.r.Body, limit))
 	if err == nil {
 		p.body = body
+		p.setReadDeadline(time.Time{})
 		return true
 	}
 	var tooLarge *http.MaxBytesError
@@ -212,10 +247,37 @@
 		return false
 	}
 	p.logFields = append(p.logFields, logline.Error(err))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		p.bodyTimedOut = true
+		p.refuse(http.StatusRequestTimeout, fleet.ReasonBadRequest, 0)
+		return false
+	}
 	p.refuse(http.StatusBadRequest, fleet.ReasonBadRequest, 0)
 	return false
 }
 
+// writeGrace is how long after a request's deadline its caller may still read
+// the answer.
+const writeGrace = 2 * time.Second
+
+// boundConnection bounds the time in which the caller sends the body and reads
+// the answer. Otherwise a caller that does neither would hold the request for as
+// long as its host answers.
+func (p *proxyRequest) boundConnection(deadline time.Time) {
+	if p.r.Body != nil && p.r.Body != http.NoBody {
+		p.setReadDeadline(deadline)
+	}
+	if err := http.NewResponseController(p.w).SetWriteDeadline(deadline.Add(writeGrace)); err != nil {
+		p.g.Log.Debug("no write deadline", zap.String("request_id", string(p.req.ID)), logline.Error(err))
+	}
+}
+
+func (p *proxyRequest) setReadDeadline(t time.Time) {
+	if err := http.NewResponseController(p.w).SetReadDeadline(t); err != nil {
+		p.g.Log.Debug("no read deadline", zap.String("request_id", string(p.req.ID)), logline.Error(err))
+	}
+}
+
 // remaining returns the time until the deadline.
 func (p *proxyRequest) remaining() time.Duration { return time.Until(p.deadline) }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -149,7 +149,8 @@
 // kvSourceOf decodes the answer to a prefill call; nil when its status is not
 // 200.
 func (p *proxyRequest) kvSourceOf(a *connpool.Answer, s placement.Server) (*call.KVSource, error) {
-	body, err := readAnswer(a)
+	body, release, err := p.g.buffers.readAnswer(a, maxPrefilledBytes)
+	defer release()
 	if err != nil || a.Status != http.StatusOK {
 		return nil, err
 	}
@@ -181,7 +182,7 @@
 			p.g.Log.Debug("KV cache handle not freed", zap.String("request_id", string(p.req.ID)), logline.Error(err))
 			return
 		}
-		_, _ = readAnswer(answer)
+		// The body says nothing that matters; the connection is not used again.
 		answer.Close()
 	}()
 }
@@ -289,7 +290,8 @@
 	if !a.Meta.Signed {
 		return resultBroken, errUnsigned
 	}
-	in := &eventReader{in: a}
+	in := &eventReader{in: a, buffers: &p.g.buffers}
+	defer in.release()
 	first := true
 	p.events = 0
 	var firstAt, lastAt time.Time
@@ -313,7 +315,7 @@
 			prefillDone()
 			p.recordFirstEvent(c, source, began)
 		}
-		if p.route.Repeatable() && p.sends < p.route.MaxAttempts {
+		if p.route.Repeatable() && p.sends < p.route.MaxAttempts && hasEvent(data) {
 			stallTimer.Reset(maxStallGap)
 		}
 		p.writeHead(a)
@@ -349,7 +351,7 @@
 	if p.headWritten {
 		return
 	}
-	p.headWritten = true
+	p.headWritten, p.answered = true, true
 	h := p.w.Header()
 	p.g.Wire.CopyAnswerHeaders(h, a.Header)
 	if p.g.draining.Load() {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -139,7 +139,8 @@
 // that did not run the request is passed on only when its status is 400, which
 // any other server would return too.
 func (p *proxyRequest) bufferAnswer(a *connpool.Answer, res result) (*bufferedAnswer, result, error) {
-	body, err := readAnswer(a)
+	body, release, err := p.g.buffers.readAnswer(a, maxAnswerBytes)
+	p.releases = append(p.releases, release)
 	switch {
 	case res == resultNotRun && err == nil && a.Status == http.StatusBadRequest:
 		return &bufferedAnswer{a.Status, a.Header, body}, resultAnswer, nil
@@ -168,6 +169,7 @@
 	if p.g.draining.Load() {
 		h.Set("Connection", "close")
 	}
+	p.answered = true
 	p.w.WriteHeader(a.status)
 	// A write error means that the caller has disconnected.
 	_, _ = p.w.Write(a.body)
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -8,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/logline"
 )
 
 const (
@@ -34,11 +36,12 @@
 	}
 	p.g.Log.Warn("request refused", append(fields, p.logFields...)...)
 	if p.headWritten {
-		panic(http.ErrAbortHandler)
+		p.abort()
 	}
-	if p.callerGone() {
+	if p.callerGone() && !p.bodyTimedOut {
 		return
 	}
+	p.answered = true
 	body := []byte(`{"error":"` + string(reason) + `"}` + "\n")
 	h := p.w.Header()
 	p.g.Wire.SetRefusalHeaders(h, p.req.ID, wait)
@@ -49,6 +52,24 @@
 	_, _ = p.w.Write(body)
 }
 
+// abort ends the connection to the caller in the middle of an answer. To a
+// caller of HTTP/1.0 the end of the connection is the end of the answer, so it
+// gets a reset.
+func (p *proxyRequest) abort() {
+	if !p.r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(p.w).Hijack(); err == nil {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				// Without the option the caller gets an orderly end.
+				if err := tcp.SetLinger(0); err != nil {
+					p.g.Log.Warn("connection ends without a reset", zap.String("request_id", string(p.req.ID)), logline.Error(err))
+				}
+			}
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // fail answers a request that no server answered: 503 when it certainly did not
 // run, else 504 after the deadline and 502 before.
 func (p *proxyRequest) fail(reason fleet.Reason, wait time.Duration) {
--- a/node/node.go
+++ b/node/node.go
@@ -64,6 +64,9 @@
 	// memoryShare is the share of the process's memory that is set as the Go
 	// runtime's soft limit; sockets and stacks need the rest.
 	memoryShare = 0.6
+	// bufferShare is the share of the process's memory for answers that are
+	// buffered at the same time.
+	bufferShare = 0.15
 	// suspectShare is directory.Options.SuspectTime as a share of the drain
 	// bound, the time within which a leaving server must stop getting requests.
 	suspectShare = 0.75
@@ -137,7 +140,8 @@
 	n.directory.HubChanges = n.exchange.HubClient().After
 	n.state.OnNote(n.exchange.AddNote)
 	n.gateway = gateway.New(gateway.Options{
-		Wire: p.Wire, Table: n.directory.Table, Pool: pool, State: n.state, Observer: n.metrics, Log: log,
+		Wire: p.Wire, Table: n.directory.Table, Pool: pool, State: n.state, Observer: n.metrics,
+		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)), Log: log,
 	})
 	return n
 }
