Look at the lease right before an order is written

Cause: the holder looked at its lease before it connected to the engine. Opening a connection takes up to 250 ms, and a holder that is frozen in between orders after its lease has run out, while its successor acts; engines that do not check fencing numbers take both.

Change: connpool calls Request.Check once the connection is open, right before the write, and sends nothing when it fails; stages checks the lease there, on the clock that goes on while the host is suspended.

Ruled out: a step of the time of day, which no lease, deadline or age uses. What remains is a freeze between the check and the write, some microseconds; engines refuse the order by its number of accepted orders where another came first.

--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -59,6 +59,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Check is called right before the request is written, unless it is nil. If
+	// it returns an error the request is not sent: connecting may take long, and
+	// the process may be frozen meanwhile.
+	Check func() error
 }
 
 // Answer is a server's answer. The caller must call Close.
@@ -209,6 +213,11 @@
 	}
 	b.WriteString("\r\n")
 	b.Write(r.Body)
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			return errors.Wrap(ErrNotSent, err.Error())
+		}
+	}
 	c.written.Store(false)
 	if b.Len() <= maxSyncWriteBytes {
 		_, err := c.Write(b.Bytes())
--- a/connpool/pool_test.go
+++ b/connpool/pool_test.go
@@ -164,6 +164,33 @@
 	})
 }
 
+// TestCheck guards against an order that is sent although the lease has run out
+// while the connection was opened.
+func TestCheck(t *testing.T) {
+	Convey("A request whose check fails once the connection is open is not sent", t, func() {
+		received := make(chan struct{}, 1)
+		address := listen(t, func(c net.Conn, _ int) {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				received <- struct{}{}
+			}
+		})
+		p := New()
+		_, err := p.Do(context.Background(), &Request{
+			Address: address, MaxConns: 1, Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{},
+			Check: func() error {
+				So(p.Opened(), ShouldEqual, 1)
+				return errors.New("the lease has run out")
+			},
+		}, idDecoder{})
+		So(errors.Is(err, ErrNotSent), ShouldBeTrue)
+		select {
+		case <-received:
+			So("the request was sent", ShouldBeEmpty)
+		case <-time.After(50 * time.Millisecond):
+		}
+	})
+}
+
 func TestLimit(t *testing.T) {
 	Convey("Over the limit nothing is sent", t, func() {
 		hold := make(chan bool)
--- a/stages/stages.go
+++ b/stages/stages.go
@@ -353,7 +353,7 @@
 func (r *Reconciler) order(ctx context.Context, c stageplan.Change) {
 	log := r.Log.With(zap.String("server", string(c.Server.ID)), zap.Stringer("stage", c.Stage), zap.Int64("fence", r.term.Fence))
 	method, path := r.Documents.ReportRequest()
-	status, raw, err := r.call(ctx, c.Server, method, path, nil)
+	status, raw, err := r.call(ctx, c.Server, method, path, nil, nil)
 	if err != nil || status != http.StatusOK {
 		log.Warn("engine state unknown; no order sent", zap.Int("status", status), logline.Error(err))
 		return
@@ -368,11 +368,15 @@
 		log.Error("order not sent", logline.Error(err))
 		return
 	}
-	if at := now(); !r.term.Valid(at) {
-		log.Warn("order not sent: the lease has run out")
-		return
-	}
-	status, _, err = r.call(ctx, c.Server, method, path, body)
+	// The last look at the lease is right before the order is written: a holder
+	// that was frozen in between must not order.
+	term := r.term
+	status, _, err = r.call(ctx, c.Server, method, path, body, func() error {
+		if !term.Valid(now()) {
+			return errLeaseExpired
+		}
+		return nil
+	})
 	log.Info("order", zap.Int("status", status), zap.Int64("orders", report.AcceptedOrders), logline.Error(err))
 	if status == http.StatusPreconditionFailed {
 		r.mu.Lock()
@@ -384,9 +388,12 @@
 // maxReportBytes bounds the body of an engine's answer.
 const maxReportBytes = 1 << 20
 
-// call sends a request to an engine and returns the status of its answer and the
+// errLeaseExpired means that an order was not sent.
+var errLeaseExpired = errors.New("the lease has run out")
+
+// call sends a request to an engine, unless check fails right before, and returns the status of its answer and the
 // first maxReportBytes of the body.
-func (r *Reconciler) call(ctx context.Context, s placement.Server, method, path string, body []byte) (int, []byte, error) {
+func (r *Reconciler) call(ctx context.Context, s placement.Server, method, path string, body []byte, check func() error) (int, []byte, error) {
 	ctx, stop := context.WithTimeout(ctx, orderTimeout)
 	defer stop()
 	header := http.Header{}
@@ -395,7 +402,7 @@
 	}
 	answer, err := r.Pool.Do(ctx, &connpool.Request{
 		Address: s.Address, MaxConns: orderConnections, Method: method, URI: path, Host: s.Address,
-		Header: r.Wire.RequestHeaders(header, call.SendOptions{Expect: s.ID, Priority: -1, Deadline: orderTimeout}), Body: body,
+		Header: r.Wire.RequestHeaders(header, call.SendOptions{Expect: s.ID, Priority: -1, Deadline: orderTimeout}), Body: body, Check: check,
 	}, r.Wire)
 	if err != nil {
 		return 0, nil, errors.Wrap(err, path)
