--- a/connpool/foreign_test.go
+++ b/connpool/foreign_test.go
@@ -43,7 +43,7 @@
 		for _, c := range []struct{ name, head string }{
 			{"with the id of the earlier request", "200 OK\r\nId: 0"},
 			{"without an id, as a success", "200 OK"},
-			{"without an id, as a refusal that promises not to have run", "503 Service Unavailable\r\nNot-Executed: 1"},
+			{"without an id, as a refusal that promises not to have run", "503 Service Unavailable\r\nNot-Run: 1"},
 			{"without an id, as not found", "404 Not Found"},
 		} {
 			Convey(c.name+", never answers the next request", func() {
