--- a/gateway/events.go
+++ b/gateway/events.go
@@ -31,7 +31,7 @@
 	buffers *buffers
 	buf     []byte
 	// searched is the length of the start of buf that holds no end of an event,
-	// and reserved the part of buffers that buf takes.
+	// and reserved are the blocks of buffers that buf counts as.
 	searched int
 	reserved int64
 	err      error
@@ -57,11 +57,11 @@
 		if len(e.buf) > maxEventBytes {
 			return nil, "", errTooLong
 		}
-		if over := int64(len(e.buf)-freeBufferBytes) - e.reserved; over > 0 {
-			if err := e.buffers.reserve(freeBufferBytes); err != nil {
+		if int64(len(e.buf)) > (e.reserved+1)*blockBytes {
+			if err := e.buffers.reserve(); err != nil {
 				return nil, "", err
 			}
-			e.reserved += freeBufferBytes
+			e.reserved++
 		}
 		n, err := e.in.Read(chunk[:])
 		e.buf = append(e.buf, chunk[:n]...)
@@ -71,10 +71,8 @@
 
 // release gives back the reserved bytes.
 func (e *eventReader) release() {
-	if e.reserved > 0 {
-		e.buffers.used.Add(-e.reserved)
-		e.reserved = 0
-	}
+	e.buffers.unreserve(e.reserved)
+	e.reserved = 0
 }
 
 // hasEvent reports whether data, which holds complete events, has more than
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,8 +138,8 @@
 	events int
 	// lastEvent is the id of the last complete event that was forwarded.
 	lastEvent string
-	// releases give back the memory of buffered answers.
-	releases  []func()
+	// bodies are the buffered answers, released with the request.
+	bodies    []*body
 	logFields []zap.Field
 }
 
@@ -188,8 +188,8 @@
 // an empty success otherwise, and a caller that has only closed its sending side
 // would take it for the answer.
 func (p *proxyRequest) finish() {
-	for _, release := range p.releases {
-		release()
+	for _, b := range p.bodies {
+		b.release()
 	}
 	if cause := recover(); cause != nil {
 		panic(cause)
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -149,12 +149,15 @@
 // kvSourceOf decodes the answer to a prefill call; nil when its status is not
 // 200.
 func (p *proxyRequest) kvSourceOf(a *connpool.Answer, s placement.Server) (*call.KVSource, error) {
-	body, release, err := p.g.buffers.readAnswer(a, maxPrefilledBytes)
-	defer release()
-	if err != nil || a.Status != http.StatusOK {
+	body, err := p.g.buffers.readAnswer(a, maxPrefilledBytes)
+	if err != nil {
 		return nil, err
 	}
-	out, err := p.g.Wire.ParsePrefilled(body)
+	defer body.release()
+	if a.Status != http.StatusOK {
+		return nil, nil
+	}
+	out, err := p.g.Wire.ParsePrefilled(body.joined())
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -18,7 +18,7 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *body
 }
 
 // servePlain serves a request whose answer is buffered until it is complete, so
@@ -139,8 +139,10 @@
 // that did not run the request is passed on only when its status is 400, which
 // any other server would return too.
 func (p *proxyRequest) bufferAnswer(a *connpool.Answer, res result) (*bufferedAnswer, result, error) {
-	body, release, err := p.g.buffers.readAnswer(a, maxAnswerBytes)
-	p.releases = append(p.releases, release)
+	body, err := p.g.buffers.readAnswer(a, maxAnswerBytes)
+	if err == nil {
+		p.bodies = append(p.bodies, body)
+	}
 	switch {
 	case res == resultNotRun && err == nil && a.Status == http.StatusBadRequest:
 		return &bufferedAnswer{a.Status, a.Header, body}, resultAnswer, nil
@@ -164,7 +166,7 @@
 	h := p.w.Header()
 	p.g.Wire.CopyAnswerHeaders(h, a.header)
 	if a.status != http.StatusNoContent && a.status != http.StatusNotModified {
-		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+		h.Set("Content-Length", strconv.Itoa(a.body.len()))
 	}
 	if p.g.draining.Load() {
 		h.Set("Connection", "close")
@@ -172,5 +174,5 @@
 	p.answered = true
 	p.w.WriteHeader(a.status)
 	// A write error means that the caller has disconnected.
-	_, _ = p.w.Write(a.body)
+	_, _ = a.body.WriteTo(p.w)
 }
