--- a/gateway/buffers.go
+++ b/gateway/buffers.go
@@ -77,8 +77,9 @@
 	b.inUse -= n
 }
 
-// release takes blocks back. Once none is in use, all are left to the garbage
-// collector.
+// release takes blocks back. They are kept for the next long answers: left to
+// the garbage collector, they would count on top of the blocks that replace them
+// until it has run.
 func (b *buffers) release(blocks [][]byte) {
 	if len(blocks) == 0 {
 		return
@@ -87,9 +88,6 @@
 	defer b.mu.Unlock()
 	b.inUse -= int64(len(blocks))
 	b.free = append(b.free, blocks...)
-	if b.inUse == 0 {
-		b.free = nil
-	}
 }
 
 // body is the body of an answer in order: a first part and the blocks after it.
