Keep the state of a division for each service

Cause, found in reading the change: the holder kept one time of the last listed engine and one count for all services. With two services of different numbers of engines the count seemed to grow at each step, so no division settled before there was traffic.

Change: stages keeps listing, share, interval and logging by service.

--- a/stages/stages.go
+++ b/stages/stages.go
@@ -123,17 +123,22 @@
 	staleFence int64
 	// ordered maps engines to the change that is in progress there.
 	ordered map[fleet.UpstreamID]orderedChange
-	// listedAt is when engines were first listed; 0 before. grownAt is when a new
-	// one was last listed, and listed their number then.
+	// services holds the state of each service with engines.
+	services map[fleet.GroupName]*serviceState
+}
+
+// serviceState is what the holder keeps about a service's engines.
+type serviceState struct {
+	// listedAt is when engines were first listed, grownAt when a new one was
+	// last listed, and listed their number.
 	listedAt, grownAt fleet.Instant
 	listed            int
 	// decodeShare is the share of decode engines that the last plan with measured
-	// demand led to; 0 for the declared one.
-	decodeShare map[fleet.GroupName]float64
+	// demand led to, or the declared one; 0 before the first plan.
+	decodeShare float64
 	// nextChange is the earliest time of the next change, and loggedAt the time
 	// of the last logged plan.
-	nextChange fleet.Instant
-	loggedAt   fleet.Instant
+	nextChange, loggedAt fleet.Instant
 }
 
 // orderedChange is a change that counts as in progress until a time.
@@ -144,7 +149,7 @@
 
 // New returns a Reconciler that competes for the lease once it runs.
 func New(o Options) *Reconciler {
-	return &Reconciler{Options: o, ordered: map[fleet.UpstreamID]orderedChange{}, decodeShare: map[fleet.GroupName]float64{}, machine: lease.New(lease.Config{
+	return &Reconciler{Options: o, ordered: map[fleet.UpstreamID]orderedChange{}, services: map[fleet.GroupName]*serviceState{}, machine: lease.New(lease.Config{
 		Instance: o.Instance, Process: o.Process, TTL: o.LeaseTTL, Margin: leaseMargin, RetryInterval: leaseRetryInterval, PollInterval: o.LeaseTTL,
 	})}
 }
@@ -225,38 +230,40 @@
 		if len(engines) == 0 {
 			return
 		}
-		if r.listedAt == 0 {
-			r.listedAt = at
+		state := r.services[service.Name]
+		if state == nil {
+			state = &serviceState{listedAt: at}
+			r.services[service.Name] = state
 		}
-		if len(engines) > r.listed {
-			r.grownAt = at
+		if len(engines) > state.listed {
+			state.grownAt = at
 		}
-		r.listed = len(engines)
-		if at < r.orderFrom || at < r.nextChange || r.term.Fence == r.staleFence || !r.term.Valid(at) {
+		state.listed = len(engines)
+		if at < r.orderFrom || at < state.nextChange || r.term.Fence == r.staleFence || !r.term.Valid(at) {
 			return
 		}
-		r.orderChanges(ctx, service, engines, at)
+		r.orderChanges(ctx, service, state, engines, at)
 	})
 }
 
 // orderChanges orders the changes that the plan requires. Without traffic it
 // plans again at each step, so that engines that are listed late are ordered
 // too; with traffic it waits until the effect of the last changes is measured.
-func (r *Reconciler) orderChanges(ctx context.Context, service *routes.Service, engines []placement.EngineState, at fleet.Instant) {
+func (r *Reconciler) orderChanges(ctx context.Context, service *routes.Service, state *serviceState, engines []placement.EngineState, at fleet.Instant) {
 	load := r.Engines.Load(service)
-	r.adoptShare(service, engines)
+	r.adoptShare(service, state, engines)
 	plan := stageplan.New(service.Engine, stageplan.Input{
 		Engines: r.withOrdered(engines, at), Load: load,
-		DecodeShare: r.decodeShare[service.Name],
-		Settled:     load.MeasuredFor > 0 || at-r.grownAt >= settleTime,
-		MayRestore:  r.term.Fence == 1 || at-r.listedAt >= declaredDelay,
+		DecodeShare: state.decodeShare,
+		Settled:     load.MeasuredFor > 0 || at-state.grownAt >= settleTime,
+		MayRestore:  r.term.Fence == 1 || at-state.listedAt >= declaredDelay,
 	})
-	r.logPlan(service, plan, load, at)
+	r.logPlan(service, state, plan, load, at)
 	if len(plan.Changes) == 0 {
 		return
 	}
 	if plan.Reason == stageplan.ReasonMeasured {
-		r.decodeShare[service.Name] = plan.DecodeShare
+		state.decodeShare = plan.DecodeShare
 	}
 	outOfService := service.Engine.SwitchTime + relistTime
 	for _, c := range plan.Changes {
@@ -264,9 +271,9 @@
 		r.Engines.Hold(c.Server.ID, outOfService)
 	}
 	if load.MeasuredFor > 0 {
-		r.nextChange = at + restoreInterval
+		state.nextChange = at + restoreInterval
 		if plan.Reason == stageplan.ReasonMeasured {
-			r.nextChange = at + changeInterval + outOfService
+			state.nextChange = at + changeInterval + outOfService
 		}
 		time.Sleep(announceTime)
 	}
@@ -285,12 +292,12 @@
 // holder's last plan, unless it is so far from the declared one that it rather
 // comes from a loss of engines. Otherwise each new holder would take back what
 // the one before had measured.
-func (r *Reconciler) adoptShare(service *routes.Service, engines []placement.EngineState) {
-	if _, known := r.decodeShare[service.Name]; known {
+func (r *Reconciler) adoptShare(service *routes.Service, state *serviceState, engines []placement.EngineState) {
+	if state.decodeShare > 0 {
 		return
 	}
 	declared := stageplan.DeclaredShare(service.Engine, r.Table().StreamTimeout(service.Name))
-	r.decodeShare[service.Name] = declared
+	state.decodeShare = declared
 	if r.term.Fence == 1 {
 		return
 	}
@@ -306,7 +313,7 @@
 	}
 	present := float64(decode) / float64(max(total, 1))
 	if math.Abs(present-declared) <= maxAdopted {
-		r.decodeShare[service.Name] = present
+		state.decodeShare = present
 	}
 }
 
@@ -333,11 +340,11 @@
 
 // logPlan logs a plan with its inputs: always when it has changes, and from time
 // to time otherwise.
-func (r *Reconciler) logPlan(service *routes.Service, p stageplan.Plan, d placement.ServiceLoad, at fleet.Instant) {
-	if len(p.Changes) == 0 && at-r.loggedAt < logInterval {
+func (r *Reconciler) logPlan(service *routes.Service, state *serviceState, p stageplan.Plan, d placement.ServiceLoad, at fleet.Instant) {
+	if len(p.Changes) == 0 && at-state.loggedAt < logInterval {
 		return
 	}
-	r.loggedAt = at
+	state.loggedAt = at
 	r.Log.Info("division of engines", zap.String("service", string(service.Name)), zap.String("reason", string(p.Reason)),
 		zap.Int("prefill", p.Prefill), zap.Int("decode", p.Decode), zap.Int("changes", len(p.Changes)), zap.Float64("decode_share", p.DecodeShare),
 		zap.Float64("cost_now", p.CostNow), zap.Float64("cost_planned", p.CostPlanned),
