--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -160,85 +160,6 @@
 	return Server{}, false
 }
 
-// Snapshot is an instance's work in flight and demand, with those of the other
-// instances that it reports for.
-type Snapshot struct {
-	Work map[fleet.UpstreamID]Work
-	// Age is the mean age of the work, weighted by runs; an instance's own is
-	// 0.
-	Age    time.Duration
-	Demand map[fleet.GroupName]Demand
-}
-
-// SetPeerWork replaces what another instance has reported.
-func (f *Fleet) SetPeerWork(peer fleet.InstanceID, report Snapshot, now fleet.Instant) {
-	view := peerView{receivedAt: now, age: report.Age, demand: report.Demand}
-	for id, s := range f.servers {
-		w, ok := report.Work[id]
-		if !ok {
-			delete(s.byPeer, peer)
-			s.peerSumStale = true
-			continue
-		}
-		view.runs += w.Runs
-		s.byPeer[peer] = peerWork{Work: w, receivedAt: now}
-		s.updateMeans()
-	}
-	f.peers[peer] = view
-	for group := range report.Demand {
-		f.noteDemand(group, now)
-	}
-	f.addForeignPrompts(now)
-}
-
-// Snapshot returns the work in flight and the demand of this instance plus those
-// of the other instances for which include returns true. Reports older than
-// peerWorkTTL don't count.
-func (f *Fleet) Snapshot(include func(fleet.InstanceID) bool, now fleet.Instant) Snapshot {
-	out := Snapshot{Work: map[fleet.UpstreamID]Work{}, Demand: map[fleet.GroupName]Demand{}}
-	ownRuns := 0
-	for id, s := range f.servers {
-		total := s.own
-		ownRuns += s.own.Runs
-		var speeds, paces mean
-		speeds.add(total.Speed)
-		paces.add(total.Pace)
-		for peer, w := range s.byPeer {
-			if now-w.receivedAt > peerWorkTTL || !include(peer) {
-				continue
-			}
-			total.merge(w.Work)
-			speeds.add(w.Speed)
-			paces.add(w.Pace)
-		}
-		total.Speed, total.Pace = speeds.valueOr(0), paces.valueOr(0)
-		if total != (Work{}) {
-			out.Work[id] = total
-		}
-	}
-	for group, m := range f.meters {
-		out.Demand[group] = m.rate(now)
-	}
-	age, weight := 0.0, float64(ownRuns+1)
-	for peer, view := range f.peers {
-		if now-view.receivedAt > peerWorkTTL {
-			delete(f.peers, peer)
-			continue
-		}
-		if !include(peer) {
-			continue
-		}
-		w := float64(view.runs + 1)
-		age += w * float64(view.age+now-view.receivedAt)
-		weight += w
-		for group, d := range view.demand {
-			out.Demand[group] = out.Demand[group].plus(d)
-		}
-	}
-	out.Age = time.Duration(age / weight)
-	return out
-}
-
 // Held returns the held engines and the time until each hold ends.
 func (f *Fleet) Held(now fleet.Instant) map[fleet.UpstreamID]time.Duration {
 	out := map[fleet.UpstreamID]time.Duration{}
@@ -322,65 +243,6 @@
 
 func anyStage(*server) bool { return true }
 
-// ChoosePlain chooses the server of a plain service with the fewest requests
-// per slot, weighted by its latency and recent failures, and spreads the
-// choices of instances with old views. It returns false when there is no
-// candidate.
-func (f *Fleet) ChoosePlain(group fleet.GroupName, id fleet.RequestID, now fleet.Instant, skip []fleet.UpstreamID) (Choice, bool) {
-	list := f.usable(group, now, skip, anyStage)
-	if len(list) == 0 {
-		return Choice{}, false
-	}
-	others, latency := 0, time.Duration(0)
-	for _, s := range list {
-		others += s.totalWork(now).Runs - s.own.Runs
-		latency += s.latency / time.Duration(len(list))
-	}
-	if latency == 0 {
-		latency = initialLatency
-	}
-	ended, unseen := f.unseenRequests(others, latency, now)
-	f.options = f.options[:0]
-	for _, s := range list {
-		slots := float64(max(s.Slots, 1))
-		slowness := 1 + float64(s.latency)/float64(slowLatency)
-		o := option{server: s, runs: s.runsNow(ended, now), slots: slots}
-		o.first = time.Duration(slowness * float64(plainUnit))
-		o.next = time.Duration(slowness * float64(plainUnit) / slots)
-		handicap := 0.9 * jitter(id, s) / slots
-		if s.DataCentre != f.config.DataCentre {
-			handicap += 0.6 / slots
-		}
-		o.fixed = time.Duration((slowness*handicap + failureLoad*s.recentFailureRate(now)) * float64(plainUnit))
-		f.options = append(f.options, o)
-	}
-	i, _ := draw(f.options, unseen, id)
-	return Choice{
-		Server: f.options[i].server.Server, Reason: f.drawReason(i, len(list)), Candidates: len(list),
-		ViewAge: f.viewAge(now), Unseen: unseen,
-	}, true
-}
-
-const (
-	// plainUnit is the score of a plain server whose slots are all in use.
-	plainUnit = 100 * time.Millisecond
-	// slowLatency is the mean latency that doubles a plain server's score.
-	slowLatency = 100 * time.Millisecond
-	// initialLatency is the latency of a plain service assumed before the first
-	// answer.
-	initialLatency = 50 * time.Millisecond
-)
-
-// drawReason returns the reason for the option drawn among the candidates.
-func (f *Fleet) drawReason(drawn, candidates int) Reason {
-	for i := range f.options {
-		if f.options[i].score < f.options[drawn].score {
-			return ReasonSpread
-		}
-	}
-	return reasonFor(candidates, ReasonLeastWait)
-}
-
 // reasonFor returns ReasonOnly for a single candidate, r otherwise.
 func reasonFor(candidates int, r Reason) Reason {
 	if candidates == 1 {
@@ -443,79 +305,6 @@
 	}
 }
 
-// LearnLatency updates the average latency of a server of a plain service.
-func (f *Fleet) LearnLatency(id fleet.UpstreamID, took time.Duration) {
-	if s := f.servers[id]; s != nil {
-		s.latency += (took - s.latency) / 8
-	}
-}
-
-// LearnPrefill updates an engine's prefill speed from the time that a prompt
-// took, queued tokens included. Prompts shorter than minLearnTokens are
-// ignored.
-func (f *Fleet) LearnPrefill(c Choice, took time.Duration) {
-	s := f.servers[c.Server.ID]
-	if s == nil || s.StartTime != c.Server.StartTime {
-		return
-	}
-	tokens := c.TokensAhead + c.UncachedTokens
-	if tokens < minLearnTokens {
-		return
-	}
-	if !isPrefill(s) {
-		tokens *= decodeSlowdown
-	}
-	s.learnSpeed(tokens, took-f.learnOverhead(s, tokens, took))
-}
-
-// learnOverhead returns the part of a prefill call's duration at the service's
-// engines that does not depend on the prompt's length. It tracks a low quantile
-// of what short prompts take beyond their tokens, because most delays only add
-// to it.
-func (f *Fleet) learnOverhead(s *server, tokens float64, took time.Duration) time.Duration {
-	overhead, ok := f.overheads[s.Group]
-	if !ok {
-		overhead = callOverhead
-	}
-	if tokens <= maxOverheadTokens {
-		if took-prefillTime(tokens, s.speed) < overhead {
-			overhead -= time.Duration((1 - overheadQuantile) * float64(overheadStep))
-		} else {
-			overhead += time.Duration(overheadQuantile * float64(overheadStep))
-		}
-		f.overheads[s.Group] = max(overhead, 0)
-	}
-	return overhead
-}
-
-const (
-	// maxOverheadTokens is the length up to which a prompt counts as short.
-	maxOverheadTokens = 2000
-	// overheadQuantile is the tracked quantile, and overheadStep the distance
-	// that one prompt moves it.
-	overheadQuantile = 0.3
-	overheadStep     = 2 * time.Millisecond
-)
-
-// LearnDecode updates the service's mean answer length and the engine's token
-// gap from one answer to a request: its number of events and the time from the
-// first to the last.
-func (f *Fleet) LearnDecode(id fleet.UpstreamID, r *call.Request, events int, span time.Duration) {
-	s := f.servers[id]
-	if s == nil || events == 0 {
-		return
-	}
-	length := f.answers[s.Group]
-	if length == nil {
-		length = &answerLength{}
-		f.answers[s.Group] = length
-	}
-	length.add(events, outputWeight(r))
-	if events > 1 {
-		s.learnPace(span / time.Duration(events-1))
-	}
-}
-
 // AddCachedPrompt records that an engine will have a prompt cached from ready
 // on, because it was sent the prompt or fetches the KV cache of another engine.
 // Later requests can count on it, since the engine processes them afterwards.
@@ -531,7 +320,3 @@
 		s.cache.removePrompt(r)
 	}
 }
-
-// minLearnTokens is the least number of tokens from whose duration a speed is
-// learned; shorter prefills are dominated by the fixed overhead.
-const minLearnTokens = 400
