--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 	"silence": silenceCase,
 	"memory":  memoryCase,
 	"late":    lateCase,
+	"hub":     hubCase,
 	"born":    bornCase,
 	"twice":   twiceCase,
 }
@@ -26,6 +27,7 @@
 	"silence": smallBounds,
 	"memory":  grownBounds,
 	"late":    smallBounds,
+	"hub":     grownBounds,
 	"born":    grownBounds,
 	"twice":   smallBounds,
 }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -169,7 +169,7 @@
 	defer s.mu.Unlock()
 	answer(w, http.StatusOK, object{
 		"stage": s.stage, "models": []object{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": time.Now().Before(s.busyUntil),
-		"sequence": s.orders, "queued": 0, "active": s.running, "kv-used": 0, "kv-total": 440559, "kv-handles": len(s.handles), "born": s.born,
+		"sequence": s.orders, "queued": 0, "active": s.running, "kv-used": 0, "kv-total": 440559, wire["reportHandles"]: len(s.handles), "born": s.born,
 	})
 }
 
@@ -262,7 +262,7 @@
 		s.handles[handle] = true
 		s.mu.Unlock()
 		s.fleet.addHandle(s.address+"/"+handle, s)
-		answer(w, http.StatusOK, object{"kv-handle": handle, "tokens": 1000, "version": 1})
+		answer(w, http.StatusOK, object{wire["handle"]: handle, "tokens": 1000, "version": 1})
 	case stage != "":
 		s.stream(w, r, id)
 	default:
