--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 # review/build.sh.
 set -u
 cd "$(dirname "$0")/../.."
-exec target/review-standin born review/4/record.txt
+exec target/review-standin hub review/4/record.txt
