--- a/review/standin/backlog.go
+++ b/review/standin/backlog.go
@@ -31,19 +31,31 @@
 // in quick succession, and checks that it has the newest version in force once it
 // is in touch again.
 func backlogCase(f *fleet, trouble bool) (broken []string, ran bool) {
+	return f.backlog(trouble, []int{moreRoutes, 2 * moreRoutes}, 0)
+}
+
+// thinLinkCase does the same with a configuration that has grown once, at a
+// machine whose link carries 10 Mbit/s.
+func thinLinkCase(f *fleet, trouble bool) (broken []string, ran bool) {
+	return f.backlog(trouble, []int{moreRoutes}, 10)
+}
+
+// backlog grows the configuration to each of the given numbers of further routes
+// and then changes it in quick succession while a machine is cut off.
+func (f *fleet) backlog(trouble bool, grown []int, mbps float64) (broken []string, ran bool) {
 	f.configure(1, grownRoutes(1, 0))
 	for n := range 3 {
 		f.startServer(fmt.Sprintf("i-%d", n), "members-app", "", zone, 16)
 	}
 	for range 3 {
-		f.startProcess(zone, 0.4, 284)
+		f.startProcess(zone, 0.4, 284).path.mbps = mbps
 	}
 	if !f.awaitReady(20 * time.Second) {
 		return nil, false
 	}
 	time.Sleep(2 * time.Second)
 	version := 1
-	for _, more := range []int{moreRoutes, 2 * moreRoutes} {
+	for _, more := range grown {
 		version++
 		f.configure(version, grownRoutes(version, more))
 		time.Sleep(4 * time.Second)
@@ -57,7 +69,7 @@
 	var ack time.Time
 	for n := 0; time.Duration(n)*stormGap <= stormLength; n++ {
 		version++
-		ack = f.configure(version, grownRoutes(version, 2*moreRoutes))
+		ack = f.configure(version, grownRoutes(version, grown[len(grown)-1]))
 		time.Sleep(time.Until(cutAt.Add(time.Duration(n+1) * stormGap)))
 	}
 	time.Sleep(time.Until(cutAt.Add(cutTime)))
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 // the same without the disruption.
 var cases = map[string]func(f *fleet, trouble bool) (broken []string, ran bool){
 	"backlog": backlogCase,
+	"thin":    thinLinkCase,
 	"silence": silenceCase,
 	"memory":  memoryCase,
 	"late":    lateCase,
@@ -24,6 +25,7 @@
 
 var caseBounds = map[string]bounds{
 	"backlog": grownBounds,
+	"thin":    grownBounds,
 	"silence": smallBounds,
 	"memory":  grownBounds,
 	"late":    smallBounds,
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // proxy forwards TCP connections to one address. While it is cut, it passes
@@ -10,9 +11,13 @@
 type proxy struct {
 	listener net.Listener
 	to       string
-	mu       sync.Mutex
-	healed   *sync.Cond
-	cut      bool
+	// mbps is the bandwidth of the link; 0 for no bound. link is held while it
+	// carries bytes.
+	mbps   float64
+	link   sync.Mutex
+	mu     sync.Mutex
+	healed *sync.Cond
+	cut    bool
 }
 
 func startProxy(to string) *proxy {
@@ -51,6 +56,16 @@
 	}
 }
 
+// carry waits for the time that n bytes take on the link.
+func (p *proxy) carry(n int) {
+	if p.mbps == 0 {
+		return
+	}
+	p.link.Lock()
+	defer p.link.Unlock()
+	time.Sleep(time.Duration(float64(n) * 8 / (p.mbps * 1e6) * float64(time.Second)))
+}
+
 func (p *proxy) connect(c net.Conn) {
 	p.wait()
 	out, err := net.Dial("tcp", p.to)
@@ -68,6 +83,7 @@
 	for {
 		n, err := from.Read(buf)
 		p.wait()
+		p.carry(n)
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
