Bound the history of the store's changes in bytes

Cause: the history that each instance keeps for others held every one of the last 1,024 changes with its value. The bound counted changes and not bytes.

Change: the history keeps the latest change of each key, which is all that an instance that catches up needs, within 4 MB besides the count. Two gauges show its size.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -208,6 +208,10 @@
 	return d.history.after(ctx, revision, wait)
 }
 
+// HistorySize returns the number of changes that are kept for other instances
+// and the bytes of their keys and values.
+func (d *Directory) HistorySize() (changes, bytes int) { return d.history.size() }
+
 func (d *Directory) setDisconnected(err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/directory/history.go
+++ b/directory/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,20 +10,29 @@
 )
 
 const (
-	// maxChanges bounds the changes kept for instances that follow the store
-	// through this one.
+	// maxChanges bounds the number of changes kept for instances that follow
+	// the store through this one.
 	maxChanges = 1024
+	// maxHistoryBytes bounds the keys and values of the changes kept. It has
+	// room for the largest configuration, of 1 MB, beside the entries of the
+	// largest fleet.
+	maxHistoryBytes = 4 << 20
 	// maxContactAge is how long after its last contact with the store an
 	// instance serves changes: one watch call and some time for its answer.
 	maxContactAge = watchWait + 600*time.Millisecond
 )
 
-// history holds the most recent changes. Safe for concurrent use.
+// history holds the latest change of each key that changed recently. An earlier
+// change of the same key is dropped, since whoever catches up needs only the
+// last value. Safe for concurrent use.
 type history struct {
 	mu sync.Mutex
-	// changes holds all changes after revision from up to revision to.
-	changes   []store.Change
-	from, to  int64
+	// changes lead from the state at revision from to the state at revision to.
+	// They are in order of revision, at most one for each key.
+	changes  []store.Change
+	from, to int64
+	// bytes is the size of the keys and values in changes.
+	bytes     int
 	contactAt time.Time
 	// changed is closed and replaced at the next change.
 	changed chan struct{}
@@ -34,11 +44,11 @@
 func (h *history) restart(at int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.changes, h.from, h.to, h.contactAt = nil, at, at, time.Now()
+	h.changes, h.bytes, h.from, h.to, h.contactAt = nil, 0, at, at, time.Now()
 	h.notify()
 }
 
-// add appends the changes up to a revision; changes may be empty.
+// add records the changes up to a revision; changes may be empty.
 func (h *history) add(changes []store.Change, at int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -47,14 +57,64 @@
 	if len(changes) == 0 {
 		return
 	}
-	h.changes = append(h.changes, changes...)
-	if over := len(h.changes) - maxChanges; over > 0 {
-		h.from = h.changes[over-1].Revision
-		h.changes = append([]store.Change(nil), h.changes[over:]...)
+	changes = latestOfEachKey(changes)
+	replaced := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		replaced[c.Key] = true
 	}
+	// A new slice, since the clearing of dropped changes must not affect the
+	// results of after.
+	kept := make([]store.Change, 0, len(h.changes)+len(changes))
+	for _, c := range h.changes {
+		if !replaced[c.Key] {
+			kept = append(kept, c)
+		}
+	}
+	h.changes = append(kept, changes...)
+	h.trim()
 	h.notify()
 }
 
+// trim drops the oldest changes beyond maxChanges and maxHistoryBytes, and
+// updates bytes. The caller holds mu.
+func (h *history) trim() {
+	h.bytes = 0
+	for i, c := range slices.Backward(h.changes) {
+		h.bytes += changeBytes(c)
+		if h.bytes > maxHistoryBytes || len(h.changes)-i > maxChanges {
+			h.bytes -= changeBytes(c)
+			h.from = c.Revision
+			h.changes = slices.Clone(h.changes[i+1:])
+			return
+		}
+	}
+}
+
+// size returns the number of changes held and the bytes of their keys and
+// values.
+func (h *history) size() (changes, bytes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.changes), h.bytes
+}
+
+func changeBytes(c store.Change) int { return len(c.Key) + len(c.Value) }
+
+// latestOfEachKey returns the last change of each key, in their order.
+func latestOfEachKey(changes []store.Change) []store.Change {
+	last := make(map[string]int, len(changes))
+	for i, c := range changes {
+		last[c.Key] = i
+	}
+	out := make([]store.Change, 0, len(last))
+	for i, c := range changes {
+		if last[c.Key] == i {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // notify wakes all waiting calls of after. The caller holds mu.
 func (h *history) notify() {
 	close(h.changed)
--- /dev/null
+++ b/directory/history_test.go
@@ -0,0 +1,105 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/bramleywick/bramleywick/store"
+)
+
+// heldBytes returns the heap that is in use after a collection.
+func heldBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// put returns the change that writes size bytes to a key.
+func put(key string, revision int64, size int) store.Change {
+	return store.Change{Entry: store.Entry{Key: key, Value: make([]byte, size), Revision: revision}}
+}
+
+// TestHistoryMemory guards against memory that grows with each change of a large
+// configuration, until the platform kills every instance at the same moment.
+func TestHistoryMemory(t *testing.T) {
+	const heldLimit = 8 << 20
+	for _, c := range []struct {
+		name    string
+		changes int
+		keys    int
+		size    int
+	}{
+		{"one configuration that changes often", 240, 1, 583_000},
+		{"a configuration of the largest size", 100, 1, 1 << 20},
+		{"many keys with large values", 200, 200, 500_000},
+		{"a fleet whose entries change", 20_000, 1200, 300},
+	} {
+		Convey("The history of "+c.name+" stays small", t, func() {
+			before := heldBytes()
+			h := newHistory()
+			h.restart(1)
+			last := int64(1)
+			for n := range c.changes {
+				last = int64(n + 2)
+				h.add([]store.Change{put(fmt.Sprint("k", n%c.keys), last, c.size)}, last)
+			}
+			So(heldBytes()-before, ShouldBeLessThan, heldLimit)
+			changes, to, err := h.after(context.Background(), last-1, 0)
+			So(err, ShouldBeNil)
+			So(to, ShouldEqual, last)
+			So(len(changes), ShouldEqual, 1)
+			So(changes[0].Revision, ShouldEqual, last)
+			runtime.KeepAlive(&h)
+		})
+	}
+}
+
+// TestHistoryCatchUp guards against an instance that misses a change because its
+// hub has dropped it, and against one that reads the whole store although its
+// hub still has the last value of every key.
+func TestHistoryCatchUp(t *testing.T) {
+	ctx := context.Background()
+	Convey("With a history of three keys", t, func() {
+		h := newHistory()
+		h.restart(10)
+		h.add([]store.Change{put("a", 11, 1), put("b", 12, 1), put("a", 13, 1)}, 13)
+		h.add([]store.Change{put("c", 14, 1), put("a", 15, 1)}, 20)
+		h.add([]store.Change{{Entry: store.Entry{Key: "b", Revision: 21}, Deleted: true}}, 21)
+
+		Convey("an instance from before all of them gets the last change of each key, in order", func() {
+			changes, to, err := h.after(ctx, 10, 0)
+			So(err, ShouldBeNil)
+			So(to, ShouldEqual, 21)
+			got := ""
+			for _, c := range changes {
+				got += fmt.Sprint(c.Key, c.Revision, " ")
+			}
+			So(got, ShouldEqual, "c14 a15 b21 ")
+			So(changes[2].Deleted, ShouldBeTrue)
+		})
+		Convey("one in between gets what it lacks", func() {
+			changes, _, err := h.after(ctx, 14, 0)
+			So(err, ShouldBeNil)
+			So(len(changes), ShouldEqual, 2)
+		})
+		Convey("one from before the history has to read the whole store", func() {
+			_, _, err := h.after(ctx, 9, 0)
+			So(err, ShouldEqual, store.ErrCompacted)
+		})
+		Convey("one from before a dropped change has to as well", func() {
+			for n := range int64(maxChanges) {
+				h.add([]store.Change{put(fmt.Sprint("k", n), 22+n, 1)}, 22+n)
+			}
+			_, _, err := h.after(ctx, 20, 0)
+			So(err, ShouldEqual, store.ErrCompacted)
+			changes, _, err := h.after(ctx, 21, 0)
+			So(err, ShouldBeNil)
+			So(len(changes), ShouldEqual, maxChanges)
+		})
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -139,6 +139,14 @@
 			_, perSecond := n.state.LimitCounts()
 			return perSecond
 		},
+		"bramleywick_history_changes": func() float64 {
+			changes, _ := n.directory.HistorySize()
+			return float64(changes)
+		},
+		"bramleywick_history_bytes": func() float64 {
+			_, bytes := n.directory.HistorySize()
+			return float64(bytes)
+		},
 		"bramleywick_requests_open": func() float64 { return float64(n.gateway.InFlight()) },
 		"bramleywick_configuration_in_force": func() float64 {
 			if t := n.directory.Table(); t != nil {
