Refuse requests that may outlive a planned stop

Cause: during the delay in which the platform notices the stop, every request was accepted, whatever its deadline; the process ends 0.4 s before the grace time is over.

Change: core/shutdown compares a request's deadline with the end of the process; a request that may still run then is refused with 503 before a server is chosen, with the reason draining and a Retry-After of 10 ms. The product's own daemon bounds running answers only once it has stopped to accept requests, so it does not share the fault.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/bramleywick/bramleywick/core/placement"
 	"github.com/bramleywick/bramleywick/core/retry"
 	"github.com/bramleywick/bramleywick/core/routes"
+	"github.com/bramleywick/bramleywick/core/shutdown"
 	"github.com/bramleywick/bramleywick/logline"
 )
 
@@ -70,7 +71,8 @@
 // Gateway is the HTTP handler for callers' requests.
 type Gateway struct {
 	Options
-	draining atomic.Bool
+	// endsAt is when the process ends in a planned stop; nil before one begins.
+	endsAt   atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 	buffers  buffers
 }
@@ -85,8 +87,12 @@
 	return g
 }
 
-// Drain makes the gateway close callers' connections after the current request.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// Drain prepares for the end of the process at a time: callers' connections are
+// closed after the current request, and new requests that may last longer are
+// refused.
+func (g *Gateway) Drain(end time.Time) { g.endsAt.Store(&end) }
+
+func (g *Gateway) draining() bool { return g.endsAt.Load() != nil }
 
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
@@ -158,7 +164,7 @@
 	defer g.inFlight.Add(-1)
 	p := &proxyRequest{g: g, w: w, r: r, start: time.Now()}
 	defer p.finish()
-	if g.draining.Load() {
+	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	p.req = g.Wire.ParseRequest(r.Header)
@@ -177,7 +183,7 @@
 	p.req.Rank = p.route.Priority
 	p.deadline = p.start.Add(p.timeout())
 	p.boundConnection(p.deadline)
-	if !p.readBody(table) {
+	if !p.readBody(table) || !p.acceptedWhileDraining() {
 		return
 	}
 	ctx, stop := context.WithDeadline(r.Context(), p.deadline)
@@ -192,6 +198,18 @@
 	p.serve()
 }
 
+// acceptedWhileDraining reports whether the request is certain to end before the
+// process does, and refuses it otherwise.
+func (p *proxyRequest) acceptedWhileDraining() bool {
+	end := p.g.endsAt.Load()
+	if end == nil || shutdown.Accepts(p.deadline, *end) {
+		return true
+	}
+	p.logFields = append(p.logFields, zap.Duration("deadline_in", p.remaining()), zap.Duration("process_ends_in", time.Until(*end)))
+	p.refuse(http.StatusServiceUnavailable, fleet.ReasonDraining, drainingWait)
+	return false
+}
+
 // finish gives back the memory of buffered answers. It ends the connection of a
 // caller that got no answer, because it seemed to have left; net/http would send
 // an empty success otherwise, and a caller that has only closed its sending side
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -367,7 +367,7 @@
 	p.headWritten, p.answered = true, true
 	h := p.w.Header()
 	p.g.Wire.CopyAnswerHeaders(h, a.Header)
-	if p.g.draining.Load() {
+	if p.g.draining() {
 		h.Set("Connection", "close")
 	}
 	p.w.WriteHeader(a.Status)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -169,7 +169,7 @@
 	if a.status != http.StatusNoContent && a.status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.Itoa(a.body.len()))
 	}
-	if p.g.draining.Load() {
+	if p.g.draining() {
 		h.Set("Connection", "close")
 	}
 	p.answered = true
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -19,6 +19,9 @@
 	// busyWait is the Retry-After when no server takes the request: about the
 	// time in which a full server finishes a request.
 	busyWait = 150 * time.Millisecond
+	// drainingWait is the Retry-After during a planned stop. Other instances can
+	// serve the request at once.
+	drainingWait = 10 * time.Millisecond
 )
 
 // refuse answers the caller with a refusal. The status 503 guarantees that the
--- a/node/node.go
+++ b/node/node.go
@@ -271,16 +271,17 @@
 	return e
 }
 
-// drain makes the instance not ready, finishes the requests in flight and
-// returns before the platform kills the process.
+// drain makes the instance not ready, serves the requests that can end in time,
+// and returns before the platform kills the process.
 func (n *Node) drain(callers *http.Server) {
 	began := time.Now()
 	n.log.Info("stopping", zap.Int64("open", n.gateway.InFlight()))
+	end := began.Add(n.settings.Grace - killMargin)
 	n.draining.Store(true)
-	n.gateway.Drain()
+	n.gateway.Drain(end)
 	// The platform sends requests here until two probes have failed.
 	time.Sleep(min(readinessDelay, n.settings.Grace/2))
-	ctx, stop := context.WithDeadline(context.Background(), began.Add(n.settings.Grace-killMargin))
+	ctx, stop := context.WithDeadline(context.Background(), end)
 	defer stop()
 	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn("grace time ended with requests in flight", zap.Int64("open", n.gateway.InFlight()), logline.Error(err))
