Count the doubt of a mass loss from the earliest time of the removal

Cause: two waits without a common budget. A hub served 'nothing new' until its last contact was 2.1 s old and did not look at that age during a call of 1.5 s; the doubt of a loss of half of a service, 2.25 s, was counted from the moment at which the removal was learned. Besides, a server that was out of use came back into use when others of its service were removed. Ruled out: requests that wait at the instance (they take milliseconds in the case).

Change: the doubt is counted from the last moment at which the state was known to be complete, which a hub passes on as the age of its knowledge; after more than 2.5 s without the store, from its return, as before. Hubs and their instances wait 0.5 s instead of 1.5 s, a hub's answer ends at the moment at which its contact is 0.9 s old, and after a failure the store is asked for 2 s. A server that is out of use stays so.

--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -34,8 +34,8 @@
 
 // Config holds the parameters of a List.
 type Config struct {
-	// SuspectTime is how long a server may still get requests after its entry
-	// was removed together with many others. It is below the time within which
+	// SuspectTime is how long a server may still get requests after the removal
+	// of its entry together with many others. It is below the time within which
 	// a leaving server must stop getting requests.
 	SuspectTime time.Duration
 }
@@ -47,7 +47,8 @@
 // record is a server's last entry, kept for a while after its removal.
 type record struct {
 	Entry
-	// removedAt is when the entry was removed; it is set when removed is.
+	// removedAt is the earliest time at which the entry may have been removed;
+	// it is set when removed is.
 	removedAt fleet.Instant
 	removed   bool
 }
@@ -81,8 +82,10 @@
 	return true
 }
 
-// Remove marks an entry as removed at now. A leaving server is dropped at once.
-func (l *List) Remove(id fleet.UpstreamID, now fleet.Instant) {
+// Remove marks an entry as removed. since is the earliest time at which it may
+// have been removed, since an instance may learn of a removal late. A leaving
+// server is dropped at once.
+func (l *List) Remove(id fleet.UpstreamID, since fleet.Instant) {
 	r := l.records[id]
 	if r == nil || r.removed {
 		return
@@ -91,12 +94,12 @@
 		delete(l.records, id)
 		return
 	}
-	r.removed, r.removedAt = true, now
+	r.removed, r.removedAt = true, since
 }
 
 // Replace applies a complete listing of the store: it puts the entries and
-// removes all others.
-func (l *List) Replace(entries []Entry, now fleet.Instant) {
+// removes all others, which may have been removed at since or later.
+func (l *List) Replace(entries []Entry, since fleet.Instant) {
 	seen := map[fleet.UpstreamID]bool{}
 	for _, e := range entries {
 		seen[e.ID] = true
@@ -104,7 +107,7 @@
 	}
 	for id := range l.records {
 		if !seen[id] {
-			l.Remove(id, now)
+			l.Remove(id, since)
 		}
 	}
 }
@@ -119,7 +122,8 @@
 
 // Servers returns the known servers, sorted by id, and drops those whose entry
 // was removed longer than SuspectTime ago. A server whose entry was removed is
-// returned as leaving unless at least massLossShare of its group was removed.
+// returned as leaving unless at least massLossShare of its group was removed. Once
+// it was returned as leaving, it stays so when more entries are removed.
 func (l *List) Servers(now fleet.Instant) []placement.Server {
 	total, lost := map[fleet.GroupName]int{}, map[fleet.GroupName]int{}
 	for id, r := range l.records {
@@ -134,11 +138,10 @@
 	}
 	var out []placement.Server
 	for _, r := range l.records {
-		s := r.Server
 		if r.removed && float64(lost[r.Group]) < massLossShare*float64(total[r.Group]) {
-			s.Leaving = true
+			r.Leaving = true
 		}
-		out = append(out, s)
+		out = append(out, r.Server)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
--- a/core/listing/listing_test.go
+++ b/core/listing/listing_test.go
@@ -68,6 +68,19 @@
 			So(usable(l, 2*time.Second), ShouldEqual, "ad")
 			So(l.HasRemoved(), ShouldBeFalse)
 		})
+		Convey("one that is out of use stays so when others are removed too", func() {
+			l.Remove("a", 0)
+			So(usable(l, 0), ShouldEqual, "bcd")
+			l.Remove("b", 0)
+			l.Remove("c", 0)
+			So(usable(l, time.Second/2), ShouldEqual, "bcd")
+		})
+		Convey("the doubt of a loss begins with the removal, also for who learns of it late", func() {
+			l.Remove("a", -time.Second/2)
+			l.Remove("b", -time.Second/2)
+			So(usable(l, time.Second/2), ShouldEqual, "abcd")
+			So(usable(l, time.Second/2+1), ShouldEqual, "cd")
+		})
 		Convey("a leaving server is dropped at once", func() {
 			l.Put(entry("a", 1, 2, true))
 			for _, id := range []fleet.UpstreamID{"a", "b", "c", "d"} {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -29,6 +29,19 @@
 	// connection is noticed only when the call ends, and operators require
 	// that a change applies within 2 s.
 	watchWait = 1500 * time.Millisecond
+	// hubWatchWait is the same for an instance through which others follow the
+	// store, and for their calls to it. The longer it is, the later they notice
+	// that the hub has lost the store.
+	hubWatchWait = 500 * time.Millisecond
+	// hubRetryPause is how long the store is asked directly after the hub could
+	// not answer.
+	hubRetryPause = 2 * time.Second
+	// deliveryTime bounds the time in which an event of a waiting watch arrives.
+	deliveryTime = 300 * time.Millisecond
+	// minOutage is the time without knowledge of the store after which entries
+	// may have expired because the servers could not renew them. A shorter gap
+	// is a delay of this instance.
+	minOutage = 2500 * time.Millisecond
 	// batchDelay is the wait after changes before the next watch call, so that
 	// one call returns several changes.
 	batchDelay = 100 * time.Millisecond
@@ -76,11 +89,10 @@
 	Observer Observer
 	Log      *zap.Logger
 	// HubChanges returns the changes after a revision from the hub; it may be
-	// nil. It returns store.ErrUnavailable when there is no hub or the hub
-	// cannot answer.
-	HubChanges func(ctx context.Context, after int64, wait time.Duration) ([]store.Change, int64, error)
-	// SuspectTime is how long a server may still be used after its entry was
-	// removed together with many others.
+	// nil. It returns an error when there is no hub or the hub cannot answer.
+	HubChanges func(ctx context.Context, after int64, wait time.Duration) (store.Batch, error)
+	// SuspectTime is how long a server may still be used after the removal of
+	// its entry together with many others.
 	SuspectTime time.Duration
 }
 
@@ -103,13 +115,20 @@
 	// succeeded.
 	connected bool
 	synced    atomic.Bool
+
+	// The fields below are used by Run only. completeAt is when all changes up
+	// to then were last known to be applied.
+	completeAt time.Time
+	// hubRetryAt is when the hub is asked again after it could not answer.
+	hubRetryAt time.Time
 }
 
 // New returns an empty Directory.
 func New(o Options) *Directory {
+	start := time.Now()
 	return &Directory{
 		Options: o, list: listing.New(listing.Config{SuspectTime: o.SuspectTime}),
-		instances: map[string]Instance{}, ownKeys: map[string]bool{}, unreadable: map[string]bool{}, start: time.Now(), history: newHistory(),
+		instances: map[string]Instance{}, ownKeys: map[string]bool{}, unreadable: map[string]bool{}, start: start, completeAt: start, history: newHistory(),
 	}
 }
 
@@ -159,52 +178,81 @@
 // otherwise. It returns the new revision.
 func (d *Directory) step(ctx context.Context, revision int64) (int64, error) {
 	if revision == 0 {
+		asked := time.Now()
 		entries, at, err := d.Store.Range(ctx, "")
 		if err == nil {
 			d.setConnected()
-			d.applyAll(entries)
+			d.applyAll(entries, d.earliestChange(0))
+			d.completeAt = asked
 			d.history.restart(at)
 		}
 		return at, err
 	}
-	changes, at, err := d.changes(ctx, revision)
+	batch, since, err := d.changes(ctx, revision)
 	if err != nil {
 		return 0, err
 	}
 	d.setConnected()
-	if len(changes) == 0 {
-		d.history.add(nil, max(at, revision))
-		return max(at, revision), nil
+	next := max(batch.Revision, revision)
+	if len(batch.Changes) > 0 {
+		d.apply(batch.Changes, since)
 	}
-	d.apply(changes)
-	d.history.add(changes, at)
-	// Changes often come in bursts; the next call returns those of the pause
-	// together.
-	select {
-	case <-ctx.Done():
-	case <-time.After(batchDelay):
+	d.completeAt = time.Now().Add(-batch.Age)
+	d.history.add(batch.Changes, next, d.completeAt)
+	if len(batch.Changes) > 0 {
+		// Changes often come in bursts; the next call returns those of the
+		// pause together.
+		select {
+		case <-ctx.Done():
+		case <-time.After(batchDelay):
+		}
 	}
-	return max(at, revision), nil
+	return next, nil
 }
 
 // changes returns the changes after a revision from the hub, or from the store
-// when the hub cannot answer.
-func (d *Directory) changes(ctx context.Context, revision int64) ([]store.Change, int64, error) {
-	if d.HubChanges != nil {
-		changes, at, err := d.HubChanges(ctx, revision, watchWait)
-		if !errors.Is(err, store.ErrUnavailable) {
-			return changes, at, err
+// when the hub cannot answer, and the earliest time at which they may have been
+// made.
+func (d *Directory) changes(ctx context.Context, revision int64) (store.Batch, fleet.Instant, error) {
+	if d.HubChanges != nil && !time.Now().Before(d.hubRetryAt) {
+		batch, err := d.HubChanges(ctx, revision, hubWatchWait)
+		if err == nil {
+			// The hub may have learned of the changes late.
+			return batch, d.earliestChange(0), nil
 		}
+		d.hubRetryAt = time.Now().Add(hubRetryPause)
 	}
-	return d.Store.WatchPrefix(ctx, "", revision, watchWait)
+	wait := watchWait
+	if d.history.followed() {
+		wait = hubWatchWait
+	}
+	asked := time.Now()
+	batch, err := d.Store.WatchPrefix(ctx, "", revision, wait)
+	return batch, d.earliestChange(time.Since(asked)), err
 }
 
-// After returns the changes after a revision, and the revision up to which they
-// are complete. It waits up to wait for a change. It returns
-// store.ErrUnavailable when this instance has had no contact with the store
-// within maxContactAge, and store.ErrCompacted when it no longer has all
+// earliestChange returns the earliest time at which the changes of an answer may
+// have been made, given how long the store held it back. An answer that was held
+// back came with the first change; any other change may date from the last
+// complete state. After an outage of the store it is the present: entries may
+// have expired because of the outage, and their servers write them again.
+func (d *Directory) earliestChange(held time.Duration) fleet.Instant {
+	now := d.now()
+	since := d.completeAt.Sub(d.start)
+	switch {
+	case held > deliveryTime:
+		return max(since, now-deliveryTime)
+	case now-since > minOutage:
+		return now
+	}
+	return since
+}
+
+// After returns the changes after a revision. It waits up to wait for a change.
+// It returns store.ErrUnavailable when this instance has had no contact with the
+// store within maxContactAge, and store.ErrCompacted when it no longer has all
 // changes after the revision.
-func (d *Directory) After(ctx context.Context, revision int64, wait time.Duration) ([]store.Change, int64, error) {
+func (d *Directory) After(ctx context.Context, revision int64, wait time.Duration) (store.Batch, error) {
 	return d.history.after(ctx, revision, wait)
 }
 
@@ -230,8 +278,9 @@
 	d.connected = true
 }
 
-// applyAll replaces the servers and instances by those in the whole store.
-func (d *Directory) applyAll(entries []store.Entry) {
+// applyAll replaces the servers and instances by those in the whole store. Those
+// that are missing may have been removed at since or later.
+func (d *Directory) applyAll(entries []store.Entry, since fleet.Instant) {
 	d.mu.Lock()
 	var servers []listing.Entry
 	instances, ownKeys := map[string]Instance{}, map[string]bool{}
@@ -250,7 +299,7 @@
 			}
 		}
 	}
-	d.list.Replace(servers, d.now())
+	d.list.Replace(servers, since)
 	d.instances, d.ownKeys = instances, ownKeys
 	d.notifyServers()
 	d.notifyInstances()
@@ -258,9 +307,9 @@
 	d.synced.Store(true)
 }
 
-// apply applies changes in order of revision. A deleted configuration stays in
-// force.
-func (d *Directory) apply(changes []store.Change) {
+// apply applies changes in order of revision, which were made at since or later.
+// A deleted configuration stays in force.
+func (d *Directory) apply(changes []store.Change, since fleet.Instant) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	servers, instances := false, false
@@ -277,8 +326,9 @@
 			servers = true
 			if c.Deleted {
 				id := fleet.UpstreamID(strings.TrimPrefix(c.Key, d.Decoder.ServersPrefix()))
-				d.list.Remove(id, d.now())
-				d.Log.Info("server entry removed", zap.String("server", string(id)), zap.Int64("revision", c.Revision))
+				d.list.Remove(id, since)
+				d.Log.Info("server entry removed", zap.String("server", string(id)), zap.Int64("revision", c.Revision),
+					zap.Duration("at_most_ago", d.now()-since))
 			} else if s, ok := d.server(c.Entry); ok {
 				fresh := d.list.Put(s)
 				d.Log.Info("server entry", zap.String("server", string(s.ID)), zap.String("service", string(s.Group)),
--- a/directory/history.go
+++ b/directory/history.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bramleywick/bramleywick/store"
 )
 
@@ -18,8 +20,12 @@
 	// largest fleet.
 	maxHistoryBytes = 4 << 20
 	// maxContactAge is how long after its last contact with the store an
-	// instance serves changes: one watch call and some time for its answer.
-	maxContactAge = watchWait + 600*time.Millisecond
+	// instance serves changes: one watch call of a hub and some time for its
+	// answer.
+	maxContactAge = hubWatchWait + 400*time.Millisecond
+	// followedTime is how long after a call of after an instance counts as a
+	// hub.
+	followedTime = 10 * time.Second
 )
 
 // history holds the latest change of each key that changed recently. An earlier
@@ -32,8 +38,11 @@
 	changes  []store.Change
 	from, to int64
 	// bytes is the size of the keys and values in changes.
-	bytes     int
+	bytes int
+	// contactAt is when the changes were last known to be complete.
 	contactAt time.Time
+	// followedAt is when after was last called.
+	followedAt time.Time
 	// changed is closed and replaced at the next change.
 	changed chan struct{}
 }
@@ -48,11 +57,12 @@
 	h.notify()
 }
 
-// add records the changes up to a revision; changes may be empty.
-func (h *history) add(changes []store.Change, at int64) {
+// add records the changes up to a revision, which are complete as of contactAt;
+// changes may be empty.
+func (h *history) add(changes []store.Change, at int64, contactAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.contactAt = time.Now()
+	h.contactAt = contactAt
 	h.to = max(h.to, at)
 	if len(changes) == 0 {
 		return
@@ -121,37 +131,46 @@
 	h.changed = make(chan struct{})
 }
 
+// followed reports whether other instances follow the store through this one.
+func (h *history) followed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.followedAt.IsZero() && time.Since(h.followedAt) < followedTime
+}
+
 // after implements Directory.After.
-func (h *history) after(ctx context.Context, revision int64, wait time.Duration) ([]store.Change, int64, error) {
+func (h *history) after(ctx context.Context, revision int64, wait time.Duration) (store.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for ended := false; ; {
 		h.mu.Lock()
+		h.followedAt = time.Now()
 		changed := h.changed
-		stale := time.Since(h.contactAt) > maxContactAge
+		age := time.Since(h.contactAt)
 		compacted := revision < h.from
-		to := max(h.to, revision)
-		var out []store.Change
+		out := store.Batch{Revision: max(h.to, revision), Age: age}
 		for _, c := range h.changes {
 			if c.Revision > revision {
-				out = append(out, c)
+				out.Changes = append(out.Changes, c)
 			}
 		}
 		h.mu.Unlock()
 		switch {
-		case stale:
-			return nil, 0, store.ErrUnavailable
+		case age > maxContactAge:
+			return store.Batch{}, errors.Wrapf(store.ErrUnavailable, "no contact with the store for %v", age)
 		case compacted:
-			return nil, 0, store.ErrCompacted
-		case len(out) > 0 || ended:
-			return out, to, nil
+			return store.Batch{}, store.ErrCompacted
+		case len(out.Changes) > 0 || ended:
+			return out, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			ended = true
+		case <-time.After(maxContactAge - age + time.Millisecond):
+			// The contact may have been lost meanwhile.
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return store.Batch{}, ctx.Err()
 		}
 	}
 }
--- a/directory/history_test.go
+++ b/directory/history_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -46,14 +47,14 @@
 			last := int64(1)
 			for n := range c.changes {
 				last = int64(n + 2)
-				h.add([]store.Change{put(fmt.Sprint("k", n%c.keys), last, c.size)}, last)
+				h.add([]store.Change{put(fmt.Sprint("k", n%c.keys), last, c.size)}, last, time.Now())
 			}
 			So(heldBytes()-before, ShouldBeLessThan, heldLimit)
-			changes, to, err := h.after(context.Background(), last-1, 0)
+			got, err := h.after(context.Background(), last-1, 0)
 			So(err, ShouldBeNil)
-			So(to, ShouldEqual, last)
-			So(len(changes), ShouldEqual, 1)
-			So(changes[0].Revision, ShouldEqual, last)
+			So(got.Revision, ShouldEqual, last)
+			So(len(got.Changes), ShouldEqual, 1)
+			So(got.Changes[0].Revision, ShouldEqual, last)
 			runtime.KeepAlive(&h)
 		})
 	}
@@ -67,39 +68,39 @@
 	Convey("With a history of three keys", t, func() {
 		h := newHistory()
 		h.restart(10)
-		h.add([]store.Change{put("a", 11, 1), put("b", 12, 1), put("a", 13, 1)}, 13)
-		h.add([]store.Change{put("c", 14, 1), put("a", 15, 1)}, 20)
-		h.add([]store.Change{{Entry: store.Entry{Key: "b", Revision: 21}, Deleted: true}}, 21)
+		h.add([]store.Change{put("a", 11, 1), put("b", 12, 1), put("a", 13, 1)}, 13, time.Now())
+		h.add([]store.Change{put("c", 14, 1), put("a", 15, 1)}, 20, time.Now())
+		h.add([]store.Change{{Entry: store.Entry{Key: "b", Revision: 21}, Deleted: true}}, 21, time.Now())
 
 		Convey("an instance from before all of them gets the last change of each key, in order", func() {
-			changes, to, err := h.after(ctx, 10, 0)
+			got, err := h.after(ctx, 10, 0)
 			So(err, ShouldBeNil)
-			So(to, ShouldEqual, 21)
-			got := ""
-			for _, c := range changes {
-				got += fmt.Sprint(c.Key, c.Revision, " ")
+			So(got.Revision, ShouldEqual, 21)
+			keys := ""
+			for _, c := range got.Changes {
+				keys += fmt.Sprint(c.Key, c.Revision, " ")
 			}
-			So(got, ShouldEqual, "c14 a15 b21 ")
-			So(changes[2].Deleted, ShouldBeTrue)
+			So(keys, ShouldEqual, "c14 a15 b21 ")
+			So(got.Changes[2].Deleted, ShouldBeTrue)
 		})
 		Convey("one in between gets what it lacks", func() {
-			changes, _, err := h.after(ctx, 14, 0)
+			got, err := h.after(ctx, 14, 0)
 			So(err, ShouldBeNil)
-			So(len(changes), ShouldEqual, 2)
+			So(len(got.Changes), ShouldEqual, 2)
 		})
 		Convey("one from before the history has to read the whole store", func() {
-			_, _, err := h.after(ctx, 9, 0)
+			_, err := h.after(ctx, 9, 0)
 			So(err, ShouldEqual, store.ErrCompacted)
 		})
 		Convey("one from before a dropped change has to as well", func() {
 			for n := range int64(maxChanges) {
-				h.add([]store.Change{put(fmt.Sprint("k", n), 22+n, 1)}, 22+n)
+				h.add([]store.Change{put(fmt.Sprint("k", n), 22+n, 1)}, 22+n, time.Now())
 			}
-			_, _, err := h.after(ctx, 20, 0)
+			_, err := h.after(ctx, 20, 0)
 			So(err, ShouldEqual, store.ErrCompacted)
-			changes, _, err := h.after(ctx, 21, 0)
+			got, err := h.after(ctx, 21, 0)
 			So(err, ShouldBeNil)
-			So(len(changes), ShouldEqual, maxChanges)
+			So(len(got.Changes), ShouldEqual, maxChanges)
 		})
 	})
 }
--- a/loadshare/hub.go
+++ b/loadshare/hub.go
@@ -25,28 +25,28 @@
 // HubClient returns a client for the hub.
 func (e *Exchange) HubClient() *HubClient { return &HubClient{exchange: e} }
 
-// After returns the changes after a revision as followed by the hub, and the
-// revision up to which they are complete. It waits up to wait for a change. The
-// error store.ErrUnavailable means that the caller has to ask the store itself.
-func (h *HubClient) After(ctx context.Context, revision int64, wait time.Duration) ([]store.Change, int64, error) {
+// After returns the changes after a revision as followed by the hub. It waits up
+// to wait for a change. The error store.ErrUnavailable means that the caller has
+// to ask the store itself.
+func (h *HubClient) After(ctx context.Context, revision int64, wait time.Duration) (store.Batch, error) {
 	client, conn, err := h.connect(ctx)
 	if err != nil {
-		return nil, 0, err
+		return store.Batch{}, err
 	}
 	if err := conn.SetDeadline(time.Now().Add(wait + callTimeout)); err != nil {
-		return nil, 0, h.disconnect(err)
+		return store.Batch{}, h.disconnect(err)
 	}
 	var out ChangesReply
 	if err := client.Call(serviceName+".Changes", ChangesRequest{Revision: revision, Wait: wait}, &out); err != nil {
-		return nil, 0, h.disconnect(err)
+		return store.Batch{}, h.disconnect(err)
 	}
 	switch {
 	case out.Compacted:
-		return nil, 0, store.ErrCompacted
+		return store.Batch{}, store.ErrCompacted
 	case out.Fault != "":
-		return nil, 0, errors.Wrap(store.ErrUnavailable, "hub: "+out.Fault)
+		return store.Batch{}, errors.Wrap(store.ErrUnavailable, "hub: "+out.Fault)
 	}
-	return out.Changes, out.Revision, nil
+	return store.Batch{Changes: out.Changes, Revision: out.Revision, Age: out.Age}, nil
 }
 
 // connect returns the connection to the current hub, dialling it if necessary.
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -129,7 +129,7 @@
 type ChangeSource interface {
 	// After returns the changes after a revision, like
 	// directory.Directory.After.
-	After(ctx context.Context, revision int64, wait time.Duration) ([]store.Change, int64, error)
+	After(ctx context.Context, revision int64, wait time.Duration) (store.Batch, error)
 }
 
 // New returns an Exchange without peers.
@@ -213,6 +213,8 @@
 type ChangesReply struct {
 	Changes  []store.Change
 	Revision int64
+	// Age is how long ago the changes were last known to be complete.
+	Age time.Duration
 	// Compacted reports whether the hub no longer has the changes.
 	Compacted bool
 	// Fault is the error for which the hub cannot answer; "" for none.
@@ -221,8 +223,8 @@
 
 // Changes serves an instance that follows the store through its hub.
 func (s service) Changes(in ChangesRequest, out *ChangesReply) error {
-	changes, revision, err := s.e.changes.After(context.Background(), in.Revision, min(in.Wait, maxWait))
-	out.Changes, out.Revision = changes, revision
+	batch, err := s.e.changes.After(context.Background(), in.Revision, min(in.Wait, maxWait))
+	out.Changes, out.Revision, out.Age = batch.Changes, batch.Revision, batch.Age
 	switch {
 	case errors.Is(err, store.ErrCompacted):
 		out.Compacted = true
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -96,8 +96,8 @@
 // oneChange is a ChangeSource with a single change, at revision 7.
 type oneChange struct{}
 
-func (oneChange) After(context.Context, int64, time.Duration) ([]store.Change, int64, error) {
-	return []store.Change{{Entry: store.Entry{Key: "k", Revision: 7}}}, 7, nil
+func (oneChange) After(context.Context, int64, time.Duration) (store.Batch, error) {
+	return store.Batch{Changes: []store.Change{{Entry: store.Entry{Key: "k", Revision: 7}}}, Revision: 7}, nil
 }
 
 // testExchange is an instance's exchange with the address at which it is served.
@@ -230,13 +230,13 @@
 		Reset(stop)
 		_, exchanges := start(ctx, 14, 1)
 		Convey("an instance learns changes from its hub", func() {
-			changes, revision, err := exchanges[5].HubClient().After(ctx, 3, time.Second)
+			batch, err := exchanges[5].HubClient().After(ctx, 3, time.Second)
 			So(err, ShouldBeNil)
-			So(revision, ShouldEqual, 7)
-			So(changes[0].Key, ShouldEqual, "k")
+			So(batch.Revision, ShouldEqual, 7)
+			So(batch.Changes[0].Key, ShouldEqual, "k")
 		})
 		Convey("the hub itself asks the store", func() {
-			_, _, err := exchanges[0].HubClient().After(ctx, 3, time.Second)
+			_, err := exchanges[0].HubClient().After(ctx, 3, time.Second)
 			So(err, ShouldNotBeNil)
 		})
 	})
--- a/store/prefix.go
+++ b/store/prefix.go
@@ -18,6 +18,16 @@
 	Deleted bool
 }
 
+// Batch is what is known of the changes after a revision.
+type Batch struct {
+	Changes []Change
+	// Revision is the revision up to which the changes are complete.
+	Revision int64
+	// Age is how long ago they were last known to be complete; 0 for an answer
+	// of the store itself.
+	Age time.Duration
+}
+
 // PrefixReader reads and watches all keys with a prefix.
 type PrefixReader interface {
 	// Range returns all entries with the prefix and the revision up to which
@@ -26,5 +36,5 @@
 	// WatchPrefix returns the changes after a revision, as soon as there is one
 	// or after wait, and the revision from which to continue. It returns
 	// ErrCompacted if the history after that revision is gone.
-	WatchPrefix(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error)
+	WatchPrefix(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error)
 }
