Forget keys and routes that no longer exist

Change: removed keys are forgotten, and a new configuration drops the series of routes that it no longer has. Ruled out by reading: placement, quarantine, limits and the pool drop what is gone after a time.

--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -138,6 +138,18 @@
 	numRoutes      int
 }
 
+// HasRoute returns a function that reports whether a route with a given name
+// exists.
+func (t *Table) HasRoute() func(name string) bool {
+	names := make(map[string]bool, t.numRoutes)
+	for _, list := range t.hosts {
+		for _, r := range list {
+			names[r.Name] = true
+		}
+	}
+	return func(name string) bool { return names[name] }
+}
+
 // Compile returns the Table of a configuration.
 func Compile(c Configuration) *Table {
 	t := &Table{
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -104,7 +105,7 @@
 	mu        sync.Mutex
 	list      *listing.List
 	instances map[string]Instance
-	// ownKeys records for each known key whether it exists and has OwnPrefix.
+	// ownKeys is the set of existing keys with OwnPrefix.
 	ownKeys map[string]bool
 	// unreadable is the set of keys whose value could not be decoded, so that
 	// each is logged only once.
@@ -283,9 +284,12 @@
 func (d *Directory) applyAll(entries []store.Entry, since fleet.Instant) {
 	d.mu.Lock()
 	var servers []listing.Entry
-	instances, ownKeys := map[string]Instance{}, map[string]bool{}
+	instances, ownKeys, existing := map[string]Instance{}, map[string]bool{}, map[string]bool{}
 	for _, e := range entries {
-		ownKeys[e.Key] = strings.HasPrefix(e.Key, OwnPrefix)
+		existing[e.Key] = true
+		if strings.HasPrefix(e.Key, OwnPrefix) {
+			ownKeys[e.Key] = true
+		}
 		switch {
 		case e.Key == d.Decoder.ConfigurationKey():
 			d.configure(e.Value)
@@ -301,6 +305,7 @@
 	}
 	d.list.Replace(servers, since)
 	d.instances, d.ownKeys = instances, ownKeys
+	maps.DeleteFunc(d.unreadable, func(key string, _ bool) bool { return !existing[key] })
 	d.notifyServers()
 	d.notifyInstances()
 	d.mu.Unlock()
@@ -314,8 +319,12 @@
 	defer d.mu.Unlock()
 	servers, instances := false, false
 	for _, c := range changes {
-		if strings.HasPrefix(c.Key, OwnPrefix) {
-			d.ownKeys[c.Key] = !c.Deleted
+		switch {
+		case c.Deleted:
+			delete(d.ownKeys, c.Key)
+			delete(d.unreadable, c.Key)
+		case strings.HasPrefix(c.Key, OwnPrefix):
+			d.ownKeys[c.Key] = true
 		}
 		switch {
 		case c.Key == d.Decoder.ConfigurationKey():
--- a/directory/history_test.go
+++ b/directory/history_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
 
+	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/store"
 )
 
@@ -104,3 +106,28 @@
 		})
 	})
 }
+
+// TestKeysOfOthers guards against memory that is kept for every key that another
+// writer or an instance has ever written.
+func TestKeysOfOthers(t *testing.T) {
+	Convey("Keys that come and go leave nothing behind", t, func() {
+		d := New(Options{Decoder: jsonDecoder{}, Observer: &useRecorder{used: map[fleet.UpstreamID]time.Time{}}, Log: zap.NewNop()})
+		for n := range int64(500) {
+			var changes []store.Change
+			for _, key := range []string{"servers/x", InstancesPrefix, OwnPrefix + "lease", "other/"} {
+				c := put(fmt.Sprint(key, n), n, 2)
+				deleted := c
+				deleted.Deleted = true
+				changes = append(changes, c, deleted)
+			}
+			d.apply(changes, 0)
+		}
+		So(len(d.ownKeys)+len(d.unreadable)+len(d.instances), ShouldEqual, 0)
+		Convey("also when the whole store is read without them", func() {
+			d.apply([]store.Change{put("servers/x", 1, 2), put(OwnPrefix+"lease", 2, 2)}, 0)
+			So(len(d.ownKeys)+len(d.unreadable), ShouldEqual, 2)
+			d.applyAll(nil, 0)
+			So(len(d.ownKeys)+len(d.unreadable), ShouldEqual, 0)
+		})
+	})
+}
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,13 +21,17 @@
 	retried       *prometheus.CounterVec
 	calls         *prometheus.CounterVec
 	answerSeconds *prometheus.HistogramVec
+
+	mu sync.Mutex
+	// answeredRoutes are the routes that answerSeconds has a series of.
+	answeredRoutes map[string]bool
 }
 
 // NewGateway returns collectors with every refusal and retry reason at zero. gauges
 // holds the functions that return the gauges' values at each scrape, by metric name.
 func NewGateway(gauges map[string]func() float64) *Gateway {
 	g := &Gateway{
-		registry: prometheus.NewRegistry(),
+		registry: prometheus.NewRegistry(), answeredRoutes: map[string]bool{},
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleywick_store_calls_total", Help: "Calls to the platform's store, by call and result.",
 		}, []string{"call", "result"}),
@@ -50,9 +55,24 @@
 
 // Answered observes the time to a plain answer or to the first event of a stream.
 func (g *Gateway) Answered(route string, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.answeredRoutes[route] = true
 	g.answerSeconds.WithLabelValues(route).Observe(took.Seconds())
 }
 
+// KeepRoutes drops the series of routes for which declared returns false.
+func (g *Gateway) KeepRoutes(declared func(route string) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for route := range g.answeredRoutes {
+		if !declared(route) {
+			g.answerSeconds.DeleteLabelValues(route)
+			delete(g.answeredRoutes, route)
+		}
+	}
+}
+
 // StoreCall counts a call to the platform's store.
 func (g *Gateway) StoreCall(call string, result store.Result) {
 	g.calls.WithLabelValues(call, string(result)).Inc()
--- a/node/observer.go
+++ b/node/observer.go
@@ -8,7 +8,10 @@
 )
 
 // ConfigurationChanged implements directory.Observer.
-func (n *Node) ConfigurationChanged(t *routes.Table) { n.state.ConfigurationChanged(t) }
+func (n *Node) ConfigurationChanged(t *routes.Table) {
+	n.state.ConfigurationChanged(t)
+	n.metrics.KeepRoutes(t.HasRoute())
+}
 
 // ServersChanged implements directory.Observer.
 func (n *Node) ServersChanged(list []placement.Server) {
