--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -314,3 +314,29 @@
 		})
 	}
 }
+
+// TestOddInstanceEntry guards against an entry of another writer that becomes the
+// hub of a data centre or holds up the instances that read it.
+func TestOddInstanceEntry(t *testing.T) {
+	const good = `{"id":"i1","data_centre":"a","address":"10.0.0.1:80","cores":0.4}`
+	if _, err := parseInstance(store.Entry{Key: InstancesPrefix + "i1", Value: []byte(good)}); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ name, old, new string }{
+		{"no id", `"i1"`, `""`},
+		{"the id of another instance", `"i1"`, `"i2"`},
+		{"a port out of range", ":80", ":99999"},
+		{"no port", ":80", ""},
+		{"more cores than any machine", "0.4", "1e9"},
+		{"a number of cores too large for any type", "0.4", "1e400"},
+		{"negative cores", "0.4", "-1"},
+		{"another type", "0.4", `"0.4"`},
+		{"deep nesting", "0.4", strings.Repeat("[", 100_000)},
+		{"1 MB", `"a"`, `"` + strings.Repeat("a", 1<<20) + `"`},
+	} {
+		raw := strings.Replace(good, c.old, c.new, 1)
+		if i, err := parseInstance(store.Entry{Key: InstancesPrefix + "i1", Value: []byte(raw)}); err == nil {
+			t.Errorf("an entry with %s is read as %+v", c.name, i)
+		}
+	}
+}
