Send a second call of a request over a connection of its own

Seen at other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that had run. Here an answer is matched by the request's id, so a copy for another request is skipped. But two calls of one request have the same id: a prompt that is read again at an engine after a crash goes there twice, over the same connection.

Change: a call to an address to which this request was sent before opens a connection that has carried nothing else.

--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -52,7 +52,11 @@
 	// ID is the request's id, which servers echo; "" for a call that has none.
 	// Such a call gets a connection of its own, since only the id shows which
 	// request an answer belongs to.
-	ID     fleet.RequestID
+	ID fleet.RequestID
+	// Fresh requests a connection that has carried no other call: a call with
+	// the same id was sent to the server before, and a late copy of its answer
+	// would be taken for the answer to this one.
+	Fresh  bool
 	Method string
 	// URI is the path and query as the caller sent them.
 	URI    string
@@ -150,7 +154,7 @@
 // When the context ends, the connection is closed, also while the body is read.
 // An error that doesn't wrap ErrNotSent means that the request may have run.
 func (p *Pool) Do(ctx context.Context, r *Request, d Decoder) (*Answer, error) {
-	c, err := p.acquire(ctx, r.Address, r.MaxConns, r.ID == "")
+	c, err := p.acquire(ctx, r.Address, r.MaxConns, r.Fresh || r.ID == "")
 	if err != nil {
 		return nil, err
 	}
--- a/connpool/foreign_test.go
+++ b/connpool/foreign_test.go
@@ -45,6 +45,7 @@
 			{"without an id, as a success", "200 OK"},
 			{"without an id, as a refusal that promises not to have run", "503 Service Unavailable\r\nNot-Run: 1"},
 			{"without an id, as not found", "404 Not Found"},
+			{"with the id of the earlier request, as a refusal that promises not to have run", "503 Service Unavailable\r\nId: 0\r\nNot-Run: 1"},
 		} {
 			Convey(c.name+", never answers the next request", func() {
 				address := listen(t, answerTwice(c.head))
@@ -57,6 +58,19 @@
 			})
 		}
 	})
+	Convey("A second call of one request", t, func() {
+		p := New()
+		address := listen(t, answerTwice("503 Service Unavailable\r\nId: 0\r\nNot-Run: 1"))
+		_, err := do(p, address, "0", nil, 2)
+		So(err, ShouldBeNil)
+		Convey("does not take a late copy of the refusal of the first for its own answer", func() {
+			r := &Request{Address: address, MaxConns: 1, ID: "0", Fresh: true, Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{"Id": {"0"}}}
+			a, err := p.Do(context.Background(), r, idDecoder{})
+			So(err, ShouldBeNil)
+			defer a.Close()
+			So(a.Status, ShouldEqual, http.StatusOK)
+		})
+	})
 	Convey("A call without an id", t, func() {
 		p := New()
 		call := func(address string) (string, error) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,8 +55,10 @@
 	add.Deadline, add.Expect = p.remaining(), s.ID
 	p.limit = nil
 	sent := time.Now()
+	fresh := slices.Contains(p.sentTo, s.Address)
+	p.sentTo = append(p.sentTo, s.Address)
 	answer, err := p.g.Pool.Do(ctx, &connpool.Request{
-		Address: s.Address, MaxConns: p.g.State.maxConns(p.service), ID: p.req.ID, Method: p.r.Method,
+		Address: s.Address, MaxConns: p.g.State.maxConns(p.service), ID: p.req.ID, Fresh: fresh, Method: p.r.Method,
 		URI: p.r.RequestURI, Host: p.r.Host, Header: p.g.Wire.RequestHeaders(p.forward, add), Body: p.body,
 	}, p.g.Wire)
 	switch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,6 +122,8 @@
 	body     []byte
 	// tried are the servers that failed or rejected the request.
 	tried []fleet.UpstreamID
+	// sentTo are the addresses to which a call was sent or was to be sent.
+	sentTo []string
 	// sends counts the servers to which the request was sent to be run.
 	sends int
 	// calls counts the calls that reached a server, except the first accepted
