Act on what servers say of themselves in their answers

Nothing read either header: a server listed as serving got requests after its own answers had said that it leaves, and one that turned requests away was asked again at once.

Change. core/listing owns what is believed about a process that leaves, with the source (entry, answer, another instance) and the age of each. From the head of an accepted answer on nothing new is sent there, also not what was chosen before (looked at again right before the request is written). A time to keep away is kept per process, bounded at 10 minutes, and is no failure; the server is filled again within a second; when no other server is left, the refusal names the time until the first returns, spread. Two reasons, a counter by source, a line per change. Both matters share the head of an answer and the candidates of a choice, so they are one commit.

Tests: TestServerLeavingInAnswers, TestEngineLeavingInAnswers, TestServerPauses (real sockets) fail without the reading of the two fields; TestPut's cases of revisions failed with the order by clocks in two cases; TestDepartureHolds, TestDepartureSpreads (1 to 390 instances) and TestPause (1, 8, 195 instances, virtual time) are new; TestPause fails without the slow return (waves of 1.53 and 1.75 times the mean, 1.5 allowed). TestPut's case of a preceding process was replaced by five: it took the order of clocks for the order of processes.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -106,6 +106,15 @@
 	Unreadable bool
 }
 
+// Pause is the time for which a server that turned a request away wants no other.
+type Pause struct {
+	// For is the time, at least 0.
+	For time.Duration
+	// Text is the server's text when it was shortened or could not be read; ""
+	// otherwise.
+	Text string
+}
+
 // Answer holds the headers of a server's answer.
 type Answer struct {
 	RequestID fleet.RequestID
@@ -117,6 +126,13 @@
 	Load *Load
 	// Limit is the rate that the server names; nil when it names none.
 	Limit *RateLimit
+	// Leaving reports whether the server says that its process leaves, and
+	// LeavingUnreadable is what it says instead of that, "" for nothing.
+	Leaving           bool
+	LeavingUnreadable string
+	// Pause is set when the server turns the request away and names a time for
+	// which it wants nothing from this instance.
+	Pause *Pause
 	// IdleTimeout is how long the server keeps an idle connection open; 0 when
 	// unknown.
 	IdleTimeout time.Duration
--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -39,6 +39,8 @@
 	ReasonCallerGone         Reason = "caller_gone"
 	ReasonPartQuarantined    Reason = "part_quarantined"
 	ReasonServerLimit        Reason = "server_limit"
+	ReasonServersLeaving     Reason = "servers_leaving"
+	ReasonServersPaused      Reason = "servers_paused"
 )
 
 // Reasons returns every reason, so that counters can be registered at zero
@@ -48,7 +50,7 @@
 		ReasonBadRequest, ReasonUnknownKey, ReasonKindNotGranted, ReasonTooLarge,
 		ReasonShareUsedUp, ReasonQueueFull, ReasonDeadlineUnmeetable, ReasonNoUpstream, ReasonNoRoute,
 		ReasonConfigUnknown, ReasonDraining, ReasonClaimNotPossible,
-		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone, ReasonPartQuarantined, ReasonServerLimit,
+		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone, ReasonPartQuarantined, ReasonServerLimit, ReasonServersLeaving, ReasonServersPaused,
 	}
 }
 
--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -1,8 +1,9 @@
 // Package listing maintains an instance's list of servers from the entries that
-// servers write to the platform's store and from the removal of entries. An old
-// entry never replaces a newer one. When many entries disappear at once, a
-// failure of the store rather than of the servers is assumed, and the servers
-// stay usable for a while.
+// servers write to the platform's store, from the removal of entries, and from
+// what servers say of themselves in their answers. An old entry never replaces a
+// newer one, and a process that leaves never comes back into use. When many
+// entries disappear at once, a failure of the store rather than of the servers is
+// assumed, and the servers stay usable for a while.
 package listing
 
 import (
@@ -18,6 +19,9 @@
 	placement.Server
 	// Heartbeat increases with every entry of a process.
 	Heartbeat int64
+	// Revision is the store's revision of the entry. It orders the entries of
+	// successive processes, whose clocks may differ.
+	Revision int64
 }
 
 // Report is an engine's report of its state.
@@ -40,9 +44,13 @@
 	SuspectTime time.Duration
 }
 
-// massLossShare is the share of a group's entries whose removal is taken for a
-// failure of the store.
-const massLossShare = 0.5
+const (
+	// massLossShare is the share of a group's entries whose removal is taken for
+	// a failure of the store.
+	massLossShare = 0.5
+	// maxFormer bounds the former processes that are remembered of a server.
+	maxFormer = 4
+)
 
 // record is a server's last entry, kept for a while after its removal.
 type record struct {
@@ -51,63 +59,101 @@
 	// it is set when removed is.
 	removedAt fleet.Instant
 	removed   bool
+	// unused reports whether the server went out of use because its entry was
+	// removed. It stays so until the entry is written again.
+	unused bool
+	// former holds the start times of the processes that this one has replaced.
+	former []int64
+	// returning is the last entry of a former process since the last one of this
+	// process.
+	returning Entry
 }
 
 // List holds the known servers. Not safe for concurrent use.
 type List struct {
-	config  Config
-	records map[fleet.UpstreamID]*record
+	config     Config
+	records    map[fleet.UpstreamID]*record
+	departures map[fleet.Process]departure
+	learned    []NewDeparture
 }
 
 // New returns an empty list.
-func New(config Config) *List { return &List{config: config, records: map[fleet.UpstreamID]*record{}} }
+func New(config Config) *List {
+	return &List{config: config, records: map[fleet.UpstreamID]*record{}, departures: map[fleet.Process]departure{}}
+}
 
-// Put stores an entry unless it is older than the known one, and reports
+// Put stores an entry at now unless it is older than the known one, and reports
 // whether it did.
-func (l *List) Put(e Entry) bool {
+func (l *List) Put(e Entry, now fleet.Instant) bool {
 	known := l.records[e.ID]
-	if known != nil && !known.removed {
-		if e.StartTime < known.StartTime || (e.StartTime == known.StartTime && e.Heartbeat < known.Heartbeat) {
-			return false
-		}
-		if e.StartTime == known.StartTime && known.Leaving && !e.Leaving {
-			// A leaving process never becomes available again.
+	next := &record{Entry: e}
+	switch {
+	case known == nil:
+	case e.Revision < known.Revision:
+		return false
+	case e.StartTime == known.StartTime:
+		if e.Heartbeat < known.Heartbeat {
 			return false
 		}
-	}
-	if known != nil && known.removed && e.StartTime < known.StartTime {
+		next.former = known.former
+	case known.replaced(e):
 		return false
+	default:
+		next.former = append([]int64{known.StartTime}, known.former[:min(len(known.former), maxFormer-1)]...)
+	}
+	if e.StartTime == 0 && (known == nil || known.removed) {
+		// A process that does not say when it started cannot be told from the
+		// one before it.
+		delete(l.departures, e.Process())
+	}
+	l.records[e.ID] = next
+	if e.Leaving {
+		l.Depart(e.Process(), SourceEntry, 0, now)
 	}
-	l.records[e.ID] = &record{Entry: e}
 	return true
 }
 
-// Remove marks an entry as removed. since is the earliest time at which it may
-// have been removed, since an instance may learn of a removal late. A leaving
-// server is dropped at once.
-func (l *List) Remove(id fleet.UpstreamID, since fleet.Instant) {
+// replaced reports whether an entry of another process comes from one that this
+// one has replaced, such as a write that was done late. A former process counts
+// again when it started later, or when it has written twice and this one not.
+func (r *record) replaced(e Entry) bool {
+	for _, start := range r.former {
+		if start != e.StartTime || start > r.StartTime {
+			continue
+		}
+		again := r.returning.StartTime == start && r.returning.Revision > r.Revision && e.Heartbeat > r.returning.Heartbeat
+		r.returning = e
+		return !again
+	}
+	return false
+}
+
+// Remove marks an entry as removed by a change of the given revision. since is the
+// earliest time at which it may have been removed, since an instance may learn of
+// a removal late. A leaving server is dropped at once.
+func (l *List) Remove(id fleet.UpstreamID, revision int64, since fleet.Instant) {
 	r := l.records[id]
-	if r == nil || r.removed {
+	if r == nil || r.removed || revision < r.Revision {
 		return
 	}
-	if r.Leaving {
+	if l.departed(r.Process()) {
 		delete(l.records, id)
 		return
 	}
-	r.removed, r.removedAt = true, since
+	r.removed, r.removedAt, r.Revision = true, since, revision
 }
 
-// Replace applies a complete listing of the store: it puts the entries and
-// removes all others, which may have been removed at since or later.
-func (l *List) Replace(entries []Entry, since fleet.Instant) {
+// Replace applies a complete listing of the store at a revision: it puts the
+// entries and removes all others, which may have been removed at since or later.
+func (l *List) Replace(entries []Entry, revision int64, since, now fleet.Instant) {
 	seen := map[fleet.UpstreamID]bool{}
 	for _, e := range entries {
 		seen[e.ID] = true
-		l.Put(e)
+		l.Put(e, now)
 	}
 	for id := range l.records {
 		if !seen[id] {
-			l.Remove(id, since)
+			l.Remove(id, revision, since)
 		}
 	}
 }
@@ -121,9 +167,9 @@
 }
 
 // Servers returns the known servers, sorted by id, and drops those whose entry
-// was removed longer than SuspectTime ago. A server whose entry was removed is
-// returned as leaving unless at least massLossShare of its group was removed. Once
-// it was returned as leaving, it stays so when more entries are removed.
+// was removed longer than SuspectTime ago. A server is returned as leaving if its
+// process has departed, or if its entry was removed and less than massLossShare of
+// its group was.
 func (l *List) Servers(now fleet.Instant) []placement.Server {
 	total, lost := map[fleet.GroupName]int{}, map[fleet.GroupName]int{}
 	for id, r := range l.records {
@@ -139,9 +185,11 @@
 	var out []placement.Server
 	for _, r := range l.records {
 		if r.removed && float64(lost[r.Group]) < massLossShare*float64(total[r.Group]) {
-			r.Leaving = true
+			r.unused = true
 		}
-		out = append(out, r.Server)
+		s := r.Server
+		s.Leaving = r.unused || l.departed(s.Process())
+		out = append(out, s)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
--- a/core/placement/decode.go
+++ b/core/placement/decode.go
@@ -43,7 +43,7 @@
 	f.options = f.options[:0]
 	for _, s := range list {
 		pace := paceOr(s, fallbackPace) * float64(time.Millisecond)
-		o := option{server: s, runs: s.runsNow(ended, now), slots: float64(max(s.Slots, 1)), first: time.Duration(pace)}
+		o := option{server: s, runs: s.runsNow(ended, now), slots: s.slotsNow(now), first: time.Duration(pace)}
 		o.next = time.Duration(pace * events / o.slots)
 		transfer := transferBetween(nominal, from.DataCentre, s.DataCentre)
 		prefillDelay := min(prefillTime(s.totalWork(now).tokensAhead(r.Rank), s.speed/decodeSlowdown), maxPrefillDelay)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -64,6 +64,8 @@
 	// Candidates is the number of servers that were scored, and Limited the
 	// number of those passed over because of their limit when none was chosen.
 	Candidates, Limited int
+	// Unavailable says why no server was chosen.
+	Unavailable Unavailable
 	// ViewAge is the mean age of what the other instances had reported, and
 	// Unseen the number of requests that they are expected to have sent to the
 	// candidates since.
@@ -71,6 +73,16 @@
 	Unseen  float64
 }
 
+// Unavailable counts the servers that a choice passed over for what they said of
+// themselves.
+type Unavailable struct {
+	// Leaving is the number of servers that leave, and Paused the number of those
+	// that want no requests for a time; the first of them takes requests again
+	// after PausedFor. Others is the number of all other servers.
+	Leaving, Paused, Others int
+	PausedFor               time.Duration
+}
+
 // Config identifies the instance that chooses.
 type Config struct {
 	Instance   fleet.InstanceID
@@ -105,8 +117,9 @@
 	// is concerned; nil permits all.
 	permit func(Server, fleet.Instant) bool
 	// limited is the number of servers that the last choice passed over because
-	// of their limit.
-	limited int
+	// of their limit, and unavailable what it knows of the others.
+	limited     int
+	unavailable Unavailable
 }
 
 // SetPermit sets the function that reports whether a server may be considered as
@@ -117,6 +130,9 @@
 // of their limit.
 func (f *Fleet) Limited() int { return f.limited }
 
+// Unavailable returns why servers were passed over by the last choice.
+func (f *Fleet) Unavailable() Unavailable { return f.unavailable }
+
 // New returns a Fleet without servers.
 func New(config Config) *Fleet {
 	return &Fleet{
@@ -225,11 +241,14 @@
 			s.available = c.Available
 		}
 	}
-	f.limited = 0
+	f.limited, f.unavailable = 0, Unavailable{}
 	var available, fallback []*server
 	for _, s := range f.groups[group] {
+		if !f.takesRequests(s, now) {
+			continue
+		}
 		switch {
-		case s.Leaving || contains(skip, s.ID) || !match(s) || f.isHeld(s.ID, now):
+		case contains(skip, s.ID) || !match(s) || f.isHeld(s.ID, now):
 		case !s.available:
 			fallback = append(fallback, s)
 		case f.permit != nil && !f.permit(s.Server, now):
@@ -250,7 +269,7 @@
 func (f *Fleet) Processes(group fleet.GroupName, now fleet.Instant) (prefill, others []fleet.Process) {
 	for _, s := range f.groups[group] {
 		switch {
-		case s.Leaving || !s.available || f.isHeld(s.ID, now):
+		case s.Leaving || now < s.pausedUntil || !s.available || f.isHeld(s.ID, now):
 		case isPrefill(s):
 			prefill = append(prefill, s.Process())
 		default:
--- a/core/placement/plain.go
+++ b/core/placement/plain.go
@@ -26,7 +26,7 @@
 	ended, unseen := f.unseenRequests(others, latency, now)
 	f.options = f.options[:0]
 	for _, s := range list {
-		slots := float64(max(s.Slots, 1))
+		slots := s.slotsNow(now)
 		slowness := 1 + float64(s.latency)/float64(slowLatency)
 		o := option{server: s, runs: s.runsNow(ended, now), slots: slots}
 		o.first = time.Duration(slowness * float64(plainUnit))
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -143,6 +143,9 @@
 	failureRateAt fleet.Instant
 	// latency is the average response time of a server of a plain service.
 	latency time.Duration
+	// pausedUntil is when the server takes requests again after it has turned one
+	// away; 0 if it takes them.
+	pausedUntil fleet.Instant
 }
 
 func newServer(s Server) *server {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -93,6 +93,9 @@
 	// HubChanges returns the changes after a revision from the hub; it may be
 	// nil. It returns an error when there is no hub or the hub cannot answer.
 	HubChanges func(ctx context.Context, after int64, wait time.Duration) (store.Batch, error)
+	// OnDeparture is called when a server's process is found to leave; it may be
+	// nil.
+	OnDeparture func(fleet.Process, listing.Source)
 	// SuspectTime is how long a server may still be used after the removal of
 	// its entry together with many others.
 	SuspectTime time.Duration
@@ -184,7 +187,7 @@
 		entries, at, err := d.Store.Range(ctx, "")
 		if err == nil {
 			d.setConnected()
-			d.applyAll(entries, d.earliestChange(0))
+			d.applyAll(entries, at, d.earliestChange(0))
 			d.completeAt = asked
 			d.history.restart(at)
 		}
@@ -281,9 +284,11 @@
 }
 
 // applyAll replaces the servers and instances by those in the whole store. Those
-// that are missing may have been removed at since or later.
-func (d *Directory) applyAll(entries []store.Entry, since fleet.Instant) {
+// as of a revision. Those that are missing may have been removed at since or
+// later.
+func (d *Directory) applyAll(entries []store.Entry, at int64, since fleet.Instant) {
 	d.mu.Lock()
+	now := d.now()
 	var servers []listing.Entry
 	instances, ownKeys, existing := map[string]Instance{}, map[string]bool{}, map[string]bool{}
 	for _, e := range entries {
@@ -304,7 +309,8 @@
 			}
 		}
 	}
-	d.list.Replace(servers, since)
+	d.list.Replace(servers, at, since, now)
+	d.reportDepartures()
 	d.instances, d.ownKeys = instances, ownKeys
 	maps.DeleteFunc(d.unreadable, func(key string, _ bool) bool { return !existing[key] })
 	d.notifyServers()
@@ -336,14 +342,15 @@
 			servers = true
 			if c.Deleted {
 				id := fleet.UpstreamID(strings.TrimPrefix(c.Key, d.Decoder.ServersPrefix()))
-				d.list.Remove(id, since)
+				d.list.Remove(id, c.Revision, since)
 				d.Log.Info("server entry removed", zap.String("server", string(id)), zap.Int64("revision", c.Revision),
 					zap.Duration("at_most_ago", d.now()-since))
 			} else if s, ok := d.server(c.Entry); ok {
-				fresh := d.list.Put(s)
+				fresh := d.list.Put(s, d.now())
 				d.Log.Info("server entry", zap.String("server", string(s.ID)), zap.String("service", string(s.Group)),
 					zap.Stringer("stage", s.Stage), zap.Bool("leaving", s.Leaving), zap.Int64("born", s.StartTime),
 					zap.Int64("revision", c.Revision), zap.Bool("newer", fresh))
+				d.reportDepartures()
 			}
 		case strings.HasPrefix(c.Key, InstancesPrefix):
 			instances = true
@@ -388,6 +395,7 @@
 		return listing.Entry{}, false
 	}
 	delete(d.unreadable, e.Key)
+	s.Revision = e.Revision
 	return s, true
 }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -142,7 +142,7 @@
 type jsonDecoder struct{}
 
 func (jsonDecoder) ConfigurationKey() string { return "config" }
-func (jsonDecoder) ServersPrefix() string    { return "servers/" }
+func (jsonDecoder) ServersPrefix() string    { return "upstreams/" }
 func (jsonDecoder) ParseConfiguration([]byte) (routes.Configuration, error) {
 	return routes.Configuration{}, nil
 }
@@ -189,7 +189,7 @@
 	if err != nil {
 		panic(err)
 	}
-	s.write("servers/"+string(id), raw)
+	s.write("upstreams/"+string(id), raw)
 }
 
 // deployment is a hub and an instance that follows the store through it.
@@ -271,7 +271,7 @@
 							time.Sleep(moment)
 							removed := map[fleet.UpstreamID]time.Time{}
 							for _, id := range []fleet.UpstreamID{"s0", "s1"} {
-								d.store.write("servers/"+string(id), nil)
+								d.store.write("upstreams/"+string(id), nil)
 								removed[id] = time.Now()
 								time.Sleep(gap)
 							}
@@ -298,7 +298,7 @@
 			defer d.stop()
 			d.store.setDown(true)
 			for n := range 4 {
-				d.store.write(fmt.Sprint("servers/s", n), nil)
+				d.store.write(fmt.Sprint("upstreams/s", n), nil)
 			}
 			time.Sleep(outage)
 			d.store.setDown(false)
--- a/directory/history_test.go
+++ b/directory/history_test.go
@@ -114,7 +114,7 @@
 		d := New(Options{Decoder: jsonDecoder{}, Observer: &useRecorder{used: map[fleet.UpstreamID]time.Time{}}, Log: zap.NewNop()})
 		for n := range int64(500) {
 			var changes []store.Change
-			for _, key := range []string{"servers/x", InstancesPrefix, OwnPrefix + "lease", "other/"} {
+			for _, key := range []string{"upstreams/x", InstancesPrefix, OwnPrefix + "lease", "other/"} {
 				c := put(fmt.Sprint(key, n), n, 2)
 				deleted := c
 				deleted.Deleted = true
@@ -124,9 +124,9 @@
 		}
 		So(len(d.ownKeys)+len(d.unreadable)+len(d.instances), ShouldEqual, 0)
 		Convey("also when the whole store is read without them", func() {
-			d.apply([]store.Change{put("servers/x", 1, 2), put(OwnPrefix+"lease", 2, 2)}, 0)
+			d.apply([]store.Change{put("upstreams/x", 1, 2), put(OwnPrefix+"lease", 2, 2)}, 0)
 			So(len(d.ownKeys)+len(d.unreadable), ShouldEqual, 2)
-			d.applyAll(nil, 0)
+			d.applyAll(nil, 3, 0)
 			So(len(d.ownKeys)+len(d.unreadable), ShouldEqual, 0)
 		})
 	})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -53,13 +53,14 @@
 // answer is nil when there is an error; the caller must close it otherwise.
 func (p *proxyRequest) send(ctx context.Context, s placement.Server, add call.SendOptions) (*connpool.Answer, result, error) {
 	add.Deadline, add.Expect = p.remaining(), s.ID
-	p.limit = nil
+	p.limit, p.turnedAway = nil, false
 	sent := time.Now()
 	fresh := slices.Contains(p.sentTo, s.Address)
 	p.sentTo = append(p.sentTo, s.Address)
 	answer, err := p.g.Pool.Do(ctx, &connpool.Request{
 		Address: s.Address, MaxConns: p.g.State.maxConns(p.service), ID: p.req.ID, Fresh: fresh, Method: p.r.Method,
 		URI: p.r.RequestURI, Host: p.r.Host, Header: p.g.Wire.RequestHeaders(p.forward, add), Body: p.body,
+		Check: func() error { return p.g.State.checkTakesRequests(s) },
 	}, p.g.Wire)
 	switch {
 	case errors.Is(err, connpool.ErrNotSent):
@@ -67,6 +68,7 @@
 	case err != nil:
 		return nil, resultBroken, err
 	}
+	p.hearServer(s, answer, add.PrefillOnly)
 	p.limit = answer.Meta.Limit
 	if p.limit != nil || success(answer.Status) {
 		p.g.State.answerHeard(s, p.limit, sent)
@@ -111,10 +113,10 @@
 }
 
 // recordFailure records a server's failure and excludes the server from further
-// attempts. An attempt that the caller ended, or for which the instance had no
-// free connection, doesn't count as a failure.
+// attempts. An attempt that the caller ended, for which the instance had no free
+// connection, or that the server does not want now, doesn't count as a failure.
 func (p *proxyRequest) recordFailure(id fleet.UpstreamID, err error) {
-	if !p.callerGone() && !errors.Is(err, connpool.ErrBusy) {
+	if !p.callerGone() && !p.turnedAway && !errors.Is(err, connpool.ErrBusy) && !errors.Is(err, errNotWanted) {
 		p.g.State.recordFailure(id)
 	}
 	p.tried = append(p.tried, id)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,9 @@
 	Pool     *connpool.Pool
 	State    *State
 	Observer Observer
+	// ServerLeaves is called when a server's process says that it leaves. No
+	// server that leaves may be chosen after it has returned.
+	ServerLeaves func(fleet.Process)
 	// BufferBytes bounds the memory of answers that are buffered at the same
 	// time; 0 selects a default.
 	BufferBytes int64
@@ -147,6 +150,9 @@
 	// reports whether an engine's connection ended under the request.
 	trial       quarantineTrial
 	engineEnded bool
+	// turnedAway reports whether the server of the last attempt turned it away
+	// for a time.
+	turnedAway bool
 	// limit is the rate that the server of the last attempt named, or nil.
 	limit *call.RateLimit
 	// events is the number of events of the last attempt.
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -29,7 +29,9 @@
 // number of servers that were passed over because of their limit.
 func (p *proxyRequest) failWithoutServer(c placement.Choice) {
 	if c.Limited == 0 {
-		p.fail(fleet.ReasonNoUpstream, busyWait)
+		reason, wait := unavailableReason(c.Unavailable)
+		p.logFields = append(p.logFields, zap.Int("leaving", c.Unavailable.Leaving), zap.Int("paused", c.Unavailable.Paused), zap.Int("others", c.Unavailable.Others))
+		p.fail(reason, wait)
 		return
 	}
 	p.logFields = append(p.logFields, zap.Int("limited_servers", c.Limited), zap.Int("rank", p.req.Rank))
@@ -79,7 +81,7 @@
 		c, ok = choose()
 	}
 	if !ok {
-		return placement.Choice{Limited: s.fleet.Limited()}, false
+		return placement.Choice{Limited: s.fleet.Limited(), Unavailable: s.fleet.Unavailable()}, false
 	}
 	s.limiter.Take(c.Server.Process(), s.now())
 	return c, true
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -40,7 +40,9 @@
 	// service. If anyDecode is set, limits of servers outside the prefill stage
 	// don't count.
 	large, anyDecode bool
-	log              *zap.Logger
+	// odd holds the processes whose odd announcements were logged.
+	odd map[fleet.Process]bool
+	log *zap.Logger
 }
 
 // decide admits or rejects a request for an engine by the choice made for it and
@@ -65,6 +67,7 @@
 		fleet: placement.New(p), budget: budget.New(b, minInstances), start: start, instances: minInstances, overload: overload.New(),
 		quarantine: quarantine.New(quarantine.Config{Instance: p.Instance, Epoch: uint64(start.UnixNano())}),
 		limiter:    ratelimit.New(ratelimit.Config{Instance: p.Instance, Epoch: uint64(start.UnixNano())}), log: zap.NewNop(),
+		odd: map[fleet.Process]bool{},
 	}
 	s.fleet.SetPermit(func(server placement.Server, now fleet.Instant) bool {
 		if s.anyDecode && server.Stage != fleet.RolePrefill {
--- a/loadshare/agreement.go
+++ b/loadshare/agreement.go
@@ -18,7 +18,7 @@
 // answers with the same of this instance.
 func (s service) Agree(in Report, out *Report) error {
 	in.AgreementOnly = true
-	s.e.view.ApplyReport(in)
+	s.e.apply(in)
 	*out = s.e.agreement(in.From)
 	return nil
 }
@@ -75,7 +75,7 @@
 			e.log.Debug("no agreement with a hub", zap.String("instance", string(i.ID)), logline.Error(err))
 			return
 		}
-		e.view.ApplyReport(answer)
+		e.apply(answer)
 		if sleep(ctx, interval) != nil {
 			return
 		}
@@ -90,5 +90,5 @@
 func (e *Exchange) agreement(to fleet.InstanceID) Report {
 	limits := e.view.Limits(to, func(fleet.InstanceID) bool { return false })
 	limits.Rates = nil
-	return Report{From: e.self, Quarantine: e.view.Quarantine(to), Limits: limits, AgreementOnly: true}
+	return Report{From: e.self, Quarantine: e.view.Quarantine(to), Limits: limits, Departures: e.changes.Departures(departureMemory), AgreementOnly: true}
 }
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/listing"
 	"github.com/bramleywick/bramleywick/core/placement"
 	"github.com/bramleywick/bramleywick/core/quarantine"
 	"github.com/bramleywick/bramleywick/core/ratelimit"
@@ -36,6 +37,13 @@
 	callTimeout = 600 * time.Millisecond
 	// redialPause is the time between two attempts to connect to an instance.
 	redialPause = 500 * time.Millisecond
+	// departureReportTime is how long a departure is reported: in that time it
+	// has passed the hubs, even if a report is lost. An instance that asks for
+	// what others agree on gets those of the last departureMemory.
+	departureReportTime = 3 * time.Second
+	departureMemory     = 10 * time.Minute
+	// maxDepartures bounds the departures that are read of a report.
+	maxDepartures = 64
 	// maxNotes bounds the notes queued for the other instances.
 	maxNotes = 256
 	// serviceName is the name of the net/rpc service.
@@ -74,7 +82,11 @@
 	Quarantine quarantine.Report
 	// Limits are the limits that servers name.
 	Limits ratelimit.Report
-	// AgreementOnly reports whether only Quarantine and Limits are set.
+	// Departures are the processes of servers that leave, as far as they were
+	// learned lately and not from the store.
+	Departures []listing.Departure
+	// AgreementOnly reports whether only Quarantine, Limits and Departures are
+	// set.
 	AgreementOnly bool
 }
 
@@ -130,6 +142,11 @@
 	// After returns the changes after a revision, like
 	// directory.Directory.After.
 	After(ctx context.Context, revision int64, wait time.Duration) (store.Batch, error)
+	// Departures returns processes of servers that leave, as far as it was
+	// learned within a time and not from the store. LearnDepartures records those
+	// that another instance reports.
+	Departures(within time.Duration) []listing.Departure
+	LearnDepartures([]listing.Departure)
 }
 
 // New returns an Exchange without peers.
@@ -173,13 +190,13 @@
 	own := e.view.Snapshot(include)
 	return Report{
 		From: e.self, Work: own.Work, Age: own.Age, Demand: own.Demand, Held: e.view.Held(), Notes: notes,
-		Quarantine: e.view.Quarantine(to), Limits: e.view.Limits(to, include),
+		Quarantine: e.view.Quarantine(to), Limits: e.view.Limits(to, include), Departures: e.changes.Departures(departureReportTime),
 	}
 }
 
 // receive applies a report and, on a hub, forwards its notes.
 func (e *Exchange) receive(r Report) {
-	e.view.ApplyReport(r)
+	e.apply(r)
 	e.mu.Lock()
 	hub := e.topology.IsHub
 	e.mu.Unlock()
@@ -193,6 +210,14 @@
 	}
 }
 
+// apply applies a report to the instance's state.
+func (e *Exchange) apply(r Report) {
+	if len(r.Departures) > 0 {
+		e.changes.LearnDepartures(r.Departures[:min(len(r.Departures), maxDepartures)])
+	}
+	e.view.ApplyReport(r)
+}
+
 // service holds the methods served by net/rpc.
 type service struct{ e *Exchange }
 
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/gossip"
+	"github.com/bramleywick/bramleywick/core/listing"
 	"github.com/bramleywick/bramleywick/core/placement"
 	"github.com/bramleywick/bramleywick/core/quarantine"
 	"github.com/bramleywick/bramleywick/core/ratelimit"
@@ -100,6 +101,9 @@
 	return store.Batch{Changes: []store.Change{{Entry: store.Entry{Key: "k", Revision: 7}}}, Revision: 7}, nil
 }
 
+func (oneChange) Departures(time.Duration) []listing.Departure { return nil }
+func (oneChange) LearnDepartures([]listing.Departure)          {}
+
 // testExchange is an instance's exchange with the address at which it is served.
 type testExchange struct {
 	*Exchange
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -20,6 +20,7 @@
 	refused       *prometheus.CounterVec
 	retried       *prometheus.CounterVec
 	calls         *prometheus.CounterVec
+	departures    *prometheus.CounterVec
 	answerSeconds *prometheus.HistogramVec
 
 	mu sync.Mutex
@@ -35,12 +36,15 @@
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleywick_store_calls_total", Help: "Calls to the platform's store, by call and result.",
 		}, []string{"call", "result"}),
+		departures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleywick_servers_leaving_total", Help: "Processes of servers found to leave, by source.",
+		}, []string{"source"}),
 		answerSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "bramleywick_answer_seconds", Help: "Time to the answer or the first event, by route.", Buckets: firstTokenBuckets,
 		}, []string{"route"}),
 	}
 	g.refused, g.retried = newReasons(g.registry)
-	g.registry.MustRegister(g.calls, g.answerSeconds)
+	g.registry.MustRegister(g.calls, g.departures, g.answerSeconds)
 	for name, value := range gauges {
 		g.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: "See docs/OPERATIONS.md."}, value))
 	}
@@ -73,6 +77,9 @@
 	}
 }
 
+// ServerLeaves counts a server's process that was found to leave, by source.
+func (g *Gateway) ServerLeaves(source string) { g.departures.WithLabelValues(source).Inc() }
+
 // StoreCall counts a call to the platform's store.
 func (g *Gateway) StoreCall(call string, result store.Result) {
 	g.calls.WithLabelValues(call, string(result)).Inc()
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/bramleywick/bramleywick/connpool"
 	"github.com/bramleywick/bramleywick/core/budget"
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/listing"
 	"github.com/bramleywick/bramleywick/core/placement"
 	"github.com/bramleywick/bramleywick/directory"
 	"github.com/bramleywick/bramleywick/gateway"
@@ -163,12 +164,13 @@
 	n.directory = directory.New(directory.Options{
 		Store: n.store, Decoder: p.Documents, Observer: n, Log: log,
 		SuspectTime: time.Duration(suspectShare * float64(s.DrainBound)),
+		OnDeparture: func(_ fleet.Process, source listing.Source) { n.metrics.ServerLeaves(source.String()) },
 	})
 	n.exchange = loadshare.New(s.Instance, n.state, n.directory, log)
 	n.directory.HubChanges = n.exchange.HubClient().After
 	n.state.OnNote(n.exchange.AddNote)
 	n.gateway = gateway.New(gateway.Options{
-		Wire: p.Wire, Table: n.directory.Table, Pool: pool, State: n.state, Observer: n.metrics,
+		Wire: p.Wire, Table: n.directory.Table, Pool: pool, State: n.state, Observer: n.metrics, ServerLeaves: n.directory.ServerLeaves,
 		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)), Log: log,
 	})
 	return n
@@ -304,7 +306,7 @@
 func (n *Node) orders() *stages.Reconciler {
 	return stages.New(stages.Options{
 		Instance: n.settings.Instance, Process: strconv.FormatInt(time.Now().UnixNano(), 36), Store: n.store,
-		Wire: n.platform.Wire, Documents: n.platform.Documents, Pool: connpool.New(), Engines: n.state,
+		Wire: n.platform.Wire, Documents: n.platform.Documents, Pool: connpool.New(), Engines: n.state, ServerLeaves: n.directory.ServerLeaves,
 		Table: n.directory.Table, MayCompete: n.mayCompete, LeaseTTL: max(n.settings.OrderLease, n.settings.MinLease),
 		Log: n.log,
 	})
--- a/stages/stages.go
+++ b/stages/stages.go
@@ -98,6 +98,9 @@
 	Documents Documents
 	Pool      *connpool.Pool
 	Engines   Engines
+	// ServerLeaves is called when an engine's process says that it leaves; it may
+	// be nil.
+	ServerLeaves func(fleet.Process)
 	// Table returns the configuration in force, or nil before the first one.
 	Table func() *routes.Table
 	// MayCompete reports whether the instance may compete for the lease now.
@@ -415,6 +418,9 @@
 		return 0, nil, errors.Wrap(err, path)
 	}
 	defer answer.Close()
+	if answer.Meta.Leaving && answer.Status == http.StatusOK && r.ServerLeaves != nil {
+		r.ServerLeaves(s.Process())
+	}
 	raw, err := io.ReadAll(io.LimitReader(answer, maxReportBytes))
 	return answer.Status, raw, err
 }
