Bound calls between instances by progress

A call to a hub failed when the whole of it took longer than 1.1 s, and was repeated from the same revision: a configuration of 1 MB never arrived over a link of 600 KB a second. A reply to an instance that had stopped reading was not bounded at all.

Test: TestLargeChangeFromHub failed before with an i/o timeout.

--- a/loadshare/agreement.go
+++ b/loadshare/agreement.go
@@ -64,10 +64,10 @@
 		e.log.Debug("no hub reached", zap.String("instance", string(i.ID)), logline.Error(err))
 		return
 	}
-	client := rpc.NewClient(conn)
+	client := rpc.NewClient(&progressConn{Conn: conn, stall: callTimeout})
 	defer func() { _ = client.Close() }()
 	for range backupExchanges {
-		if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+		if err := conn.SetReadDeadline(time.Now().Add(callTimeout)); err != nil {
 			return
 		}
 		var answer Report
--- a/loadshare/hub.go
+++ b/loadshare/hub.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return store.Batch{}, err
 	}
-	if err := conn.SetDeadline(time.Now().Add(wait + callTimeout)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(wait + callTimeout)); err != nil {
 		return store.Batch{}, h.disconnect(err)
 	}
 	var out ChangesReply
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrapf(store.ErrUnavailable, "hub %s: %v", hub, err)
 	}
-	h.client, h.conn, h.address = rpc.NewClient(conn), conn, address
+	h.client, h.conn, h.address = rpc.NewClient(&progressConn{Conn: conn, stall: callTimeout}), conn, address
 	return h.client, h.conn, nil
 }
 
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -33,7 +33,8 @@
 	// interval is the wait between two exchanges of a pair of instances, about
 	// the time of one prefill.
 	interval = 100 * time.Millisecond
-	// callTimeout bounds an exchange; after it the connection is closed.
+	// callTimeout bounds the time without progress of an exchange; after it the
+	// connection is closed.
 	callTimeout = 600 * time.Millisecond
 	// redialPause is the time between two attempts to connect to an instance.
 	redialPause = 500 * time.Millisecond
@@ -274,7 +275,7 @@
 		if err != nil {
 			return
 		}
-		go server.ServeConn(&deadlineConn{Conn: conn})
+		go server.ServeConn(&progressConn{Conn: conn, idle: idleTimeout, stall: callTimeout})
 	}
 }
 
@@ -282,17 +283,6 @@
 // closed.
 const idleTimeout = 5 * time.Second
 
-// deadlineConn sets a read deadline of idleTimeout before each read.
-type deadlineConn struct{ net.Conn }
-
-// Read implements net.Conn.
-func (c *deadlineConn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(p)
-}
-
 // SetPeers recomputes the topology from the listed instances. It starts
 // exchanges with the instances that this one dials and stops those with all
 // others.
@@ -381,10 +371,10 @@
 	if err != nil {
 		return errors.Wrapf(err, "dial %s", i.ID)
 	}
-	client := rpc.NewClient(conn)
+	client := rpc.NewClient(&progressConn{Conn: conn, stall: callTimeout})
 	defer func() { _ = client.Close() }()
 	for {
-		if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+		if err := conn.SetReadDeadline(time.Now().Add(callTimeout)); err != nil {
 			return errors.Wrapf(err, "exchange with %s", i.ID)
 		}
 		var answer Report
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -245,3 +246,57 @@
 		})
 	})
 }
+
+// largeChange is a ChangeSource with a change of the largest value.
+type largeChange struct{ oneChange }
+
+func (largeChange) After(context.Context, int64, time.Duration) (store.Batch, error) {
+	return store.Batch{Changes: []store.Change{{Entry: store.Entry{Key: "k", Value: make([]byte, 1<<20), Revision: 7}}}, Revision: 7}, nil
+}
+
+// thinConn delays what it carries as a thin link does.
+type thinConn struct{ net.Conn }
+
+func (c thinConn) Read(p []byte) (int, error) {
+	const piece, bytesPerSecond = 8 << 10, 600_000
+	n, err := c.Conn.Read(p[:min(len(p), piece)])
+	time.Sleep(time.Duration(n) * time.Second / bytesPerSecond)
+	return n, err
+}
+
+// TestLargeChangeFromHub guards against a configuration that never arrives from
+// the hub over a thin link, because its transmission takes longer than a call may
+// wait.
+func TestLargeChangeFromHub(t *testing.T) {
+	Convey("A change of 1 MB arrives over a link on which it takes three time limits", t, func() {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = l.Close() }()
+		go New("hub", newView("hub", 1), largeChange{}, zap.NewNop()).Serve(l)
+		// Between the two stands a link of 600 KB a second.
+		link, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = link.Close() }()
+		go func() {
+			for {
+				c, err := link.Accept()
+				if err != nil {
+					return
+				}
+				hub, err := net.Dial("tcp", l.Addr().String())
+				if err != nil {
+					return
+				}
+				go func() { _, _ = io.Copy(hub, c) }()
+				go func() { _, _ = io.Copy(c, thinConn{hub}) }()
+			}
+		}()
+		e := New("i", newView("i", 1), oneChange{}, zap.NewNop())
+		e.topology.Hub, e.peerAddress = "hub", map[fleet.InstanceID]string{"hub": link.Addr().String()}
+		batch, err := e.HubClient().After(ctx, 3, 100*time.Millisecond)
+		So(err, ShouldBeNil)
+		So(len(batch.Changes[0].Value), ShouldEqual, 1<<20)
+	})
+}
