--- a/directory/directory.go
+++ b/directory/directory.go
@@ -10,6 +10,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -166,7 +167,7 @@
 			continue
 		}
 		if errors.Is(err, store.ErrCompacted) {
-			d.Log.Info("store history compacted; reading the whole store", zap.Int64("revision", revision))
+			d.Log.Info("the store's history cannot be used; reading its entries", zap.Int64("revision", revision), logline.Error(err))
 			revision = 0
 			continue
 		}
@@ -184,7 +185,7 @@
 func (d *Directory) step(ctx context.Context, revision int64) (int64, error) {
 	if revision == 0 {
 		asked := time.Now()
-		entries, at, err := d.Store.Range(ctx, "")
+		entries, at, err := d.Store.Range(ctx, "", d.relevant)
 		if err == nil {
 			d.setConnected()
 			d.applyAll(entries, at, d.earliestChange(0))
@@ -215,6 +216,12 @@
 	return next, nil
 }
 
+// relevant reports whether a key is used. What other writers keep in the store is
+// not held.
+func (d *Directory) relevant(key string) bool {
+	return key == d.Decoder.ConfigurationKey() || strings.HasPrefix(key, d.Decoder.ServersPrefix()) || strings.HasPrefix(key, OwnPrefix)
+}
+
 // changes returns the changes after a revision from the hub, or from the store
 // when the hub cannot answer, and the earliest time at which they may have been
 // made.
@@ -233,6 +240,7 @@
 	}
 	asked := time.Now()
 	batch, err := d.Store.WatchPrefix(ctx, "", revision, wait)
+	batch.Changes = slices.DeleteFunc(batch.Changes, func(c store.Change) bool { return !d.relevant(c.Key) })
 	return batch, d.earliestChange(time.Since(asked)), err
 }
 
@@ -325,6 +333,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	servers, instances := false, false
+	// Of several configurations the last one that can be read is used.
+	for _, c := range slices.Backward(changes) {
+		if c.Key == d.Decoder.ConfigurationKey() && !c.Deleted && d.configure(c.Value) {
+			break
+		}
+	}
 	for _, c := range changes {
 		switch {
 		case c.Deleted:
@@ -334,10 +348,6 @@
 			d.ownKeys[c.Key] = true
 		}
 		switch {
-		case c.Key == d.Decoder.ConfigurationKey():
-			if !c.Deleted {
-				d.configure(c.Value)
-			}
 		case strings.HasPrefix(c.Key, d.Decoder.ServersPrefix()):
 			servers = true
 			if c.Deleted {
@@ -370,20 +380,21 @@
 }
 
 // configure applies a configuration unless its version is at most the one in
-// force.
-func (d *Directory) configure(raw []byte) {
+// force. It returns false if it cannot be read.
+func (d *Directory) configure(raw []byte) bool {
 	c, err := d.Decoder.ParseConfiguration(raw)
 	if err != nil {
 		d.Log.Error("the configuration cannot be read; the one in force stays", logline.Error(err))
-		return
+		return false
 	}
 	if now := d.table.Load(); now != nil && c.Version <= now.Version {
-		return
+		return true
 	}
 	table := routes.Compile(c)
 	d.table.Store(table)
 	d.Log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)))
 	d.Observer.ConfigurationChanged(table)
+	return true
 }
 
 // server decodes the entry of a server. It logs an entry that cannot be decoded
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -95,7 +95,7 @@
 }
 
 // Range implements store.PrefixReader.
-func (p *path) Range(context.Context, string) ([]store.Entry, int64, error) {
+func (p *path) Range(_ context.Context, _ string, keep func(string) bool) ([]store.Entry, int64, error) {
 	if err := p.arrive(callTimeout); err != nil {
 		return nil, 0, err
 	}
@@ -103,7 +103,9 @@
 	defer p.fakeStore.mu.Unlock()
 	var out []store.Entry
 	for _, e := range p.items {
-		out = append(out, e)
+		if keep(e.Key) {
+			out = append(out, e)
+		}
 	}
 	return out, p.revision, nil
 }
--- a/store/prefix.go
+++ b/store/prefix.go
@@ -8,7 +8,7 @@
 )
 
 // ErrCompacted means that the history after the requested revision is no longer
-// available. The current entries must be read again.
+// available, or too long. The current entries must be read again.
 var ErrCompacted = errors.New("platform history is gone")
 
 // Change is one change of a key.
@@ -30,11 +30,12 @@
 
 // PrefixReader reads and watches all keys with a prefix.
 type PrefixReader interface {
-	// Range returns all entries with the prefix and the revision up to which
-	// they are at least current.
-	Range(ctx context.Context, prefix string) ([]Entry, int64, error)
+	// Range returns the entries with the prefix whose key satisfies keep, and the
+	// revision up to which they are at least current.
+	Range(ctx context.Context, prefix string, keep func(key string) bool) ([]Entry, int64, error)
 	// WatchPrefix returns the changes after a revision, as soon as there is one
 	// or after wait, and the revision from which to continue. It returns
-	// ErrCompacted if the history after that revision is gone.
+	// ErrCompacted if the history after that revision is gone, or so long that the
+	// current entries are read sooner.
 	WatchPrefix(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error)
 }
