Give an attempt up only for another server that is certain to take it

Cause: attempts were given up by time alone. Ruled out: engines that end their streams.

Change: gateway/stall.go gives an attempt up when another server is chosen, a retry is spent and time is left; a stream that has begun moves once the engine has closed its side after this one has ended sending, cannot be reached, or sends what is no event.

--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -82,8 +82,10 @@
 	pool   *Pool
 	// bodyRead reports whether the body has been read to its end.
 	bodyRead bool
-	// reusable reports whether the server keeps the connection open.
-	reusable bool
+	// reusable reports whether the server keeps the connection open, and
+	// sendingEnded whether this side has ended sending.
+	reusable     bool
+	sendingEnded atomic.Bool
 	// stopCancel makes the end of the context no longer close the connection.
 	// It returns false when the context has ended already.
 	stopCancel func() bool
@@ -269,12 +271,20 @@
 	return n, err
 }
 
+// EndSending closes the sending side of the connection. A server that drops a
+// request when its caller closes the connection ends the answer; one that goes on
+// can still be read. It may be called while the body is read.
+func (a *Answer) EndSending() error {
+	a.sendingEnded.Store(true)
+	return errors.Wrap(a.conn.Conn.(*net.TCPConn).CloseWrite(), "end sending")
+}
+
 // Close returns the connection to the pool when the body was read to its end.
 // Otherwise it closes the connection, which makes most servers cancel the
 // request.
 func (a *Answer) Close() {
 	uncancelled := a.stopCancel()
-	if a.bodyRead && a.reusable && uncancelled && a.conn.requestSent() && a.conn.in.Buffered() == 0 {
+	if a.bodyRead && a.reusable && !a.sendingEnded.Load() && uncancelled && a.conn.requestSent() && a.conn.in.Buffered() == 0 {
 		a.pool.putIdle(a.conn, a.Meta.IdleTimeout)
 		return
 	}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -191,6 +191,12 @@
 	return Server{}, false
 }
 
+// Available reports whether a listed server is not ejected for failures.
+func (f *Fleet) Available(id fleet.UpstreamID) bool {
+	s := f.servers[id]
+	return s != nil && s.available
+}
+
 // Held returns the held engines and the time until each hold ends.
 func (f *Fleet) Held(now fleet.Instant) map[fleet.UpstreamID]time.Duration {
 	out := map[fleet.UpstreamID]time.Duration{}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -17,18 +17,8 @@
 	"github.com/bramleywick/bramleywick/logline"
 )
 
-const (
-	// stallShare is the share of the remaining time that one engine may take
-	// for prefill, or for the first event when the stream can be resumed
-	// elsewhere. An engine that is partitioned is detected sooner, by its
-	// connection.
-	stallShare = 0.6
-	// maxStallGap bounds the time between two events of a stream that may be
-	// resumed. Callers wait at least two seconds for the next event.
-	maxStallGap = 1500 * time.Millisecond
-	// maxPrefills bounds the prefill attempts for one prompt.
-	maxPrefills = 2
-)
+// maxPrefills bounds the prefill attempts for one prompt.
+const maxPrefills = 2
 
 // serveEngine serves a request with engines: prefill on one engine and decode on
 // another, or both on one.
@@ -114,8 +104,9 @@
 	prefillDone, end := p.g.State.begin(c.Server.ID, p.req.Rank, c.UncachedTokens)
 	defer end()
 	p.g.State.addCachedPrompt(c, &p.req)
-	ctx, stop := context.WithTimeout(p.ctx, time.Duration(stallShare*float64(p.remaining())))
+	ctx, stop := context.WithCancel(p.ctx)
 	defer stop()
+	watch := p.watchStall(c, time.Duration(stallShare*float64(p.remaining())), true, stop, p.couldServe)
 	overdueTimer := p.g.State.startOverdueTimer(c)
 	answer, res, err := p.send(ctx, c.Server, call.SendOptions{Priority: priority(p.route.Priority), PrefillOnly: true, FetchFrom: c.CopyFrom.Address})
 	overdueTimer.Stop()
@@ -127,13 +118,14 @@
 		p.prefillServer = c.Server
 	}
 	prefillDone()
-	p.logAttempt(c, "prefill", res, status, began, err)
 	switch {
 	case p.kvSource != nil && !p.prefilled:
 		p.prefilled = true
 	case res != resultNotSent:
 		p.countCall()
 	}
+	err = watch.end(err)
+	p.logAttempt(c, "prefill", res, status, began, err)
 	switch {
 	case p.kvSource != nil:
 		p.g.State.recordSuccess(c.Server.ID)
@@ -205,8 +197,8 @@
 	defer end()
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
-	stallTimer := p.watchStall(cancel)
-	defer stallTimer.Stop()
+	mayMove := p.route.Repeatable() && p.sends+1 < p.route.MaxAttempts
+	watch := p.watchStall(c, time.Duration(stallShare*float64(p.remaining())), mayMove, cancel, p.couldServe)
 	overdueTimer := p.g.State.startOverdueTimer(c)
 	defer overdueTimer.Stop()
 	source := p.kvSource
@@ -225,9 +217,10 @@
 		status = answer.Status
 		if res == resultAnswer {
 			p.mayHaveRun = true
-			res, err = p.forwardStream(answer, c, source, stallTimer, func() { prefillDone(); overdueTimer.Stop() }, began)
+			res, err = p.forwardStream(answer, c, source, watch, func() { prefillDone(); overdueTimer.Stop() }, began)
 		}
 	}
+	err = watch.end(err)
 	p.logAttempt(c, stepName(source), res, status, began, err)
 	switch res {
 	case resultAnswer:
@@ -270,21 +263,13 @@
 	return "decode"
 }
 
-// watchStall returns a timer that cancels an attempt when it stalls. While the
-// stream can be resumed elsewhere, the limit is stallShare of the remaining
-// time.
-func (p *proxyRequest) watchStall(cancel context.CancelFunc) *time.Timer {
-	limit := p.remaining()
-	if p.route.Repeatable() && p.sends+1 < p.route.MaxAttempts {
-		limit = time.Duration(stallShare * float64(limit))
-	}
-	return time.AfterFunc(limit, cancel)
-}
+// couldServe reports whether another server is expected to take the request soon.
+func (p *proxyRequest) couldServe(skip []fleet.UpstreamID) bool { return p.g.State.couldServe(p, skip) }
 
 // forwardStream forwards the events of an answer to the caller as they arrive,
 // and returns the outcome of the attempt. It calls prefillDone at the first
-// event, and resets stallTimer at each event while the stream can be resumed.
-func (p *proxyRequest) forwardStream(a *connpool.Answer, c placement.Choice, source *call.KVSource, stallTimer *time.Timer, prefillDone func(), began time.Time) (result, error) {
+// event, and records each event with the watch.
+func (p *proxyRequest) forwardStream(a *connpool.Answer, c placement.Choice, source *call.KVSource, watch *stallWatch, prefillDone func(), began time.Time) (result, error) {
 	if !success(a.Status) {
 		out, res, err := p.bufferAnswer(a, resultAnswer)
 		if out == nil || p.headWritten {
@@ -298,7 +283,7 @@
 	if !a.Meta.Signed {
 		return resultBroken, errUnsigned
 	}
-	in := &eventReader{in: a, buffers: &p.g.buffers}
+	in := &eventReader{in: watch.reading(a), buffers: &p.g.buffers}
 	defer in.release()
 	first := true
 	p.events = 0
@@ -328,8 +313,8 @@
 			prefillDone()
 			p.recordFirstEvent(c, source, began)
 		}
-		if p.route.Repeatable() && p.sends < p.route.MaxAttempts && hasEvent(data) {
-			stallTimer.Reset(maxStallGap)
+		if hasEvent(data) {
+			watch.progress()
 		}
 		p.writeHead(a)
 		if _, err := p.w.Write(data); err != nil {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -91,8 +91,10 @@
 	began := time.Now()
 	_, end := p.g.State.begin(c.Server.ID, p.req.Rank, 0)
 	defer end()
-	ctx, stop := p.attemptContext()
+	ctx, stop := context.WithCancel(p.ctx)
 	defer stop()
+	mayMove := p.route.Kind == routes.KindSafe && p.sends+1 < p.route.MaxAttempts && p.route.LatencyTarget > 0
+	watch := p.watchStall(c, time.Duration(attemptShare*float64(p.route.LatencyTarget)), mayMove, stop, p.couldServe)
 	overdueTimer := p.g.State.startOverdueTimer(c)
 	defer overdueTimer.Stop()
 	answer, res, err := p.send(ctx, c.Server, call.SendOptions{Priority: noPriority})
@@ -107,6 +109,7 @@
 		status = answer.Status
 		out, res, err = p.bufferAnswer(answer, res)
 	}
+	err = watch.end(err)
 	p.logAttempt(c, "call", res, status, began, err)
 	switch res {
 	case resultAnswer:
@@ -127,15 +130,6 @@
 	return out, res
 }
 
-// attemptContext returns a context that bounds an attempt that may be retried,
-// so that a server that doesn't answer leaves time for another.
-func (p *proxyRequest) attemptContext() (context.Context, context.CancelFunc) {
-	if p.route.Kind != routes.KindSafe || p.sends+1 >= p.route.MaxAttempts || p.route.LatencyTarget <= 0 {
-		return context.WithCancel(p.ctx)
-	}
-	return context.WithTimeout(p.ctx, time.Duration(attemptShare*float64(p.route.LatencyTarget)))
-}
-
 // bufferAnswer reads an answer that may be passed on. An answer of a server
 // that did not run the request is passed on only when its status is 400, which
 // any other server would return too.
--- /dev/null
+++ b/gateway/stall.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/connpool"
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/placement"
+	"github.com/bramleywick/bramleywick/logline"
+)
+
+const (
+	// stallShare is the share of the remaining time that one engine may take
+	// for prefill, or for the first event when the stream can be resumed
+	// elsewhere. An engine that is partitioned is detected sooner, by its
+	// connection.
+	stallShare = 0.6
+	// maxStallGap is the time between two events of a stream after which another
+	// engine is considered. Callers wait at least two seconds for the next event.
+	maxStallGap = 1500 * time.Millisecond
+	// recheckTime is the time after which an attempt that has stalled and could
+	// not be moved is considered again.
+	recheckTime = 250 * time.Millisecond
+	// stopTime is how long a server that is asked to stop may take to end its
+	// answer. One that has not ended it may work on, and the stream must not go on
+	// elsewhere meanwhile.
+	stopTime = 400 * time.Millisecond
+	// minMove is the least remaining time for a move to another server, and
+	// maxMoveWait the longest wait expected there: a server that is busier would
+	// rather refuse.
+	minMove     = 300 * time.Millisecond
+	maxMoveWait = 500 * time.Millisecond
+	// dripTime is the time after the last event from which on received bytes show
+	// that the answer goes on without making progress.
+	dripTime = time.Second
+)
+
+// errStalled means that an attempt made no progress and was given up for another
+// server.
+var errStalled = errors.New("the server made no progress")
+
+// stallWatch gives an attempt up that makes no progress, if another server is
+// certain to take the request. A stream whose beginning the caller has goes on
+// elsewhere only once the server has stopped: it has closed its side after this
+// one has, it cannot be reached, or it sends what is no event.
+type stallWatch struct {
+	p      *proxyRequest
+	choice placement.Choice
+	// movable returns whether another server is certain to take the request.
+	movable func() bool
+	cancel  context.CancelFunc
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// answer is the answer once events are read.
+	answer *connpool.Answer
+	// asked reports whether the server was asked to stop, and moved whether the
+	// attempt was given up or is about to be. A retry is spent then.
+	asked, moved bool
+	ended        bool
+	// lastEvent and lastByte are the Unix nanoseconds of the last event and of the
+	// last bytes.
+	lastEvent, lastByte atomic.Int64
+}
+
+// watchStall starts a watch of an attempt that gives it up after limit, if it may
+// be given up at all. The caller must call end.
+func (p *proxyRequest) watchStall(c placement.Choice, limit time.Duration, mayMove bool, cancel context.CancelFunc, movable func(skip []fleet.UpstreamID) bool) *stallWatch {
+	w := &stallWatch{p: p, choice: c, cancel: cancel}
+	if !mayMove {
+		return w
+	}
+	skip := append(append([]fleet.UpstreamID(nil), p.tried...), c.Server.ID)
+	w.movable = func() bool { return movable(skip) }
+	w.timer = time.AfterFunc(limit, w.stalled)
+	return w
+}
+
+// stalled decides about an attempt without progress.
+func (w *stallWatch) stalled() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.ended || w.moved && !w.asked:
+	case !w.moved && !w.reserve():
+		w.timer.Reset(recheckTime)
+	case w.answer == nil || w.lastEvent.Load() == 0 || w.dripping():
+		w.cancel()
+	case !w.asked:
+		w.asked = true
+		w.log("server asked to stop a stream that has stalled")
+		if err := w.answer.EndSending(); err != nil {
+			w.p.g.Log.Debug("sending not ended", zap.String("request_id", string(w.p.req.ID)), logline.Error(err))
+		}
+		w.timer.Reset(stopTime)
+	default:
+		go w.checkReachable()
+	}
+}
+
+// reserve spends a retry for the move of the attempt and reports whether it is
+// certain that it can be moved. The caller holds mu.
+func (w *stallWatch) reserve() bool {
+	if w.p.remaining() < minMove || !w.movable() || !w.p.g.State.spendRetry(w.p.group) {
+		return false
+	}
+	w.moved = true
+	return true
+}
+
+// dripping reports whether bytes have come for some time and no event.
+func (w *stallWatch) dripping() bool {
+	return time.Duration(w.lastByte.Load()-w.lastEvent.Load()) > dripTime
+}
+
+// checkReachable gives the attempt up if its server, which has not ended the
+// answer, cannot be reached. One that can be reached may work on the stream.
+func (w *stallWatch) checkReachable() {
+	alive := dialServer(w.choice.Server.Address) == checkAlive
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
+	}
+	if !alive {
+		w.cancel()
+		return
+	}
+	w.log("server works on a stream that has stalled")
+}
+
+func (w *stallWatch) log(message string) {
+	w.p.g.Log.Info(message, zap.String("request_id", string(w.p.req.ID)), zap.String("server", string(w.choice.Server.ID)),
+		zap.Duration("silent_for", time.Duration(time.Now().UnixNano()-w.lastByte.Load())), zap.Duration("left", w.p.remaining()))
+}
+
+// reading makes the watch observe an answer, and returns the reader of its body.
+func (w *stallWatch) reading(a *connpool.Answer) io.Reader {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answer = a
+	w.lastByte.Store(time.Now().UnixNano())
+	return readerFunc(func(p []byte) (int, error) {
+		n, err := a.Read(p)
+		if n > 0 {
+			w.lastByte.Store(time.Now().UnixNano())
+		}
+		return n, err
+	})
+}
+
+type readerFunc func([]byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// progress records an event.
+func (w *stallWatch) progress() {
+	w.lastEvent.Store(time.Now().UnixNano())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil && !w.asked {
+		w.timer.Reset(maxStallGap)
+	}
+}
+
+// end ends the watch. It returns errStalled if the attempt failed because it was
+// given up, and err otherwise.
+func (w *stallWatch) end(err error) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	if !w.moved {
+		return err
+	}
+	w.p.retrySpent = true
+	if err != nil && !w.p.callerGone() {
+		return errors.Wrap(errStalled, err.Error())
+	}
+	return err
+}
+
+// couldServe reports whether a server other than those in skip is expected to
+// take a request soon.
+func (s *State) couldServe(p *proxyRequest, skip []fleet.UpstreamID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	certain := func(c placement.Choice, ok bool) bool {
+		return ok && c.Wait <= maxMoveWait && s.fleet.Available(c.Server.ID)
+	}
+	if p.service == nil || p.service.Engine == nil || p.req.PromptTokens == 0 {
+		s.large = false
+		return certain(s.fleet.ChoosePlain(p.group, p.req.ID, now, skip))
+	}
+	s.large = s.limiter.IsLarge(p.group, p.req.PromptTokens)
+	if certain(s.fleet.ChooseDirect(p.group, &p.req, now, skip)) {
+		return true
+	}
+	prefill, _, split := s.fleet.ChooseEngines(p.group, &p.req, now, skip)
+	return split && certain(prefill, true)
+}
