Find out at once whether a silent engine can be reached

Change: the connection that shows whether the engine can be reached is opened when it is asked to stop, and not 0.4 s later.

Tests: TestSilentStream passes as before.

--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -28,9 +28,8 @@
 	// recheckTime is the time after which an attempt that has stalled and could
 	// not be moved is considered again.
 	recheckTime = 250 * time.Millisecond
-	// stopTime is how long a server that is asked to stop may take to end its
-	// answer. One that has not ended it may work on, and the stream must not go on
-	// elsewhere meanwhile.
+	// stopTime is the time after which a server that was asked to stop a stream is
+	// logged as working on it.
 	stopTime = 400 * time.Millisecond
 	// minMove is the least remaining time for a move to another server, and
 	// maxMoveWait the longest wait expected there: a server that is busier would
@@ -61,10 +60,9 @@
 	timer *time.Timer
 	// answer is the answer once events are read.
 	answer *connpool.Answer
-	// asked reports whether the server was asked to stop, and moved whether the
-	// attempt was given up or is about to be. A retry is spent then.
-	asked, moved bool
-	ended        bool
+	// moved reports whether the attempt was given up, or its server was asked to
+	// stop it. A retry is spent then.
+	moved, ended bool
 	// lastEvent and lastByte are the Unix nanoseconds of the last event and of the
 	// last bytes.
 	lastEvent, lastByte atomic.Int64
@@ -88,19 +86,16 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case w.ended || w.moved && !w.asked:
-	case !w.moved && !w.reserve():
+	case w.ended || w.moved:
+	case !w.reserve():
 		w.timer.Reset(recheckTime)
 	case w.answer == nil || w.lastEvent.Load() == 0 || w.dripping():
 		w.cancel()
-	case !w.asked:
-		w.asked = true
+	default:
 		w.log("server asked to stop a stream that has stalled")
 		if err := w.answer.EndSending(); err != nil {
 			w.p.g.Log.Debug("sending not ended", zap.String("request_id", string(w.p.req.ID)), logline.Error(err))
 		}
-		w.timer.Reset(stopTime)
-	default:
 		go w.checkReachable()
 	}
 }
@@ -120,20 +115,20 @@
 	return time.Duration(w.lastByte.Load()-w.lastEvent.Load()) > dripTime
 }
 
-// checkReachable gives the attempt up if its server, which has not ended the
-// answer, cannot be reached. One that can be reached may work on the stream.
+// checkReachable gives the attempt up if its server, which was asked to stop,
+// cannot be reached. One that can be reached and does not stop may work on the
+// stream.
 func (w *stallWatch) checkReachable() {
-	alive := dialServer(w.choice.Server.Address) == checkAlive
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.ended {
-		return
-	}
-	if !alive {
+	if dialServer(w.choice.Server.Address) != checkAlive {
 		w.cancel()
 		return
 	}
-	w.log("server works on a stream that has stalled")
+	time.Sleep(stopTime)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ended {
+		w.log("server works on a stream that has stalled")
+	}
 }
 
 func (w *stallWatch) log(message string) {
@@ -166,7 +161,7 @@
 	w.lastEvent.Store(time.Now().UnixNano())
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.timer != nil && !w.asked {
+	if w.timer != nil && !w.moved {
 		w.timer.Reset(maxStallGap)
 	}
 }
