Read the store's entries when their changes do not come in time

Not load: the class of the large answers once more, for a store that cannot send a long history in time.

Change: after two calls without an answer the entries are read in place of their changes.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -48,6 +48,9 @@
 	// batchDelay is the wait after changes before the next watch call, so that
 	// one call returns several changes.
 	batchDelay = 100 * time.Millisecond
+	// maxUnanswered is the number of calls without an answer after which the
+	// entries are read in place of their changes.
+	maxUnanswered = 2
 	// minRetryPause and maxRetryPause bound the wait after a failed call.
 	minRetryPause = 100 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
@@ -160,12 +163,22 @@
 	go d.expireRemoved(ctx)
 	pause := minRetryPause
 	revision := int64(0)
+	unanswered := 0
 	for ctx.Err() == nil {
-		next, err := d.step(ctx, revision)
+		from := revision
+		if unanswered > 0 && unanswered%maxUnanswered == 0 {
+			// The history may have grown too long for the store to send it in
+			// time; its entries have not.
+			from = 0
+		}
+		next, err := d.step(ctx, from)
 		if err == nil {
-			revision, pause = next, minRetryPause
+			revision, unanswered, pause = next, 0, minRetryPause
 			continue
 		}
+		if errors.Is(err, store.ErrNoAnswer) {
+			unanswered++
+		}
 		if errors.Is(err, store.ErrCompacted) {
 			d.Log.Info("the store's history cannot be used; reading its entries", zap.Int64("revision", revision), logline.Error(err))
 			revision = 0
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -64,6 +64,9 @@
 	*fakeStore
 	mu  sync.Mutex
 	cut bool
+	// mostChanges is the number of changes that the store can send in time; 0 for
+	// any.
+	mostChanges int
 }
 
 func (p *path) setCut(cut bool) {
@@ -88,8 +91,11 @@
 	if cut {
 		time.Sleep(limit - answerTime)
 	}
-	if cut || down {
-		return errors.Wrap(store.ErrUnavailable, "no answer")
+	switch {
+	case cut:
+		return store.ErrNoAnswer
+	case down:
+		return store.ErrUnavailable
 	}
 	return nil
 }
@@ -127,6 +133,10 @@
 		}
 		changed := p.changed
 		p.fakeStore.mu.Unlock()
+		if p.mostChanges > 0 && len(out.Changes) > p.mostChanges {
+			time.Sleep(time.Until(limit))
+			return store.Batch{}, store.ErrNoAnswer
+		}
 		if len(out.Changes) > 0 || ended {
 			return out, nil
 		}
@@ -342,3 +352,32 @@
 		}
 	}
 }
+
+// TestHistoryTooLongToSend guards against an instance that asks for changes again
+// and again which the store cannot send in time.
+func TestHistoryTooLongToSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fake := newFakeStore()
+		addServer(fake, "s0")
+		used := &useRecorder{used: map[fleet.UpstreamID]time.Time{}}
+		way := &path{fakeStore: fake, mostChanges: 5}
+		var running sync.WaitGroup
+		d := New(Options{Store: way, Decoder: jsonDecoder{}, Observer: used, Log: zap.NewNop(), SuspectTime: time.Second})
+		running.Go(func() { d.Run(ctx) })
+		time.Sleep(time.Second)
+		way.setCut(true)
+		for n := range 40 {
+			addServer(fake, fleet.UpstreamID(fmt.Sprint("s", n)))
+		}
+		time.Sleep(5 * time.Second)
+		way.setCut(false)
+		// The call under way, two without an answer, and the pauses between them.
+		time.Sleep(3 * (watchWait + callTimeout + maxRetryPause))
+		if used.lastUse("s39").IsZero() {
+			t.Error("the servers that came during the cut are not known")
+		}
+		cancel()
+		running.Wait()
+	})
+}
--- a/store/prefix.go
+++ b/store/prefix.go
@@ -11,6 +11,10 @@
 // available, or too long. The current entries must be read again.
 var ErrCompacted = errors.New("platform history is gone")
 
+// ErrNoAnswer means that no answer to a read came in time. It wraps
+// ErrUnavailable.
+var ErrNoAnswer = errors.Wrap(ErrUnavailable, "no answer in time")
+
 // Change is one change of a key.
 type Change struct {
 	Entry
