Bound the memory for prompt parts and request bodies

The parts that engines are assumed to have cached were bounded at 8,192 for each engine: about 64 MB at 64 engines and 770 MB at 780, at instances of 144 MB; at the bound all were forgotten. Request bodies were bounded for each request only.

--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -41,6 +41,7 @@
 	ReasonServerLimit        Reason = "server_limit"
 	ReasonServersLeaving     Reason = "servers_leaving"
 	ReasonServersPaused      Reason = "servers_paused"
+	ReasonBuffersFull        Reason = "buffers_full"
 )
 
 // Reasons returns every reason, so that counters can be registered at zero
@@ -50,7 +51,7 @@
 		ReasonBadRequest, ReasonUnknownKey, ReasonKindNotGranted, ReasonTooLarge,
 		ReasonShareUsedUp, ReasonQueueFull, ReasonDeadlineUnmeetable, ReasonNoUpstream, ReasonNoRoute,
 		ReasonConfigUnknown, ReasonDraining, ReasonClaimNotPossible,
-		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone, ReasonPartQuarantined, ReasonServerLimit, ReasonServersLeaving, ReasonServersPaused,
+		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone, ReasonPartQuarantined, ReasonServerLimit, ReasonServersLeaving, ReasonServersPaused, ReasonBuffersFull,
 	}
 }
 
--- a/core/placement/cache.go
+++ b/core/placement/cache.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/bramleywick/bramleywick/core/call"
 	"github.com/bramleywick/bramleywick/core/fleet"
 )
@@ -8,8 +11,15 @@
 const (
 	// minPartTokens is the length below which a part is not recorded.
 	minPartTokens = 24
-	// maxParts bounds the recorded parts per engine.
+	// maxParts bounds the recorded parts per engine, and minParts is the number
+	// that each engine may have whatever their sum.
 	maxParts = 8192
+	minParts = 64
+	// partBytes is the memory of a recorded part.
+	partBytes = 128
+	// keptParts is the share of the recorded parts that is kept when no more may
+	// be recorded.
+	keptParts = 0.75
 	// cacheShare is the share of an engine's KV memory that is assumed to hold
 	// cached parts; running requests hold the rest.
 	cacheShare = 0.85
@@ -25,6 +35,8 @@
 	// added is the total number of tokens added so far.
 	added float64
 	parts map[string]cachedPart
+	// limit bounds the number of parts.
+	limit int
 }
 
 // cachedPart is a part that the engine is assumed to have cached.
@@ -38,7 +50,16 @@
 	readyAt fleet.Instant
 }
 
-func newCache() cache { return cache{parts: map[string]cachedPart{}} }
+func newCache() cache { return cache{parts: map[string]cachedPart{}, limit: maxParts} }
+
+// partLimit returns the number of parts that may be recorded for each of the
+// given number of engines in the given memory; a memory of 0 bounds nothing.
+func partLimit(memory int64, engines int) int {
+	if memory <= 0 {
+		return maxParts
+	}
+	return min(max(int(memory/partBytes)/max(engines, 1), minParts), maxParts)
+}
 
 // holds reports whether a part is recorded and not evicted yet.
 func (c *cache) holds(id string) bool {
@@ -106,7 +127,7 @@
 	if tokens < minPartTokens {
 		return
 	}
-	if len(c.parts) >= maxParts {
+	if len(c.parts) >= c.limit {
 		c.prune()
 	}
 	if part, ok := c.parts[id]; ok && c.present(part) {
@@ -115,15 +136,19 @@
 	c.parts[id] = cachedPart{addedAtUse: c.added - float64(tokens), readyAt: ready}
 }
 
-// prune removes the evicted parts, or all parts when none is evicted.
+// prune removes the evicted parts, and then those used longest ago until keptParts
+// of the limit are left.
 func (c *cache) prune() {
-	before := len(c.parts)
-	for id := range c.parts {
-		if !c.holds(id) {
-			delete(c.parts, id)
-		}
+	maps.DeleteFunc(c.parts, func(_ string, part cachedPart) bool { return !c.present(part) })
+	over := len(c.parts) - int(keptParts*float64(c.limit))
+	if over <= 0 {
+		return
 	}
-	if len(c.parts) == before {
-		clear(c.parts)
+	uses := make([]float64, 0, len(c.parts))
+	for _, part := range c.parts {
+		uses = append(uses, part.addedAtUse)
 	}
+	slices.Sort(uses)
+	oldest := uses[over-1]
+	maps.DeleteFunc(c.parts, func(_ string, part cachedPart) bool { return part.addedAtUse <= oldest })
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -87,6 +87,9 @@
 type Config struct {
 	Instance   fleet.InstanceID
 	DataCentre fleet.DataCentre
+	// PartMemory bounds the memory for the prompt parts that engines are assumed
+	// to have cached, in bytes; 0 means no bound besides that of each engine.
+	PartMemory int64
 }
 
 // Fleet is an instance's view of all servers. Not safe for concurrent use.
@@ -179,6 +182,10 @@
 		groups[s.Group] = append(groups[s.Group], known)
 		groupOf[s.ID] = s.Group
 	}
+	limit := partLimit(f.config.PartMemory, len(servers))
+	for _, s := range servers {
+		s.cache.limit = limit
+	}
 	f.servers, f.groups = servers, groups
 	f.ejector.Configure(groupOf)
 }
--- a/gateway/buffers.go
+++ b/gateway/buffers.go
@@ -27,7 +27,7 @@
 // Errors of answers that are too long.
 var (
 	errAnswerTooLong = errors.New("the answer exceeds the size limit")
-	errBuffersFull   = errors.New("the answers being buffered exceed the memory for them")
+	errBuffersFull   = errors.New("what is being buffered exceeds the memory for it")
 )
 
 // buffers holds the blocks in which answers are buffered. Servers in trouble may
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,7 +66,7 @@
 	// server that leaves may be chosen after it has returned.
 	ServerLeaves func(fleet.Process)
 	// BufferBytes bounds the memory of answers that are buffered at the same
-	// time; 0 selects a default.
+	// time, and that of long request bodies; 0 selects a default.
 	BufferBytes int64
 	Log         *zap.Logger
 }
@@ -77,7 +77,9 @@
 	// endsAt is when the process ends in a planned stop; nil before one begins.
 	endsAt   atomic.Pointer[time.Time]
 	inFlight atomic.Int64
-	buffers  buffers
+	// buffers counts the answers that are buffered, and bodies the requests'
+	// bodies.
+	buffers, bodies buffers
 }
 
 // New returns a Gateway.
@@ -87,6 +89,7 @@
 	if g.buffers.limit = o.BufferBytes; g.buffers.limit <= 0 {
 		g.buffers.limit = defaultBufferBytes
 	}
+	g.bodies.limit = g.buffers.limit
 	return g
 }
 
@@ -123,6 +126,8 @@
 	service  *routes.Service
 	forward  http.Header
 	body     []byte
+	// bodyBlocks is the number of blocks of g.bodies that body counts as.
+	bodyBlocks int64
 	// tried are the servers that failed or rejected the request.
 	tried []fleet.UpstreamID
 	// sentTo are the addresses to which a call was sent or was to be sent.
@@ -226,6 +231,7 @@
 	for _, b := range p.bodies {
 		b.release()
 	}
+	p.g.bodies.unreserve(p.bodyBlocks)
 	if cause := recover(); cause != nil {
 		panic(cause)
 	}
@@ -273,7 +279,11 @@
 	if t.Limits.MaxBodyBytes > 0 {
 		limit = t.Limits.MaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(p.w, p.r.Body, limit))
+	body, err := io.ReadAll(&bodyReader{p: p, in: http.MaxBytesReader(p.w, p.r.Body, limit)})
+	if errors.Is(err, errBuffersFull) {
+		p.refuse(http.StatusServiceUnavailable, fleet.ReasonBuffersFull, busyWait)
+		return false
+	}
 	if err == nil {
 		p.body = body
 		p.setReadDeadline(time.Time{})
@@ -294,6 +304,28 @@
 	return false
 }
 
+// bodyReader reads a request's body and counts it in blocks beyond the first one,
+// whose memory the number of requests bounds.
+type bodyReader struct {
+	p    *proxyRequest
+	in   io.Reader
+	read int64
+}
+
+// Read implements io.Reader. The error is errBuffersFull if the bodies of all
+// requests exceed the memory for them.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.in.Read(p)
+	b.read += int64(n)
+	for b.read > (b.p.bodyBlocks+1)*blockBytes {
+		if err := b.p.g.bodies.reserve(); err != nil {
+			return 0, err
+		}
+		b.p.bodyBlocks++
+	}
+	return n, err
+}
+
 // writeGrace is how long after a request's deadline its caller may still read
 // the answer.
 const writeGrace = 2 * time.Second
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,9 @@
 	// bufferShare is the share of the process's memory for answers that are
 	// buffered at the same time.
 	bufferShare = 0.15
+	// partShare is the share for the prompt parts that engines are assumed to have
+	// cached.
+	partShare = 0.15
 	// suspectShare is directory.Options.SuspectTime as a share of the drain
 	// bound, the time within which a leaving server must stop getting requests.
 	suspectShare = 0.75
@@ -158,7 +161,7 @@
 	})
 	n.store = p.NewStore(s.Store, n.metrics.StoreCall)
 	n.state = gateway.NewState(
-		placement.Config{Instance: s.Instance, DataCentre: s.DataCentre},
+		placement.Config{Instance: s.Instance, DataCentre: s.DataCentre, PartMemory: int64(partShare * float64(s.MemoryBytes))},
 		budget.Config{Window: s.BudgetWindow, Ratio: s.BudgetRatio, Slack: s.BudgetSlack},
 	)
 	n.directory = directory.New(directory.Options{
