Check the reports of other instances

Cause: a report was applied as it came. One with a speed that is no number, or a hold without end, would have changed every choice of the instances that got it; found by reading, not seen in a run.

Change: a report with a field out of range is ignored and logged with the field and the sender, and the state stays as it is.

--- a/core/placement/pause_test.go
+++ b/core/placement/pause_test.go
@@ -46,12 +46,7 @@
 	for n, s := range fleets[0].groups["llm"] {
 		number[s.ID] = n
 	}
-	type run struct {
-		at  int
-		id  fleet.UpstreamID
-		end fleet.Instant
-	}
-	var open []run
+	var open []openRun
 	ended := make([]fleet.Instant, servers)
 	inWave := make([]int, servers)
 	known := map[[2]int]fleet.Instant{}
@@ -62,15 +57,7 @@
 	var now, renewed fleet.Instant
 	for now < length {
 		now += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
-		kept := open[:0]
-		for _, r := range open {
-			if r.end > now {
-				kept = append(kept, r)
-				continue
-			}
-			fleets[r.at].End(r.id, 0, 0)
-		}
-		open = kept
+		open = endRuns(fleets, open, now)
 		if now-renewed >= age {
 			renewed = now
 			renewViews(fleets, now)
@@ -107,7 +94,7 @@
 				most = max(most, inWave[n])
 			}
 			fleets[at].Begin(c.Server.ID, 0, 0)
-			open = append(open, run{at, c.Server.ID, now + took})
+			open = append(open, openRun{at, c.Server.ID, now + took})
 			served++
 			break
 		}
--- a/core/placement/spread_test.go
+++ b/core/placement/spread_test.go
@@ -27,6 +27,26 @@
 // mean: long enough that chance alone adds less than a third.
 const herdWindow = 3 * time.Second
 
+// openRun is a request that instance at has in flight at a server until end.
+type openRun struct {
+	at  int
+	id  fleet.UpstreamID
+	end fleet.Instant
+}
+
+// endRuns ends the runs that are over and returns the others.
+func endRuns(fleets []*Fleet, open []openRun, now fleet.Instant) []openRun {
+	kept := open[:0]
+	for _, r := range open {
+		if r.end > now {
+			kept = append(kept, r)
+			continue
+		}
+		fleets[r.at].End(r.id, 0, 0)
+	}
+	return kept
+}
+
 // simulateHerd simulates instances that choose among equal decode engines, each
 // from a view of the others that is renewed every age. Requests arrive at
 // random and use 0.7 of the slots on average. Engines queue three requests per
@@ -44,12 +64,7 @@
 		}
 		fleets[i].answers["llm"] = &answerLength{events: events, output: 1, count: 1}
 	}
-	type run struct {
-		at  int
-		id  fleet.UpstreamID
-		end fleet.Instant
-	}
-	var open []run
+	var open []openRun
 	free := map[fleet.UpstreamID][]fleet.Instant{}
 	sent := map[fleet.UpstreamID]int{}
 	for _, s := range fleets[0].groups["llm"] {
@@ -60,15 +75,7 @@
 	var now, renewed, window fleet.Instant
 	for now < 4*herdWindow {
 		now += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
-		kept := open[:0]
-		for _, r := range open {
-			if r.end > now {
-				kept = append(kept, r)
-				continue
-			}
-			fleets[r.at].End(r.id, 0, 0)
-		}
-		open = kept
+		open = endRuns(fleets, open, now)
 		if now-window >= herdWindow {
 			for _, n := range sent {
 				most = max(most, n)
@@ -100,7 +107,7 @@
 		}
 		free[id][0] = begin + took
 		fleets[at].Begin(id, 0, 0)
-		open = append(open, run{at, id, begin + took})
+		open = append(open, openRun{at, id, begin + took})
 	}
 	mean := perSecond * herdWindow.Seconds() / float64(engines)
 	return herdResult{float64(most) / mean, float64(refused) / float64(total)}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/rpc"
 	"slices"
@@ -211,8 +212,13 @@
 	}
 }
 
-// apply applies a report to the instance's state.
+// apply applies a report to the instance's state. A report that no instance sends
+// is ignored and logged.
 func (e *Exchange) apply(r Report) {
+	if err := r.check(); err != nil {
+		e.log.Warn("report of an instance ignored", zap.String("instance", fmt.Sprintf("%.64s", r.From)), logline.Error(err))
+		return
+	}
 	if len(r.Departures) > 0 {
 		e.changes.LearnDepartures(r.Departures[:min(len(r.Departures), maxDepartures)])
 	}
