--- a/directory/directory.go
+++ b/directory/directory.go
@@ -304,9 +304,8 @@
 	d.connected = true
 }
 
-// applyAll replaces the servers and instances by those in the whole store. Those
-// as of a revision. Those that are missing may have been removed at since or
-// later.
+// applyAll replaces the servers and instances by those in the whole store as of a
+// revision. Those that are missing may have been removed at since or later.
 func (d *Directory) applyAll(entries []store.Entry, at int64, since fleet.Instant) {
 	d.mu.Lock()
 	now := d.now()
