Let hubs and their instances wait 1 s, and ask a hub again at once

Change: both wait 1 s, a hub's contact may be 1.6 s old, and no pause follows a failure.

Tests: TestHubWithoutStore holds for bounds of 2 and 3 s, as before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -34,11 +34,8 @@
 	watchWait = 1500 * time.Millisecond
 	// hubWatchWait is the same for an instance through which others follow the
 	// store, and for their calls to it. The longer it is, the later they notice
-	// that the hub has lost the store.
-	hubWatchWait = 500 * time.Millisecond
-	// hubRetryPause is how long the store is asked directly after the hub could
-	// not answer.
-	hubRetryPause = 2 * time.Second
+	// that the hub has lost the store or does not answer.
+	hubWatchWait = time.Second
 	// deliveryTime bounds the time in which an event of a waiting watch arrives.
 	deliveryTime = 300 * time.Millisecond
 	// minOutage is the time without knowledge of the store after which entries
@@ -125,11 +122,9 @@
 	connected bool
 	synced    atomic.Bool
 
-	// The fields below are used by Run only. completeAt is when all changes up
-	// to then were last known to be applied.
+	// completeAt is when all changes up to then were last known to be applied.
+	// Only Run uses it.
 	completeAt time.Time
-	// hubRetryAt is when the hub is asked again after it could not answer.
-	hubRetryAt time.Time
 }
 
 // New returns an empty Directory.
@@ -239,13 +234,12 @@
 // when the hub cannot answer, and the earliest time at which they may have been
 // made.
 func (d *Directory) changes(ctx context.Context, revision int64) (store.Batch, fleet.Instant, error) {
-	if d.HubChanges != nil && !time.Now().Before(d.hubRetryAt) {
+	if d.HubChanges != nil {
 		batch, err := d.HubChanges(ctx, revision, hubWatchWait)
 		if err == nil {
 			// The hub may have learned of the changes late.
 			return batch, d.earliestChange(0), nil
 		}
-		d.hubRetryAt = time.Now().Add(hubRetryPause)
 	}
 	wait := watchWait
 	if d.history.followed() {
--- a/directory/history.go
+++ b/directory/history.go
@@ -22,7 +22,7 @@
 	// maxContactAge is how long after its last contact with the store an
 	// instance serves changes: one watch call of a hub and some time for its
 	// answer.
-	maxContactAge = hubWatchWait + 400*time.Millisecond
+	maxContactAge = hubWatchWait + 600*time.Millisecond
 	// followedTime is how long after a call of after an instance counts as a
 	// hub.
 	followedTime = 10 * time.Second
