Say why a request ended without a whole answer

The record could not tell an empty retry budget, a lack of engines, used-up attempts and a stop from each other: fail() replaced the reason by upstream_failed, mayRetry() gave none, and a panic, an answer that could not be written, a caller that left and the end of the process left no line with the request's id. Refusals at arrival displaced the lines of broken streams, since both had one limit of lines a second.

Refusals and broken streams now name the first cause, the servers tried and why there was no further attempt; a stream broken after its head has a message of its own; failures have their own level, and so their own limit. Every other end without a whole answer has a line and a counter by cause. A process that stops no longer writes 'store lost' for the watch that it ends itself.

No decision changes.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -208,6 +208,9 @@
 			revision = 0
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		d.setDisconnected(err)
 		select {
 		case <-ctx.Done():
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/bramleywick/bramleywick/connpool"
 	"github.com/bramleywick/bramleywick/core/call"
@@ -51,6 +52,8 @@
 type Observer interface {
 	Refused(reason fleet.Reason)
 	Retried(reason retry.Reason)
+	// Unanswered counts a request that ended without a whole answer.
+	Unanswered(cause UnansweredCause)
 	// AdmittedLate counts a request that was admitted although it is expected to
 	// miss its latency target.
 	AdmittedLate()
@@ -88,6 +91,7 @@
 	// endsAt is when the process ends in a planned stop; nil before one begins.
 	endsAt   atomic.Pointer[time.Time]
 	inFlight atomic.Int64
+	open     openRequests
 	budget   *door.Budget
 }
 
@@ -177,9 +181,11 @@
 	mayHaveRun bool
 	// headWritten reports whether the head of the answer has been written.
 	headWritten bool
-	// answered reports whether the caller got an answer or the head of one, and
-	// bodyTimedOut whether it did not send its body in time.
-	answered, bodyTimedOut bool
+	// complete reports whether the caller got a whole answer, as far as this
+	// instance knows, and bodyTimedOut whether it did not send its body in time.
+	complete, bodyTimedOut bool
+	// denial is the reason for which the request was not sent to another server.
+	denial retry.Denial
 	// trial is the request's admission by the quarantine, and engineEnded
 	// reports whether an engine's connection ended under the request.
 	trial       quarantineTrial
@@ -234,6 +240,7 @@
 		return
 	}
 	p.deadline = p.start.Add(p.timeout())
+	defer g.open.add(openRequest{id: p.req.ID, route: p.route.Name, start: p.start, deadline: p.deadline})()
 	p.boundConnection(p.deadline)
 	if !p.readBody(table) || !p.acceptedWhileDraining() {
 		return
@@ -277,11 +284,17 @@
 		b.release()
 	}
 	p.body.release()
-	if cause := recover(); cause != nil {
+	switch cause := recover(); {
+	case cause == http.ErrAbortHandler:
 		panic(cause)
-	}
-	if !p.answered {
-		p.abort()
+	case cause != nil:
+		p.unanswered(zapcore.ErrorLevel, CausePanic, zap.Any("panic", cause), zap.Stack("stack"))
+		panic(http.ErrAbortHandler)
+	case !p.complete:
+		p.unanswered(zapcore.InfoLevel, CauseCallerLeft)
+		if !p.headWritten {
+			p.abort()
+		}
 	}
 }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -284,6 +284,7 @@
 			if !p.headWritten {
 				p.writeHead(a)
 			}
+			p.complete = true
 			return resultAnswer, nil
 		}
 		if err != nil {
@@ -335,7 +336,7 @@
 	if p.headWritten {
 		return
 	}
-	p.headWritten, p.answered = true, true
+	p.headWritten = true
 	h := p.w.Header()
 	p.g.Wire.CopyAnswerHeaders(h, a.Header)
 	if p.g.draining() {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -6,11 +6,14 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap/zapcore"
+
 	"github.com/bramleywick/bramleywick/connpool"
 	"github.com/bramleywick/bramleywick/core/call"
 	"github.com/bramleywick/bramleywick/core/placement"
 	"github.com/bramleywick/bramleywick/core/retry"
 	"github.com/bramleywick/bramleywick/core/routes"
+	"github.com/bramleywick/bramleywick/logline"
 )
 
 // bufferedAnswer is a server's complete answer before it is passed on.
@@ -173,8 +176,13 @@
 	if p.g.draining() {
 		h.Set("Connection", "close")
 	}
-	p.answered = true
+	p.complete = true
 	p.w.WriteHeader(a.status)
-	// A write error means that the caller has disconnected.
-	_, _ = a.body.WriteTo(p.w)
+	_, err := a.body.WriteTo(p.w)
+	if err == nil {
+		err = http.NewResponseController(p.w).Flush()
+	}
+	if err != nil {
+		p.unanswered(zapcore.InfoLevel, CauseNotWritten, logline.Error(err))
+	}
 }
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -35,26 +35,36 @@
 		zap.Duration("retry_after", wait), zap.Duration("after", time.Since(p.start)), zap.Int("sends", p.sends),
 		zap.Bool("may_have_run", p.mayHaveRun),
 	}
+	if p.sends > 0 {
+		fields = append(fields, zap.Any("tried", p.tried), zap.String("not_retried", string(p.denial)), zap.Duration("left", p.remaining()))
+	}
 	if p.route != nil {
 		fields = append(fields, zap.String("route", p.route.Name))
 	}
 	if p.req.Member != "" {
 		fields = append(fields, zap.String("member", string(p.req.Member)))
 	}
-	level := zapcore.WarnLevel
-	if status == http.StatusUnauthorized {
-		// The lines of each level are limited apart, so that a flood without keys
-		// does not displace those of other refusals.
-		level = zapcore.InfoLevel
-	}
-	p.g.Log.Log(level, "request refused", append(fields, p.logFields...)...)
+	fields = append(fields, p.logFields...)
 	if p.headWritten {
+		p.g.Observer.Unanswered(CauseBrokenOff)
+		p.g.Log.Error("answer broken off", append(fields, zap.Int("events", p.events), zap.String("last_event", p.lastEvent))...)
 		p.abort()
 	}
+	// The lines of each level are limited apart, so that a flood of refusals at
+	// arrival does not displace those of requests that failed, nor a flood without
+	// keys those of refusals.
+	level := zapcore.WarnLevel
+	switch {
+	case p.mayHaveRun:
+		level = zapcore.ErrorLevel
+	case status == http.StatusUnauthorized:
+		level = zapcore.InfoLevel
+	}
+	p.g.Log.Log(level, "request refused", fields...)
 	if p.callerGone() && !p.bodyTimedOut {
 		return
 	}
-	p.answered = true
+	p.complete = true
 	discard := func() {}
 	if !p.bodyRead {
 		var err error
@@ -94,6 +104,9 @@
 // fail answers a request that no server answered: 503 when it certainly did not
 // run, else 504 after the deadline and 502 before.
 func (p *proxyRequest) fail(reason fleet.Reason, wait time.Duration) {
+	if p.mayHaveRun {
+		p.logFields = append(p.logFields, zap.String("cause", string(reason)))
+	}
 	switch {
 	case !p.mayHaveRun:
 		p.refuse(http.StatusServiceUnavailable, reason, wait)
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -19,6 +19,7 @@
 	}
 	if !p.g.State.spendRetry(p.group) {
 		p.logFields = append(p.logFields, zap.Bool("budget_used_up", true))
+		p.denial = retry.DenyBudget
 		return false
 	}
 	p.retrySpent = true
@@ -42,18 +43,19 @@
 // mayRetry reports whether the request may be sent to another server, and
 // spends a retry for it.
 func (p *proxyRequest) mayRetry(reason retry.Reason) bool {
-	if p.callerGone() || p.remaining() <= minAttempt {
-		return false
-	}
-	if p.sends >= p.route.MaxAttempts {
-		return false
-	}
-	if p.mayHaveRun && !p.route.Repeatable() {
-		return false
-	}
-	if !p.spendRetry() {
+	switch {
+	case p.callerGone():
 		return false
+	case p.remaining() <= minAttempt:
+		p.denial = retry.DenyDeadline
+	case p.sends >= p.route.MaxAttempts:
+		p.denial = retry.DenyAttempts
+	case p.mayHaveRun && !p.route.Repeatable():
+		p.denial = retry.DenyNotRepeatable
+	case !p.spendRetry():
+	default:
+		p.g.Observer.Retried(reason)
+		return true
 	}
-	p.g.Observer.Retried(reason)
-	return true
+	return false
 }
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/bramleywick/bramleywick/core/connlimit"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/retry"
+	"github.com/bramleywick/bramleywick/gateway"
 	"github.com/bramleywick/bramleywick/store"
 )
 
@@ -21,6 +22,7 @@
 	registry      *prometheus.Registry
 	refused       *prometheus.CounterVec
 	retried       *prometheus.CounterVec
+	unanswered    *prometheus.CounterVec
 	admittedLate  prometheus.Counter
 	calls         *prometheus.CounterVec
 	departures    *prometheus.CounterVec
@@ -43,6 +45,9 @@
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleywick_store_calls_total", Help: "Calls to the platform's store, by call and result.",
 		}, []string{"call", "result"}),
+		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleywick_unanswered_total", Help: "Requests that ended without a whole answer, by cause.",
+		}, []string{"cause"}),
 		admittedLate: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "bramleywick_admitted_late_total", Help: "Requests admitted although they are expected to miss their latency target.",
 		}),
@@ -66,7 +71,10 @@
 		}, []string{"route"}),
 	}
 	g.refused, g.retried = newReasons(g.registry)
-	g.registry.MustRegister(g.admittedLate, g.calls, g.departures, g.closed, g.confirmations, g.usageReports, g.usageWindows, g.answerSeconds)
+	for _, cause := range gateway.UnansweredCauses() {
+		g.unanswered.WithLabelValues(string(cause))
+	}
+	g.registry.MustRegister(g.admittedLate, g.unanswered, g.calls, g.departures, g.closed, g.confirmations, g.usageReports, g.usageWindows, g.answerSeconds)
 	for name, value := range gauges {
 		g.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: "See docs/OPERATIONS.md."}, value))
 	}
@@ -76,6 +84,11 @@
 // Refused counts a refused request.
 func (g *Gateway) Refused(reason fleet.Reason) { g.refused.WithLabelValues(string(reason)).Inc() }
 
+// Unanswered counts a request that ended without a whole answer.
+func (g *Gateway) Unanswered(cause gateway.UnansweredCause) {
+	g.unanswered.WithLabelValues(string(cause)).Inc()
+}
+
 // AdmittedLate counts a request that is sent behind all others.
 func (g *Gateway) AdmittedLate() { g.admittedLate.Inc() }
 
