Reserve all retries of a move before a stream is stopped

Cause: a stream that is silent for 1.5 s is moved: its engine is asked to stop, which cannot be taken back. One retry was reserved for that. Where prompts are read apart, the way on takes two, for the second read and for the answer; the budget, which all requests of an instance share, refused the second one, and the stream was cut after its prompt had been read once more. The same happened to a stream that its engine had broken off, where the read was wasted.

The class: a step that cannot be taken back, taken before what the rest of the way needs is secured. The watch now reserves the retries for the whole way, and a stream stays where it is when the budget lacks one. Prefill at another engine is begun only if the answer is paid for too; otherwise the request goes to an engine that does both, which costs one retry. What is left over is returned.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -165,11 +165,11 @@
 	// sends counts the servers to which the request was sent to be run.
 	sends int
 	// calls counts the calls that reached a server, except the first accepted
-	// prefill, which sets prefilled. retrySpent reports whether a retry has
-	// been spent from the budget and not sent yet.
-	calls      int
-	prefilled  bool
-	retrySpent bool
+	// prefill, which sets prefilled. reservedRetries is the number of retries that
+	// were spent from the budget and not sent yet.
+	calls           int
+	prefilled       bool
+	reservedRetries int
 	// kvSource is the KV cache of the prompt that no engine has fetched yet,
 	// and prefillServer the engine that holds it.
 	kvSource      *call.KVSource
@@ -253,7 +253,7 @@
 	p.forward = g.Wire.ForwardedHeaders(r.Header, table.Members() != nil)
 	p.lastEvent = p.req.LastEventID
 	g.State.countRequest(p.group)
-	defer p.refundRetry()
+	defer p.refundRetries()
 	p.serve()
 }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -29,7 +29,7 @@
 		return
 	}
 	for {
-		if p.kvSource == nil && split {
+		if p.kvSource == nil && split && p.reserveRetries(p.retriesForSplit()) {
 			p.prefill(prefill)
 		}
 		if p.callerGone() || p.mayNotBeSent() {
@@ -248,8 +248,9 @@
 	return "decode"
 }
 
-// couldServe reports whether another server is expected to take the request soon.
-func (p *proxyRequest) couldServe(skip []fleet.UpstreamID) bool { return p.g.State.couldServe(p, skip) }
+// couldServe returns the number of calls with which other servers are expected to take
+// the request soon; 0 if they are not.
+func (p *proxyRequest) couldServe(skip []fleet.UpstreamID) int { return p.g.State.couldServe(p, skip) }
 
 // forwardStream forwards the events of an answer to the caller as they arrive,
 // and returns the outcome of the attempt. It calls prefillDone at the first
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/retry"
 )
 
@@ -13,33 +14,48 @@
 // spendRetry spends the next call from the retry budget and reports whether the
 // call may be sent. The first call of a request is free. A retry that was spent
 // stays available until a call reaches a server.
-func (p *proxyRequest) spendRetry() bool {
-	if p.retrySpent || p.calls == 0 {
-		return true
-	}
-	if !p.g.State.spendRetry(p.group) {
-		p.logFields = append(p.logFields, zap.Bool("budget_used_up", true))
-		p.denial = retry.DenyBudget
-		return false
+func (p *proxyRequest) spendRetry() bool { return p.calls == 0 || p.reserveRetries(1) }
+
+// reserveRetries makes sure that n retries are spent and not sent yet. What it has
+// spent stays reserved for the request when it returns false.
+func (p *proxyRequest) reserveRetries(n int) bool {
+	for p.reservedRetries < n {
+		if !p.g.State.spendRetry(p.group) {
+			p.logFields = append(p.logFields, zap.Bool("budget_used_up", true))
+			p.denial = retry.DenyBudget
+			return false
+		}
+		p.reservedRetries++
 	}
-	p.retrySpent = true
 	return true
 }
 
 // countCall counts a call that reached a server.
 func (p *proxyRequest) countCall() {
 	p.calls++
-	p.retrySpent = false
+	p.reservedRetries = max(p.reservedRetries-1, 0)
 }
 
-// refundRetry returns a retry that was spent and not sent.
-func (p *proxyRequest) refundRetry() {
-	if p.retrySpent {
+// refundRetries returns the retries that were spent and not sent.
+func (p *proxyRequest) refundRetries() {
+	for ; p.reservedRetries > 0; p.reservedRetries-- {
 		p.g.State.refundRetry(p.group)
-		p.retrySpent = false
 	}
 }
 
+// retriesForSplit returns the number of retries that prefill and decode at two
+// engines cost now.
+func (p *proxyRequest) retriesForSplit() int {
+	retries := 0
+	if p.calls > 0 {
+		retries++
+	}
+	if p.prefilled {
+		retries++
+	}
+	return retries
+}
+
 // mayRetry reports whether the request may be sent to another server, and
 // spends a retry for it.
 func (p *proxyRequest) mayRetry(reason retry.Reason) bool {
@@ -59,3 +75,31 @@
 	}
 	return false
 }
+
+func (s *State) spendRetry(group fleet.GroupName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Spend(group, s.now())
+}
+
+// spendRetries spends n retries or none.
+func (s *State) spendRetries(group fleet.GroupName, n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for spent := range n {
+		if s.budget.Spend(group, s.now()) {
+			continue
+		}
+		for range spent {
+			s.budget.Refund(group, s.now())
+		}
+		return false
+	}
+	return true
+}
+
+func (s *State) refundRetry(group fleet.GroupName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Refund(group, s.now())
+}
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -52,8 +52,9 @@
 type stallWatch struct {
 	p      *proxyRequest
 	choice placement.Choice
-	// movable returns whether another server is certain to take the request.
-	movable func() bool
+	// movable returns the number of calls with which other servers are certain to
+	// take the request; 0 if they are not.
+	movable func() int
 	cancel  context.CancelFunc
 
 	mu    sync.Mutex
@@ -61,8 +62,9 @@
 	// answer is the answer once events are read.
 	answer *connpool.Answer
 	// moved reports whether the attempt was given up, or its server was asked to
-	// stop it. A retry is spent then.
-	moved, ended bool
+	// stop it. The retries for the whole way at other servers are reserved then.
+	moved, ended    bool
+	reservedRetries int
 	// lastEvent and lastByte are the Unix nanoseconds of the last event and of the
 	// last bytes.
 	lastEvent, lastByte atomic.Int64
@@ -70,13 +72,13 @@
 
 // watchStall starts a watch of an attempt that gives it up after limit, if it may
 // be given up at all. The caller must call end.
-func (p *proxyRequest) watchStall(c placement.Choice, limit time.Duration, mayMove bool, cancel context.CancelFunc, movable func(skip []fleet.UpstreamID) bool) *stallWatch {
+func (p *proxyRequest) watchStall(c placement.Choice, limit time.Duration, mayMove bool, cancel context.CancelFunc, movable func(skip []fleet.UpstreamID) int) *stallWatch {
 	w := &stallWatch{p: p, choice: c, cancel: cancel}
 	if !mayMove {
 		return w
 	}
 	skip := append(append([]fleet.UpstreamID(nil), p.tried...), c.Server.ID)
-	w.movable = func() bool { return movable(skip) }
+	w.movable = func() int { return movable(skip) }
 	w.timer = time.AfterFunc(limit, w.stalled)
 	return w
 }
@@ -100,13 +102,17 @@
 	}
 }
 
-// reserve spends a retry for the move of the attempt and reports whether it is
-// certain that it can be moved. The caller holds mu.
+// reserve spends the retries for the move of the attempt, which cannot be taken
+// back, and reports whether it is certain that it can be moved. The caller holds mu.
 func (w *stallWatch) reserve() bool {
-	if w.p.remaining() < minMove || !w.movable() || !w.p.g.State.spendRetry(w.p.group) {
+	if w.p.remaining() < minMove {
 		return false
 	}
-	w.moved = true
+	calls := w.movable()
+	if calls == 0 || !w.p.g.State.spendRetries(w.p.group, calls) {
+		return false
+	}
+	w.moved, w.reservedRetries = true, calls
 	return true
 }
 
@@ -178,16 +184,16 @@
 	if !w.moved {
 		return err
 	}
-	w.p.retrySpent = true
+	w.p.reservedRetries += w.reservedRetries
 	if err != nil && !w.p.callerGone() {
 		return errors.Wrap(errStalled, err.Error())
 	}
 	return err
 }
 
-// couldServe reports whether a server other than those in skip is expected to
-// take a request soon.
-func (s *State) couldServe(p *proxyRequest, skip []fleet.UpstreamID) bool {
+// couldServe returns the number of calls with which servers other than those in
+// skip are expected to take a request soon; 0 if they are not.
+func (s *State) couldServe(p *proxyRequest, skip []fleet.UpstreamID) (calls int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -196,12 +202,18 @@
 	}
 	if p.service == nil || p.service.Engine == nil || p.req.PromptTokens == 0 {
 		s.large = false
-		return certain(s.fleet.ChoosePlain(p.group, p.req.ID, now, skip))
+		if certain(s.fleet.ChoosePlain(p.group, p.req.ID, now, skip)) {
+			return 1
+		}
+		return 0
 	}
 	s.large = s.limiter.IsLarge(p.group, p.req.PromptTokens)
-	if certain(s.fleet.ChooseDirect(p.group, &p.req, now, skip)) {
-		return true
-	}
 	prefill, _, split := s.fleet.ChooseEngines(p.group, &p.req, now, skip)
-	return split && certain(prefill, true)
+	if !certain(s.fleet.ChooseDirect(p.group, &p.req, now, skip)) && !(split && certain(prefill, true)) {
+		return 0
+	}
+	if split {
+		return 2
+	}
+	return 1
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -208,18 +208,6 @@
 	s.budget.CountRequest(group, s.now())
 }
 
-func (s *State) spendRetry(group fleet.GroupName) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.budget.Spend(group, s.now())
-}
-
-func (s *State) refundRetry(group fleet.GroupName) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.budget.Refund(group, s.now())
-}
-
 func (s *State) choosePlain(group fleet.GroupName, id fleet.RequestID, skip []fleet.UpstreamID) (placement.Choice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
