--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -290,6 +290,9 @@
 	return errors.Wrap(a.conn.Conn.(*net.TCPConn).CloseWrite(), "end sending")
 }
 
+// SendingEnded reports whether EndSending has been called.
+func (a *Answer) SendingEnded() bool { return a.sendingEnded.Load() }
+
 // Close returns the connection to the pool when the body was read to its end.
 // Otherwise it closes the connection, which makes most servers cancel the
 // request.
