Never end a stream in order when its caller has seemed to leave

Cause: the end of reading cancels the request, and the handler returned without a panic once the head was written, so that net/http wrote the last chunk. Before the head this was known and prevented. Now a request's connection is ended unless the whole answer was written.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -276,9 +276,9 @@
 }
 
 // finish gives back the memory of buffered answers. It ends the connection of a
-// caller that got no answer, because it seemed to have left; net/http would send
-// an empty success otherwise, and a caller that has only closed its sending side
-// would take it for the answer.
+// caller that got no whole answer, because it seemed to have left; net/http would
+// end the answer in order otherwise, and a caller that has only closed its sending
+// side would take it for a complete one.
 func (p *proxyRequest) finish() {
 	for _, b := range p.bodies {
 		b.release()
@@ -292,9 +292,7 @@
 		panic(http.ErrAbortHandler)
 	case !p.complete:
 		p.unanswered(zapcore.InfoLevel, CauseCallerLeft)
-		if !p.headWritten {
-			p.abort()
-		}
+		p.abort()
 	}
 }
 
