Order what the store says by its era

Cause: the store's revisions were taken to rise for ever. After its return they are given out again. A hub reads all entries, at a lower revision than before; its instances ask it for changes after the higher one and get none, until the revisions have passed it. The same assumption made a conditional write succeed over an entry that was never read, a watch go on in another history, and a lease be renewed that had been granted to another instance under the same number.

The class: a counter of one life of a service used across its lives. The client now puts the era, which each answer names, into the upper bits of each revision and into each lease's id. Within the product revisions rise again without exception, and none of an earlier era equals one of the present. A watch, a conditional write and a lease of an earlier era are refused, by what is known before the call and by its answer after it; an answer of an earlier era than one before counts as lost. After a failed call the next watch does not wait, since only its answer shows the era. A hub that has not read the store since its return says so to an instance that has.

The era, the first reading after a return and the number of returns are logged and in the metrics.

--- a/directory/departure.go
+++ b/directory/departure.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/listing"
+	"github.com/bramleywick/bramleywick/store"
 )
 
 // ServerLeaves records that a server has said in an answer that its process
@@ -48,7 +49,7 @@
 		listed, _ := d.list.Get(n.Process.Server)
 		d.Log.Info("server leaves", zap.String("server", string(n.Process.Server)), zap.Int64("born", n.Process.StartTime),
 			zap.Stringer("source", n.Source), zap.Duration("known_for", n.Age), zap.Bool("listed", listed.Process() == n.Process),
-			zap.Int64("revision", listed.Revision))
+			zap.Int64("revision", store.NumberOf(listed.Revision)))
 		if d.OnDeparture != nil {
 			d.OnDeparture(n.Process, n.Source)
 		}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -109,6 +109,9 @@
 	// AskPeer asks another instance for its configuration, if that is newer than
 	// the revision, and for its age; it may be nil.
 	AskPeer func(ctx context.Context, known int64) (PeerConfiguration, error)
+	// OnRestore is called when the store has come back from an older copy; it may be
+	// nil.
+	OnRestore func()
 	// OnConfirmation is called with the result of each attempt to confirm the
 	// configuration by the hub, the store or another instance; it may be nil.
 	OnConfirmation func(source string, confirmed bool)
@@ -133,6 +136,7 @@
 	// succeeded.
 	connected bool
 	synced    atomic.Bool
+	restores  restores
 
 	// freshMu guards the following fields. It is locked after mu.
 	freshMu sync.Mutex
@@ -204,7 +208,7 @@
 			unanswered++
 		}
 		if errors.Is(err, store.ErrCompacted) {
-			d.Log.Info("the store's history cannot be used; reading its entries", zap.Int64("revision", revision), logline.Error(err))
+			d.Log.Info("the store's history cannot be used; reading its entries", zap.Int64("revision", store.NumberOf(revision)), logline.Error(err))
 			revision = 0
 			continue
 		}
@@ -257,6 +261,7 @@
 	now := d.now()
 	var servers []listing.Entry
 	instances, ownKeys, existing := map[string]Instance{}, map[string]bool{}, map[string]bool{}
+	d.enterEra(at)
 	for _, e := range entries {
 		existing[e.Key] = true
 		if strings.HasPrefix(e.Key, OwnPrefix) {
@@ -306,13 +311,13 @@
 			if c.Deleted {
 				id := fleet.UpstreamID(strings.TrimPrefix(c.Key, d.Decoder.ServersPrefix()))
 				d.list.Remove(id, c.Revision, since)
-				d.Log.Info("server entry removed", zap.String("server", string(id)), zap.Int64("revision", c.Revision),
+				d.Log.Info("server entry removed", zap.String("server", string(id)), zap.Int64("revision", store.NumberOf(c.Revision)),
 					zap.Duration("at_most_ago", d.now()-since))
 			} else if s, ok := d.server(c.Entry); ok {
 				fresh := d.list.Put(s, d.now())
 				d.Log.Info("server entry", zap.String("server", string(s.ID)), zap.String("service", string(s.Group)),
 					zap.Stringer("stage", s.Stage), zap.Bool("leaving", s.Leaving), zap.Int64("born", s.StartTime),
-					zap.Int64("revision", c.Revision), zap.Bool("newer", fresh))
+					zap.Int64("revision", store.NumberOf(c.Revision)), zap.Bool("newer", fresh))
 				d.reportDepartures()
 			}
 		case strings.HasPrefix(c.Key, InstancesPrefix):
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -73,6 +73,10 @@
 	if d.history.followed() {
 		wait = hubWatchWait
 	}
+	if !d.isConnected() {
+		// A store that has come back from a copy shows it in its answer only.
+		wait = confirmWait
+	}
 	sent := time.Now()
 	asked = d.Clock()
 	batch, err = d.Store.WatchPrefix(ctx, "", revision, wait)
--- a/directory/history.go
+++ b/directory/history.go
@@ -155,6 +155,7 @@
 		changed := h.changed
 		age := time.Since(h.contactAt)
 		compacted := revision < h.from
+		behind := store.EraOf(revision) > store.EraOf(h.to)
 		out := store.Batch{Revision: max(h.to, revision), Age: age}
 		for _, c := range h.changes {
 			if c.Revision > revision {
@@ -167,6 +168,8 @@
 			return store.Batch{}, errors.Wrapf(store.ErrUnavailable, "no contact with the store for %v", age)
 		case compacted:
 			return store.Batch{}, store.ErrCompacted
+		case behind:
+			return store.Batch{}, errors.Wrap(store.ErrUnavailable, "not read since the store has come back from a copy")
 		case len(out.Changes) > 0 || ended:
 			return out, nil
 		}
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -26,6 +26,7 @@
 	admittedLate  prometheus.Counter
 	calls         *prometheus.CounterVec
 	departures    *prometheus.CounterVec
+	restores      prometheus.Counter
 	confirmations *prometheus.CounterVec
 	usageReports  *prometheus.CounterVec
 	usageWindows  *prometheus.CounterVec
@@ -54,6 +55,9 @@
 		departures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleywick_servers_leaving_total", Help: "Processes of servers found to leave, by source.",
 		}, []string{"source"}),
+		restores: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bramleywick_store_restores_total", Help: "Returns of the platform's store from an older copy that this instance has seen.",
+		}),
 		confirmations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleywick_configuration_confirmations_total", Help: "Attempts to confirm the configuration's age, by source and result.",
 		}, []string{"source", "result"}),
@@ -74,7 +78,7 @@
 	for _, cause := range gateway.UnansweredCauses() {
 		g.unanswered.WithLabelValues(string(cause))
 	}
-	g.registry.MustRegister(g.admittedLate, g.unanswered, g.calls, g.departures, g.closed, g.confirmations, g.usageReports, g.usageWindows, g.answerSeconds)
+	g.registry.MustRegister(g.admittedLate, g.unanswered, g.calls, g.departures, g.restores, g.closed, g.confirmations, g.usageReports, g.usageWindows, g.answerSeconds)
 	for name, value := range gauges {
 		g.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: "See docs/OPERATIONS.md."}, value))
 	}
@@ -118,6 +122,9 @@
 // ServerLeaves counts a server's process that was found to leave, by source.
 func (g *Gateway) ServerLeaves(source string) { g.departures.WithLabelValues(source).Inc() }
 
+// StoreRestored counts a return of the store from an older copy.
+func (g *Gateway) StoreRestored() { g.restores.Inc() }
+
 // Confirmation counts an attempt to confirm the age of the configuration.
 func (g *Gateway) Confirmation(source string, confirmed bool) {
 	result := "confirmed"
--- a/node/node.go
+++ b/node/node.go
@@ -159,6 +159,7 @@
 			}
 			return 0
 		},
+		"bramleywick_store_era": func() float64 { return float64(n.directory.Era()) },
 		"bramleywick_history_changes": func() float64 {
 			changes, _ := n.directory.HistorySize()
 			return float64(changes)
@@ -205,7 +206,7 @@
 		Freshness: freshness.Config{
 			Strict: s.StrictRevocation, Bound: s.RevocationBound, Margin: freshness.DefaultMargin, Deadline: s.ConfigDeadline,
 		},
-		OnConfirmation: n.metrics.Confirmation,
+		OnConfirmation: n.metrics.Confirmation, OnRestore: n.metrics.StoreRestored,
 	})
 	n.exchange = loadshare.New(s.Instance, n.state, n.directory, log)
 	n.directory.HubChanges, n.directory.AskPeer = n.exchange.HubClient().After, n.exchange.AskConfiguration
--- a/store/store.go
+++ b/store/store.go
@@ -81,6 +81,8 @@
 type Lease struct {
 	ID  string        `json:"id"`
 	TTL time.Duration `json:"ttl_ns"`
+	// Era is the store's era in which it was granted.
+	Era int64 `json:"-"`
 }
 
 // InstanceInfo is one row of the platform's list of instances, which may be
