Keep what is known of servers and instances when the store returns from a copy

Cause: a complete reading of the store was taken for newer than all that was known. A copy is older. The list now keeps entries that the store has lost for the 2 s in which servers write them again, and remembers the removed entries: one of them that a restored store has is ignored until its server writes it anew, which its heartbeat shows. Instances that are missing stay listed until they must have noticed the loss of their lease.

--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -62,6 +62,8 @@
 	// unused reports whether the server went out of use because its entry was
 	// removed. It stays so until the entry is written again.
 	unused bool
+	// lostUntil is set when the store has lost the entry; it counts as removed then.
+	lostUntil fleet.Instant
 	// former holds the start times of the processes that this one has replaced.
 	former []int64
 	// returning is the last entry of a former process since the last one of this
@@ -75,11 +77,23 @@
 	records    map[fleet.UpstreamID]*record
 	departures map[fleet.Process]departure
 	learned    []NewDeparture
+	// removed holds the processes whose entry was removed. A store that comes back
+	// from an older copy has that entry again.
+	removed map[fleet.Process]removal
+}
+
+// removal is what is remembered of a removed entry.
+type removal struct {
+	// heartbeat is the last one of the entry.
+	heartbeat int64
+	// returned is the revision at which the entry was found in a store that has come
+	// back from an older copy; 0 if it was not.
+	returned int64
 }
 
 // New returns an empty list.
 func New(config Config) *List {
-	return &List{config: config, records: map[fleet.UpstreamID]*record{}, departures: map[fleet.Process]departure{}}
+	return &List{config: config, records: map[fleet.UpstreamID]*record{}, departures: map[fleet.Process]departure{}, removed: map[fleet.Process]removal{}}
 }
 
 // Put stores an entry at now unless it is older than the known one, and reports
@@ -88,6 +102,8 @@
 	known := l.records[e.ID]
 	next := &record{Entry: e}
 	switch {
+	case e.Revision > 0 && e.Revision == l.removed[e.Process()].returned:
+		return false
 	case known == nil:
 	case e.Revision < known.Revision:
 		return false
@@ -141,8 +157,16 @@
 		return
 	}
 	r.removed, r.removedAt, r.Revision = true, since, revision
+	if len(l.removed) >= maxRemoved {
+		clear(l.removed)
+	}
+	l.removed[r.Process()] = removal{heartbeat: r.Heartbeat}
 }
 
+// maxRemoved bounds the processes whose removal is remembered. More than are removed
+// in some minutes; a store's copy is some seconds old.
+const maxRemoved = 2048
+
 // Replace applies a complete listing of the store at a revision: it puts the
 // entries and removes all others, which may have been removed at since or later.
 func (l *List) Replace(entries []Entry, revision int64, since, now fleet.Instant) {
@@ -158,6 +182,36 @@
 	}
 }
 
+// rewriteTime is the time in which servers write their entries again that the store
+// has lost.
+const rewriteTime = 2 * time.Second
+
+// ReplaceRestored is Replace for a store that has come back from an older copy of
+// itself. Entries that it has lost stay in use for rewriteTime, and those that were
+// removed do not come into use again before their servers write them.
+func (l *List) ReplaceRestored(entries []Entry, revision int64, now fleet.Instant) {
+	seen := map[fleet.UpstreamID]bool{}
+	for _, e := range entries {
+		seen[e.ID] = true
+		if r, ok := l.removed[e.Process()]; ok && e.Heartbeat <= r.heartbeat && !l.listed(e.Process()) {
+			r.returned = e.Revision
+			l.removed[e.Process()] = r
+		}
+		l.Put(e, now)
+	}
+	for id, r := range l.records {
+		if !seen[id] && !r.removed {
+			r.lostUntil, r.Revision = now+rewriteTime, revision
+		}
+	}
+}
+
+// listed reports whether a process has an entry that was not removed.
+func (l *List) listed(p fleet.Process) bool {
+	e, ok := l.Get(p.Server)
+	return ok && e.Process() == p
+}
+
 // Get returns a server's entry, or false when there is none.
 func (l *List) Get(id fleet.UpstreamID) (Entry, bool) {
 	if r := l.records[id]; r != nil && !r.removed {
@@ -173,6 +227,11 @@
 func (l *List) Servers(now fleet.Instant) []placement.Server {
 	total, lost := map[fleet.GroupName]int{}, map[fleet.GroupName]int{}
 	for id, r := range l.records {
+		if r.lostUntil > 0 && now >= r.lostUntil {
+			lostAt := r.lostUntil
+			r.lostUntil = 0
+			l.Remove(id, r.Revision, lostAt)
+		}
 		if r.removed && now-r.removedAt > l.config.SuspectTime {
 			delete(l.records, id)
 			continue
@@ -195,10 +254,10 @@
 	return out
 }
 
-// HasRemoved reports whether the entry of any server in the list is removed.
+// HasRemoved reports whether the entry of any server in the list is removed or lost.
 func (l *List) HasRemoved() bool {
 	for _, r := range l.records {
-		if r.removed {
+		if r.removed || r.lostUntil > 0 {
 			return true
 		}
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -163,6 +163,7 @@
 	return &Directory{
 		Options: o, tracker: freshness.New(o.Freshness), list: listing.New(listing.Config{SuspectTime: o.SuspectTime}),
 		instances: map[string]Instance{}, ownKeys: map[string]bool{}, unreadable: map[string]bool{}, start: start, completeAt: start, history: newHistory(),
+		restores: restores{unconfirmed: map[string]fleet.Instant{}},
 	}
 }
 
@@ -261,7 +262,7 @@
 	now := d.now()
 	var servers []listing.Entry
 	instances, ownKeys, existing := map[string]Instance{}, map[string]bool{}, map[string]bool{}
-	d.enterEra(at)
+	restored := d.enterEra(at)
 	for _, e := range entries {
 		existing[e.Key] = true
 		if strings.HasPrefix(e.Key, OwnPrefix) {
@@ -280,7 +281,12 @@
 			}
 		}
 	}
-	d.list.Replace(servers, at, since, now)
+	if restored {
+		d.list.ReplaceRestored(servers, at, now)
+		d.keepInstances(instances, now)
+	} else {
+		d.list.Replace(servers, at, since, now)
+	}
 	d.reportDepartures()
 	d.instances, d.ownKeys = instances, ownKeys
 	maps.DeleteFunc(d.unreadable, func(key string, _ bool) bool { return !existing[key] })
@@ -322,6 +328,7 @@
 			}
 		case strings.HasPrefix(c.Key, InstancesPrefix):
 			instances = true
+			delete(d.restores.unconfirmed, c.Key)
 			if c.Deleted {
 				delete(d.instances, c.Key)
 			} else if i, ok := d.instance(c.Entry); ok {
@@ -379,6 +386,9 @@
 			if d.list.HasRemoved() {
 				d.notifyServers()
 			}
+			if d.dropUnconfirmed(d.now()) {
+				d.notifyInstances()
+			}
 			d.mu.Unlock()
 		}
 	}
--- a/directory/restore.go
+++ b/directory/restore.go
@@ -9,6 +9,15 @@
 	"github.com/bramleywick/bramleywick/store"
 )
 
+// A store that comes back from an older copy lacks what was written since. The
+// operator and the servers write it again; until they have, what this instance knows
+// is newer than the store.
+
+// relistTime is the time after the store's return in which an instance that it has lost
+// is listed again: the longest time between two renewals of its registration, with which
+// it notices the loss, and one more write.
+const relistTime = renewInterval*5/4 + 500*time.Millisecond
+
 // restores is what a Directory knows of the store's returns from copies. The
 // Directory's mu guards it.
 type restores struct {
@@ -16,6 +25,9 @@
 	era, revision int64
 	// at is when the present era was first seen; 0 if it is the first one seen.
 	at fleet.Instant
+	// unconfirmed holds the keys of instances that the store has lost, and when they
+	// are dropped.
+	unconfirmed map[string]fleet.Instant
 }
 
 // Era returns the store's era, as of the last complete reading; 0 before that.
@@ -33,16 +45,17 @@
 	return d.restores.at > 0 && d.now()-d.restores.at < t
 }
 
-// enterEra records the era of a complete reading of the store. The caller holds mu.
-func (d *Directory) enterEra(revision int64) {
+// enterEra records the era of a complete reading of the store and reports whether the
+// store has come back from a copy since the one before. The caller holds mu.
+func (d *Directory) enterEra(revision int64) (restored bool) {
 	era, before := store.EraOf(revision), d.restores.era
 	if era == before && d.restores.revision > 0 {
-		return
+		return false
 	}
-	restored := d.restores.revision > 0
+	restored = d.restores.revision > 0
 	d.restores.era, d.restores.revision = era, revision
 	if !restored {
-		return
+		return false
 	}
 	d.restores.at = d.now()
 	d.Log.Warn("the store has come back from an older copy", zap.Int64("era", era), zap.Int64("before", before),
@@ -50,4 +63,29 @@
 	if d.OnRestore != nil {
 		d.OnRestore()
 	}
+	return true
+}
+
+// keepInstances adds the instances that the store has lost. The caller holds mu.
+func (d *Directory) keepInstances(instances map[string]Instance, now fleet.Instant) {
+	for key, i := range d.instances {
+		if _, ok := instances[key]; !ok {
+			instances[key] = i
+			d.restores.unconfirmed[key] = now + relistTime
+		}
+	}
+}
+
+// dropUnconfirmed drops the instances that have not been listed again in time, and
+// reports whether there were any. The caller holds mu.
+func (d *Directory) dropUnconfirmed(now fleet.Instant) bool {
+	dropped := false
+	for key, until := range d.restores.unconfirmed {
+		if now >= until {
+			delete(d.restores.unconfirmed, key)
+			delete(d.instances, key)
+			dropped = true
+		}
+	}
+	return dropped
 }
