Do not take a store with an older configuration for a confirmation

Where keys can be withdrawn, an instance asks again and again whether its configuration is the newest.

Cause: any complete answer of the store counted as a statement on all that the operator had written. It is none while the store lacks the configuration in force, nor in the 2 s after its return in which the operator writes again, nor before this instance has read all entries since. The configuration in force stays, and an older one is not passed on to other instances.

--- a/directory/confirm.go
+++ b/directory/confirm.go
@@ -96,22 +96,28 @@
 }
 
 // seeConfiguration records a configuration that was applied or could not be read.
-func (d *Directory) seeConfiguration(e store.Entry, readable bool) {
+// One that is older than the one in force is not passed on to other instances.
+func (d *Directory) seeConfiguration(e store.Entry, readable, older bool) {
 	d.freshMu.Lock()
 	defer d.freshMu.Unlock()
-	if e.Revision > d.tracker.Revision() {
+	if e.Revision > d.tracker.Revision() && !older {
 		d.newestConfiguration = e.Value
 	}
 	d.tracker.Seen(e.Revision, readable)
 }
 
 // confirm records that all changes of the configuration up to a time, and up to a
-// revision of the store, were seen. asked is 0 where only the revision is known.
+// revision of the store, were seen. asked is 0 where only the revision is known. A store
+// that has come back from a copy shows the newest configuration only after its entries
+// were read and the operator has had the time to write it again.
 func (d *Directory) confirm(asked fleet.Instant, revision int64) bool {
+	d.mu.Lock()
+	complete := d.restores.era == store.EraOf(revision) && d.rewritten() && !d.restores.behind
+	d.mu.Unlock()
 	d.freshMu.Lock()
 	defer d.freshMu.Unlock()
 	d.configurationUpTo = max(d.configurationUpTo, revision)
-	return asked > 0 && d.tracker.Confirm(asked)
+	return asked > 0 && complete && d.tracker.Confirm(asked)
 }
 
 // keepConfirmed confirms the configuration again and again until the context ends,
@@ -202,7 +208,7 @@
 		return errors.Wrap(err, "ask the store for a newer configuration")
 	}
 	d.mu.Lock()
-	d.applyConfigurations(batch.Changes)
+	d.applyConfigurations(batch.Changes, true)
 	d.mu.Unlock()
 	if !d.confirm(asked, batch.Revision) {
 		return errors.New("the newest configuration cannot be read")
@@ -222,7 +228,7 @@
 	}
 	if c.Value != nil {
 		d.mu.Lock()
-		d.applyConfigurations([]store.Change{{Entry: store.Entry{Key: d.Decoder.ConfigurationKey(), Value: c.Value, Revision: c.Report.Revision}}})
+		d.applyConfigurations([]store.Change{{Entry: store.Entry{Key: d.Decoder.ConfigurationKey(), Value: c.Value, Revision: c.Report.Revision}}}, false)
 		d.mu.Unlock()
 	}
 	d.freshMu.Lock()
@@ -234,17 +240,24 @@
 }
 
 // applyConfigurations applies the last configuration among changes that can be read.
-// A deleted configuration stays in force. The caller holds mu.
-func (d *Directory) applyConfigurations(changes []store.Change) {
+// A deleted configuration stays in force. ofStore reports whether they show what the
+// store has. The caller holds mu.
+func (d *Directory) applyConfigurations(changes []store.Change, ofStore bool) {
 	newest := true
 	for i := len(changes) - 1; i >= 0; i-- {
 		c := changes[i]
 		if c.Key != d.Decoder.ConfigurationKey() {
 			continue
 		}
-		readable := c.Deleted || d.configure(c.Value)
+		readable, older := true, d.table.Load() != nil
+		if !c.Deleted {
+			readable, older = d.configure(c.Value)
+		}
 		if newest {
-			defer d.seeConfiguration(c.Entry, readable)
+			if ofStore {
+				d.setBehind(older)
+			}
+			defer d.seeConfiguration(c.Entry, readable, older)
 			newest = false
 		}
 		if readable && !c.Deleted {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -263,6 +263,7 @@
 	var servers []listing.Entry
 	instances, ownKeys, existing := map[string]Instance{}, map[string]bool{}, map[string]bool{}
 	restored := d.enterEra(at)
+	hasConfiguration := false
 	for _, e := range entries {
 		existing[e.Key] = true
 		if strings.HasPrefix(e.Key, OwnPrefix) {
@@ -270,7 +271,8 @@
 		}
 		switch {
 		case e.Key == d.Decoder.ConfigurationKey():
-			d.applyConfigurations([]store.Change{{Entry: e}})
+			hasConfiguration = true
+			d.applyConfigurations([]store.Change{{Entry: e}}, true)
 		case strings.HasPrefix(e.Key, d.Decoder.ServersPrefix()):
 			if s, ok := d.server(e); ok {
 				servers = append(servers, s)
@@ -281,6 +283,9 @@
 			}
 		}
 	}
+	if !hasConfiguration {
+		d.setBehind(d.table.Load() != nil)
+	}
 	if restored {
 		d.list.ReplaceRestored(servers, at, now)
 		d.keepInstances(instances, now)
@@ -302,7 +307,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	servers, instances := false, false
-	d.applyConfigurations(changes)
+	d.applyConfigurations(changes, true)
 	for _, c := range changes {
 		switch {
 		case c.Deleted:
@@ -345,21 +350,22 @@
 }
 
 // configure applies a configuration unless its version is at most the one in
-// force. It returns false if it cannot be read.
-func (d *Directory) configure(raw []byte) bool {
+// force. It returns false if it cannot be read; older reports whether its version is
+// below the one in force.
+func (d *Directory) configure(raw []byte) (readable, older bool) {
 	c, err := d.Decoder.ParseConfiguration(raw)
 	if err != nil {
 		d.Log.Error("the configuration cannot be read; the one in force stays", logline.Error(err))
-		return false
+		return false, false
 	}
 	if now := d.table.Load(); now != nil && c.Version <= now.Version {
-		return true
+		return true, c.Version < now.Version
 	}
 	table := routes.Compile(c)
 	d.table.Store(table)
 	d.Log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)))
 	d.Observer.ConfigurationChanged(table)
-	return true
+	return true, false
 }
 
 func (d *Directory) notifyServers() { d.Observer.ServersChanged(d.list.Servers(d.now())) }
--- a/directory/restore.go
+++ b/directory/restore.go
@@ -13,10 +13,14 @@
 // operator and the servers write it again; until they have, what this instance knows
 // is newer than the store.
 
-// relistTime is the time after the store's return in which an instance that it has lost
-// is listed again: the longest time between two renewals of its registration, with which
-// it notices the loss, and one more write.
-const relistTime = renewInterval*5/4 + 500*time.Millisecond
+const (
+	// rewriteTime is the time after the store's return in which the operator and the
+	// servers write again what it has lost.
+	rewriteTime = 2 * time.Second
+	// relistTime is the same for instances: the longest time between two renewals of
+	// their registration, with which they notice the loss, and one more write.
+	relistTime = renewInterval*5/4 + 500*time.Millisecond
+)
 
 // restores is what a Directory knows of the store's returns from copies. The
 // Directory's mu guards it.
@@ -25,6 +29,9 @@
 	era, revision int64
 	// at is when the present era was first seen; 0 if it is the first one seen.
 	at fleet.Instant
+	// behind reports whether the store lacks the configuration in force, or has an
+	// older one.
+	behind bool
 	// unconfirmed holds the keys of instances that the store has lost, and when they
 	// are dropped.
 	unconfirmed map[string]fleet.Instant
@@ -66,6 +73,21 @@
 	return true
 }
 
+// setBehind records whether the store lacks the configuration in force, so that it
+// does not show the operator's newest one. The caller holds mu.
+func (d *Directory) setBehind(behind bool) {
+	if behind && !d.restores.behind {
+		d.Log.Warn("the store lacks the configuration in force, which stays", zap.Int64("version", d.table.Load().Version))
+	}
+	d.restores.behind = behind
+}
+
+// rewritten reports whether the operator has had the time to write again what the
+// store has lost. The caller holds mu.
+func (d *Directory) rewritten() bool {
+	return d.restores.at == 0 || d.now()-d.restores.at >= rewriteTime
+}
+
 // keepInstances adds the instances that the store has lost. The caller holds mu.
 func (d *Directory) keepInstances(instances map[string]Instance, now fleet.Instant) {
 	for key, i := range d.instances {
