Bind leases and fencing numbers to the store's era

Cause: the number is one more than the stored one, and the copy has an older one. A holder also went on until its lease ran out by its own clock, and its renewals could meet another instance's lease with the same number.

A lease belongs to the era in which it was granted. Each command after the grant is bound to that era, and the lease counts as lost when an answer shows another one; a holder acts only while its client knows of no other era. The numbers of an era begin above all that an earlier one can have given out, so that nothing needs to be remembered. A successor waits one lease duration as before, which covers a holder that learns of the return late, since its last renewal was before it. The instance that has acted last competes first, for two lease durations. Whether a holder is the first of all is now said by the lease, not by the number 1.

TestFencesAfterRestore (the holder notices at once, after 1 s, after 10 s) fails on the code before, and passes now with the tests of lease, duty, scaling and authority.

--- a/core/lease/answer.go
+++ b/core/lease/answer.go
@@ -23,7 +23,7 @@
 		m.ready.Add(Revoke{LeaseID: ev.LeaseID})
 		return
 	}
-	m.leaseID = ev.LeaseID
+	m.leaseID, m.era = ev.LeaseID, ev.Era
 	m.validUntil = m.sentAt + m.config.TTL - m.config.Margin
 	if now >= m.validUntil {
 		m.retry(now)
@@ -70,7 +70,8 @@
 		m.becomeHolder(ev.Fence.Number)
 		return
 	}
-	m.nextFence = ev.Fence.Number + 1
+	m.first = ev.Revision == 0 && m.era <= firstEra
+	m.nextFence = max(ev.Fence.Number, lowestFence(m.era)) + 1
 	fence := Fence{Number: m.nextFence, Attempt: m.attempt}
 	m.issue(writingFence, func(h Header) Command {
 		return WriteFence{Header: h, Revision: ev.Revision, Fence: fence}
@@ -110,7 +111,7 @@
 		}
 		m.issue(readingHolder, func(h Header) Command { return ReadHolder{h} })
 	case writingFence:
-		if ev.Cause == CauseUnavailable {
+		if ev.Cause == CauseUnavailable || ev.Cause == CauseLeaseExpired {
 			m.retry(now)
 			return
 		}
--- a/core/lease/command.go
+++ b/core/lease/command.go
@@ -3,17 +3,26 @@
 import "time"
 
 // Command is a call to the platform.
-type Command interface{ CallNumber() int64 }
+type Command interface {
+	CallNumber() int64
+	BoundEra() int64
+}
 
 // Header is common to all commands.
 type Header struct {
 	// Call is the number of the command; its answer carries the same number.
 	Call int64
+	// Era is the platform's era to which the command is bound; 0 for any. In another
+	// one the lease is lost.
+	Era int64
 }
 
 // CallNumber returns the number of the command.
 func (h Header) CallNumber() int64 { return h.Call }
 
+// BoundEra returns the era to which the command is bound; 0 for any.
+func (h Header) BoundEra() int64 { return h.Era }
+
 type (
 	// Grant requests a lease.
 	Grant struct {
--- a/core/lease/event.go
+++ b/core/lease/event.go
@@ -14,7 +14,8 @@
 	// CauseConflict means that the compared revision is not current or that the
 	// key to be created exists.
 	CauseConflict
-	// CauseLeaseExpired means that the lease has expired at the platform.
+	// CauseLeaseExpired means that the lease has expired at the platform, or that the
+	// platform has come back from an older copy since it was granted.
 	CauseLeaseExpired
 )
 
@@ -28,6 +29,8 @@
 	Granted struct {
 		Call    int64
 		LeaseID string
+		// Era is the platform's era in which the lease was granted.
+		Era int64
 	}
 	// HolderRead answers ReadHolder. Holder is nil if the key is absent.
 	HolderRead struct {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -5,7 +5,8 @@
 // It uses two keys. The holder key is written under a platform lease and
 // disappears with it. The fence key is durable and keeps the highest fencing
 // number, so that the number rises with each holder even if the holder key has
-// expired in between.
+// expired in between. If the platform comes back from an older copy of itself, it has
+// an older number; numbers of a later era are above all of an earlier one.
 package lease
 
 import (
@@ -47,6 +48,17 @@
 	Attempt string `json:"attempt"`
 }
 
+const (
+	// fenceEraShift is the number of bits of a fencing number within an era.
+	fenceEraShift = 32
+	// firstEra is the era of a platform that has never come back from a copy. One
+	// without eras is in era 0.
+	firstEra = 1
+)
+
+// lowestFence returns the number that all fencing numbers of an era exceed.
+func lowestFence(era int64) int64 { return max(era-firstEra, 0) << fenceEraShift }
+
 type state uint8
 
 const (
@@ -68,6 +80,10 @@
 	Fence int64
 	// ValidUntil is the time before which actions must begin.
 	ValidUntil fleet.Instant
+	// Era is the platform's era in which the lease was granted.
+	Era int64
+	// First reports whether certainly no instance has held the lease before.
+	First bool
 }
 
 // Valid reports whether an action may begin at the given time.
@@ -88,6 +104,8 @@
 	nextCallAt fleet.Instant
 	fence      int64 // 0 without a lease
 	nextFence  int64 // number that writingFence writes
+	era        int64 // platform's era of the lease; 0 without one
+	first      bool  // certainly no instance has held the lease before
 	ready      outbox.Outbox[Command]
 }
 
@@ -105,7 +123,7 @@
 	if m.state != holding && m.state != renewing {
 		return Term{}
 	}
-	return Term{Fence: m.fence, ValidUntil: m.validUntil}
+	return Term{Fence: m.fence, ValidUntil: m.validUntil, Era: m.era, First: m.first}
 }
 
 // Step applies one event. It ignores an answer to any call but the latest.
@@ -149,7 +167,7 @@
 func (m *Machine) issue(s state, c func(Header) Command) {
 	m.call++
 	m.state = s
-	m.ready.Add(c(Header{Call: m.call}))
+	m.ready.Add(c(Header{Call: m.call, Era: m.era}))
 }
 
 // revokeLease gives up the lease, if there is one, and with it the fencing
@@ -159,7 +177,7 @@
 		m.ready.Add(Revoke{LeaseID: m.leaseID})
 	}
 	m.leaseID = ""
-	m.fence = 0
+	m.fence, m.era, m.first = 0, 0, false
 }
 
 func (m *Machine) retry(now fleet.Instant) {
--- a/duty/dutytest/store.go
+++ b/duty/dutytest/store.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
@@ -29,11 +31,54 @@
 	// removedAt is when each key that does not exist was removed.
 	removedAt map[string]fleet.Instant
 	now       func() fleet.Instant
+	era       int64
 	revision  int64
 	entries   map[string]entry
 	leases    map[string]grant
 }
 
+// Copy is what a store held at a moment.
+type Copy struct {
+	revision int64
+	entries  map[string]entry
+	leases   map[string]grant
+}
+
+// Copy returns a copy of what the store holds.
+func (s *Store) Copy() Copy {
+	s.expire()
+	return Copy{s.revision, maps.Clone(s.entries), maps.Clone(s.leases)}
+}
+
+// Restore makes the store come back from a copy. As in the client of the platform's
+// store, revisions rise with the era, and leases of an earlier one are lost to their
+// owners; their keys stay until the leases of the copy have run out.
+func (s *Store) Restore(c Copy) {
+	s.era++
+	s.revision, s.entries, s.leases = c.revision, maps.Clone(c.entries), maps.Clone(c.leases)
+	for id, l := range s.leases {
+		l.expires = s.now() + l.ttl
+		s.leases[id] = l
+	}
+	for key, e := range s.entries {
+		e.Revision = store.Revision(s.era, store.NumberOf(e.Revision))
+		s.entries[key] = e
+	}
+}
+
+// Era returns the store's era.
+func (s *Store) Era() int64 { return s.era }
+
+// leaseID returns the id of a lease that is granted now.
+func (s *Store) leaseID() string {
+	return strconv.FormatInt(s.era, 10) + "-" + strconv.FormatInt(s.revision, 10)
+}
+
+// ofEra reports whether a lease was granted in the present era.
+func (s *Store) ofEra(id string) bool {
+	return strings.HasPrefix(id, strconv.FormatInt(s.era, 10)+"-")
+}
+
 type entry struct {
 	store.Entry
 	leaseID string
@@ -46,7 +91,7 @@
 
 // NewStore returns an empty store.
 func NewStore(now func() fleet.Instant) *Store {
-	return &Store{now: now, removedAt: map[string]fleet.Instant{}, entries: map[string]entry{}, leases: map[string]grant{}}
+	return &Store{era: store.FirstEra, now: now, removedAt: map[string]fleet.Instant{}, entries: map[string]entry{}, leases: map[string]grant{}}
 }
 
 // expire removes the leases that have expired.
@@ -98,12 +143,12 @@
 	if s.entries[key].Revision != revision {
 		return store.Entry{}, store.ErrConflict
 	}
-	if _, ok := s.leases[leaseID]; leaseID != "" && !ok {
+	if _, ok := s.leases[leaseID]; leaseID != "" && !(ok && s.ofEra(leaseID)) {
 		return store.Entry{}, store.ErrLeaseLost
 	}
 	s.revision++
 	s.Writes++
-	e := entry{store.Entry{Key: key, Value: append([]byte(nil), value...), Revision: s.revision}, leaseID}
+	e := entry{store.Entry{Key: key, Value: append([]byte(nil), value...), Revision: store.Revision(s.era, s.revision)}, leaseID}
 	s.entries[key] = e
 	return e.Entry, s.lost()
 }
@@ -122,10 +167,10 @@
 		return store.Lease{}, store.ErrUnavailable
 	}
 	s.revision++
-	id := strconv.FormatInt(s.revision, 10)
+	id := s.leaseID()
 	s.leases[id] = grant{ttl, s.now() + ttl}
 	s.RenewedAt = s.now()
-	return store.Lease{ID: id, TTL: ttl}, s.lost()
+	return store.Lease{ID: id, TTL: ttl, Era: s.era}, s.lost()
 }
 
 // RenewLease implements leaseholder.Store.
@@ -135,7 +180,7 @@
 	}
 	s.expire()
 	l, ok := s.leases[id]
-	if !ok {
+	if !ok || !s.ofEra(id) {
 		return store.ErrLeaseLost
 	}
 	l.expires = s.now() + l.ttl
@@ -149,6 +194,9 @@
 	if s.Down {
 		return store.ErrUnavailable
 	}
+	if !s.ofEra(id) {
+		return store.ErrLeaseLost
+	}
 	s.remove(id)
 	return s.lost()
 }
--- a/duty/holder.go
+++ b/duty/holder.go
@@ -61,6 +61,10 @@
 type Term struct {
 	// Fence is the fencing number.
 	Fence int64
+	// Era is the store's era, and First reports whether certainly no instance has held
+	// the duty before.
+	Era   int64
+	First bool
 }
 
 // Holder competes for the lease of one duty and keeps it. Safe for concurrent
@@ -81,6 +85,14 @@
 	ended int64
 	// resign is the requested resignation, or nil.
 	resign *lease.Resign
+	// lastTerm is the last term that has not been given up, of the store's present
+	// era as far as Tick knows. actedLast is the fencing number of the one in which
+	// the store came back from a copy, if no other instance can have acted after it.
+	lastTerm  lease.Term
+	actedLast int64
+	// era is the store's era at the last Tick, and restoredAt when it rose last.
+	era        int64
+	restoredAt fleet.Instant
 }
 
 // NewHolder returns a Holder that competes for the lease once it runs.
@@ -127,11 +139,57 @@
 	if resign != nil {
 		h.step(ctx, *resign)
 	}
-	if h.machine.Term().Fence > 0 || h.o.MayCompete() {
+	h.checkEra(ctx)
+	if h.machine.Term().Fence > 0 || h.o.MayCompete() && !h.yields() {
 		h.step(ctx, lease.Tick{})
 	}
 }
 
+// yieldTime is the time after the store's return from a copy, in lease durations, in
+// which only the instance competes that has acted last: it knows what the store has
+// lost. Its lease may be in the copy and has to run out there first.
+const yieldTime = 2
+
+// yields reports whether the instance leaves the lease to the one that has acted last.
+func (h *Holder) yields() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.restoredAt > 0 && h.actedLast == 0 && h.o.Now()-h.restoredAt < yieldTime*h.o.TTL
+}
+
+// checkEra ends the term if the store has come back from an older copy since it began.
+// Another instance may have acted after it if its lease had expired, and the wait of a
+// successor had passed, before that was noticed.
+func (h *Holder) checkEra(ctx context.Context) {
+	era := leaseholder.Era(h.o.Store)
+	h.mu.Lock()
+	if era > h.era && h.era > 0 {
+		h.restoredAt, h.actedLast = h.o.Now(), 0
+	}
+	h.era = era
+	last := h.lastTerm
+	if last.Fence == 0 || last.Era == era {
+		h.mu.Unlock()
+		return
+	}
+	h.lastTerm = lease.Term{}
+	if h.o.Now() < last.ValidUntil+h.o.TTL {
+		h.actedLast = last.Fence
+	}
+	h.o.Log.Warn("duty lost: the store has come back from an older copy", zap.Int64("fence", last.Fence), zap.Int64("era", era),
+		zap.Int64("before", last.Era), zap.Bool("acted_last", h.actedLast > 0))
+	h.mu.Unlock()
+	h.step(ctx, lease.Resign{Fence: last.Fence})
+}
+
+// ActedLast reports whether a term ended because the store came back from an older copy,
+// and no other instance can have acted in the same era after it.
+func (h *Holder) ActedLast(fence int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return fence > 0 && fence == h.actedLast
+}
+
 // resignIfUnfit gives up the lease if the instance may no longer keep it.
 func (h *Holder) resignIfUnfit() {
 	fence := h.machine.Term().Fence
@@ -172,25 +230,29 @@
 	if term.Fence != h.term.Fence {
 		h.o.Log.Info("lease of a duty", zap.Int64("fence", term.Fence))
 		h.actFrom = h.o.Now()
-		if term.Fence > 1 {
+		if !term.First {
 			// The previous holder may just have made a call.
 			h.actFrom += h.o.TTL
 		}
 	}
 	h.term = term
+	if term.Fence > 0 {
+		h.lastTerm = term
+	}
 }
 
 // Term returns the present term. It returns false unless the instance may act
-// now: the lease is valid, one lease duration has passed since a predecessor's
-// lease could have been valid, and the fencing number has not been refused.
+// now: the lease is valid and of the store's present era, one lease duration has passed
+// since a predecessor's lease could have been valid, and the fencing number has not been
+// refused.
 func (h *Holder) Term() (Term, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	at := h.o.Now()
-	if !h.term.Valid(at) || at < h.actFrom || h.term.Fence <= h.ended {
+	if !h.term.Valid(at) || at < h.actFrom || h.term.Fence <= h.ended || h.term.Era != leaseholder.Era(h.o.Store) {
 		return Term{}, false
 	}
-	return Term{Fence: h.term.Fence}, true
+	return Term{Fence: h.term.Fence, Era: h.term.Era, First: h.term.First}, true
 }
 
 // Check returns ErrTermOver unless the instance may make a call with a fencing
@@ -221,6 +283,9 @@
 		return
 	}
 	h.ended = fence
+	if h.lastTerm.Fence == fence {
+		h.lastTerm = lease.Term{}
+	}
 	if h.term.Fence != fence {
 		return
 	}
--- a/duty/holder_test.go
+++ b/duty/holder_test.go
@@ -147,3 +147,56 @@
 		So(fence(b), ShouldEqual, 2)
 	})
 }
+
+// TestFencesAfterRestore guards against a fencing number that is given out twice, and
+// against two holders that act at the same time, when the store comes back from an older
+// copy and the instances learn of it at different times.
+func TestFencesAfterRestore(t *testing.T) {
+	for _, notice := range []time.Duration{0, time.Second, 10 * time.Second} {
+		Convey("A store that comes back from a copy, which the holder notices after "+notice.String(), t, func() {
+			c := &clock{now: time.Hour}
+			s := dutytest.NewStore(c.read)
+			empty := s.Copy()
+			// A process asks for the lease only while no other one holds it, so that each
+			// sees another era at another time.
+			a, b := newTestHolder("a", c, s, nil), newTestHolder("b", c, s, nil)
+			c.advance(time.Second, a, b)
+			So(fence(a), ShouldEqual, 1)
+			c.advance(5*time.Second, a, b)
+			s.Restore(empty)
+			used := map[int64]bool{}
+			for end := c.now + 30*time.Second; c.now < end; {
+				if c.now >= end-30*time.Second+notice {
+					c.advance(stepInterval, a, b)
+				} else {
+					c.advance(stepInterval, b)
+				}
+				So(fence(a) > 0 && fence(b) > 0, ShouldBeFalse)
+				for _, f := range []int64{fence(a), fence(b)} {
+					used[f] = true
+				}
+			}
+			So(used[1] && notice == 0, ShouldBeFalse)
+			So(s.Fence(Keys("d")), ShouldBeGreaterThan, 1)
+			So(fence(a)+fence(b), ShouldEqual, s.Fence(Keys("d")))
+		})
+	}
+	Convey("The instance that has acted last gets the lease again before others", t, func() {
+		c := &clock{now: time.Hour}
+		s := dutytest.NewStore(c.read)
+		empty := s.Copy()
+		b, a := newTestHolder("b", c, s, nil), newTestHolder("a", c, s, nil)
+		c.advance(time.Second, a)
+		c.advance(time.Second, b, a)
+		first := fence(a)
+		So(first, ShouldEqual, 1)
+		s.Down = true
+		c.advance(2*time.Second, b, a)
+		s.Down = false
+		s.Restore(empty)
+		c.advance(10*time.Second, b, a)
+		So(fence(a), ShouldBeGreaterThan, first)
+		So(a.ActedLast(first), ShouldBeTrue)
+		So(b.ActedLast(first), ShouldBeFalse)
+	})
+}
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -28,16 +28,40 @@
 	Fence  string
 }
 
-// Execute executes a command and returns the resulting event; nil when the
-// command has none.
+// Eras is an optional interface of a Store that may come back from an older copy of
+// itself.
+type Eras interface {
+	// Era returns the highest era that an answer of the store has named.
+	Era() int64
+}
+
+// Era returns the era of a store; 0 for one without eras.
+func Era(s Store) int64 {
+	if s, ok := s.(Eras); ok {
+		return s.Era()
+	}
+	return 0
+}
+
+// Execute executes a command and returns the resulting event; nil when the command
+// has none. The lease is lost if the store has entered another era than that to which
+// the command is bound.
 func Execute(ctx context.Context, s Store, keys Keys, c lease.Command) lease.Event {
+	ev := execute(ctx, s, keys, c)
+	if era := c.BoundEra(); ev != nil && era > 0 && era != Era(s) {
+		return lease.Failed{Call: c.CallNumber(), Cause: lease.CauseLeaseExpired}
+	}
+	return ev
+}
+
+func execute(ctx context.Context, s Store, keys Keys, c lease.Command) lease.Event {
 	switch c := c.(type) {
 	case lease.Grant:
 		granted, err := s.GrantLease(ctx, c.TTL)
 		if err != nil {
 			return failed(c.Call, err)
 		}
-		return lease.Granted{Call: c.Call, LeaseID: granted.ID}
+		return lease.Granted{Call: c.Call, LeaseID: granted.ID, Era: granted.Era}
 	case lease.WriteHolder:
 		_, err := SwapJSON(ctx, s, keys.Holder, 0, c.Holder, c.LeaseID)
 		return done(c.Call, err)
--- a/stages/stages.go
+++ b/stages/stages.go
@@ -216,7 +216,7 @@
 		Engines: r.withOrdered(engines, at), Load: load,
 		DecodeShare: state.decodeShare,
 		Settled:     load.MeasuredFor > 0 || at-state.grownAt >= settleTime,
-		MayRestore:  r.term.Fence == 1 || at-state.listedAt >= declaredDelay,
+		MayRestore:  r.term.First || at-state.listedAt >= declaredDelay,
 	})
 	r.logPlan(service, state, plan, load, at)
 	if len(plan.Changes) == 0 {
@@ -264,7 +264,7 @@
 	}
 	declared := stageplan.DeclaredShare(service.Engine, r.Table().StreamTimeout(service.Name))
 	state.decodeShare = declared
-	if r.term.Fence == 1 {
+	if r.term.First {
 		return
 	}
 	decode, total := 0, 0
