Never send other counts for a window after the store has returned from a copy

Cause: the holder writes a report to the store before it is sent, so that a successor repeats it exactly. A store that comes back from an older copy has forgotten it, and the successor counted the window anew. A holder that had not yet noticed the return could also read the old state and write windows to it that it then could not send.

The state now says in which era it was written. In a later era it is not complete. Then the holder that has acted last, whose knowledge is in its memory, goes on from that, if no other instance can have acted in between: another one could act only two lease durations after its last renewal. Any other holder leaves out the windows that had ended, since their counts are not known any more; they are missing, and logged. Either writes the state before it sends anything, and reads it only within its term.

--- a/core/usage/sent.go
+++ b/core/usage/sent.go
@@ -49,6 +49,10 @@
 // Sent is the state of the reports that the holder keeps in the store. A report is
 // written here before it is sent, so that a successor repeats it exactly.
 type Sent struct {
+	// Era is the store's era in which the state was written; 0 for the first one. In a
+	// store that has come back from an older copy it is an earlier one, and reports may
+	// have been sent that the state does not show.
+	Era int64 `json:"era,omitempty"`
 	// Next is the first window that is not among Windows or before them.
 	Next    int64        `json:"next"`
 	Windows []SentWindow `json:"windows"`
@@ -59,7 +63,7 @@
 
 // Clone returns a copy that shares no windows.
 func (s *Sent) Clone() *Sent {
-	return &Sent{Next: s.Next, Windows: slices.Clone(s.Windows), GaveUp: slices.Clone(s.GaveUp)}
+	return &Sent{Era: s.Era, Next: s.Next, Windows: slices.Clone(s.Windows), GaveUp: slices.Clone(s.GaveUp)}
 }
 
 // Add adds the report of the window Next.
@@ -71,6 +75,14 @@
 	}
 }
 
+// Skip leaves out the windows before one, whose reports may have been sent with counts
+// that are not known any more. It returns their number.
+func (s *Sent) Skip(before int64) int64 {
+	skipped := max(before-s.Next, 0)
+	s.Next += skipped
+	return skipped
+}
+
 // SetTaken records that the platform has taken the report of a window.
 func (s *Sent) SetTaken(window int64) {
 	for i := range s.Windows {
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -53,13 +53,14 @@
 
 // session is the state of the holder in one term.
 type session struct {
-	fence int64
+	fence, era int64
 	// loaded reports whether the state in the store is known.
 	loaded bool
 	// sent is the state of the reports as of sentRevision, and openRevision that of
-	// the checkpoint.
+	// the checkpoint. unwritten reports whether sent differs from the stored state.
 	sent                       *counts.Sent
 	sentRevision, openRevision int64
+	unwritten                  bool
 	// taken are the windows that the platform has taken in this term.
 	taken map[int64]bool
 	// retries holds the failed reports.
@@ -70,6 +71,12 @@
 	checkpointAt fleet.Instant
 }
 
+// ownState is the state of the reports as a holder knew it last.
+type ownState struct {
+	fence int64
+	sent  *counts.Sent
+}
+
 // retry is the wait of a failed report.
 type retry struct {
 	at   fleet.Instant
@@ -84,11 +91,11 @@
 		return
 	}
 	if r.session == nil || r.session.fence != term.Fence {
-		r.session = &session{fence: term.Fence, taken: map[int64]bool{}, retries: map[int64]retry{}}
+		r.session = &session{fence: term.Fence, era: term.Era, taken: map[int64]bool{}, retries: map[int64]retry{}}
 	}
 	s := r.session
 	if !s.loaded {
-		if err := r.load(ctx, s); err != nil {
+		if err := r.load(ctx, s, term.First); err != nil {
 			r.Log.Warn("state of the usage reports not read", logline.Error(err))
 			return
 		}
@@ -116,8 +123,9 @@
 	return ok
 }
 
-// load reads the state of the reports and the checkpoint.
-func (r *Reporter) load(ctx context.Context, s *session) error {
+// load reads the state of the reports and the checkpoint. first reports whether no
+// instance can have written them before.
+func (r *Reporter) load(ctx context.Context, s *session, first bool) error {
 	raw, revision, err := r.read(ctx, SentKey)
 	if err != nil {
 		return err
@@ -137,24 +145,69 @@
 	if err != nil {
 		return errors.Wrapf(err, "decode %s", OpenKey)
 	}
-	s.sent, s.sentRevision, s.openRevision, s.loaded = sent, revision, openRevision, true
+	if term, ok := r.Holder.Term(); !ok || term.Fence != s.fence {
+		// The store may have come back from a copy before it was read.
+		return duty.ErrTermOver
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	unwritten := false
+	if !first && era(sent) < s.era {
+		sent, unwritten = r.afterRestore(sent, s.era), true
+	}
+	s.sent, s.sentRevision, s.openRevision, s.loaded, s.unwritten = sent, revision, openRevision, true, unwritten
 	if sent != nil {
 		for w := range s.taken {
 			sent.SetTaken(w)
 		}
 		r.counter.Ledger.SetReportedThrough(sent.Next - 1)
+		r.own = &ownState{s.fence, sent}
 	}
 	r.counter.Ledger.Merge(counts.Process{}, open)
 	return nil
 }
 
+// era returns the store's era in which a state was written.
+func era(sent *counts.Sent) int64 {
+	if sent == nil {
+		return 0
+	}
+	return max(sent.Era, store.FirstEra)
+}
+
+// afterRestore returns the state of the reports in a store that has come back from an
+// older copy, of which stored is the state there. The holder that has sent the last
+// reports goes on from what it knows. Another one cannot know the counts that were sent
+// since, and leaves out the windows that had ended by now. The caller holds mu.
+func (r *Reporter) afterRestore(stored *counts.Sent, era int64) *counts.Sent {
+	if r.own != nil && r.Holder.ActedLast(r.own.fence) {
+		next := r.own.sent.Clone()
+		next.Era = era
+		r.Log.Warn("usage reports continue after the return of the store from a copy", zap.Int64("era", era), zap.Int64("next", next.Next))
+		return next
+	}
+	next := &counts.Sent{}
+	if stored != nil {
+		next = stored.Clone()
+	}
+	next.Era = era
+	now, ok := r.counter.Clock.Time(r.Now())
+	if !ok {
+		// act waits until the time is known.
+		return next
+	}
+	from := next.Next
+	skipped := next.Skip(counts.Window(now, r.Window))
+	r.Log.Warn("windows left out that may have been reported before the return of the store from a copy", zap.Int64("era", era),
+		zap.Int64("from", from), zap.Int64("windows", skipped))
+	return next
+}
+
 // prepare writes the reports that are due to the store, before they are sent.
 func (r *Reporter) prepare(ctx context.Context, s *session) error {
 	listed := r.Listed()
 	next, due := r.due(s, listed)
-	if len(due) == 0 {
+	if len(due) == 0 && !s.unwritten {
 		return nil
 	}
 	raw, err := json.Marshal(next)
@@ -165,7 +218,8 @@
 	if err != nil {
 		return err
 	}
-	s.sent, s.sentRevision = next, revision
+	s.sent, s.sentRevision, s.unwritten = next, revision, false
+	r.own = &ownState{s.fence, next}
 	r.mu.Lock()
 	r.counter.Ledger.SetReportedThrough(next.Next - 1)
 	r.mu.Unlock()
@@ -194,7 +248,7 @@
 	var next *counts.Sent
 	if s.sent != nil {
 		next = s.sent.Clone()
-	} else if next = (&counts.Sent{Next: ledger.FirstWindow()}); next.Next == 0 {
+	} else if next = (&counts.Sent{Era: s.era, Next: ledger.FirstWindow()}); next.Next == 0 {
 		return nil, nil
 	}
 	var due []counts.Due
--- a/usage/platform_test.go
+++ b/usage/platform_test.go
@@ -28,9 +28,15 @@
 		var none T
 		return none, store.ErrUnavailable
 	}
+	if !s.s.Down {
+		s.n.era = s.s.Era()
+	}
 	return f()
 }
 
+// Era returns the era that the node has seen.
+func (s nodeStore) Era() int64 { return s.n.era }
+
 func (s nodeStore) Get(ctx context.Context, key string) (store.Entry, error) {
 	return do(s, func() (store.Entry, error) { return s.s.Get(ctx, key) })
 }
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -56,6 +56,9 @@
 	Call(duty.Term) duty.Call
 	Refused(fence int64)
 	Resign(fence int64, wait time.Duration)
+	// ActedLast reports whether the term with a fencing number ended because the store
+	// came back from an older copy, and no other instance can have acted after it.
+	ActedLast(fence int64) bool
 }
 
 // Observer records the results of reports.
@@ -107,6 +110,9 @@
 	// them.
 	session *session
 	packer  *flate.Writer
+	// own is the last state that this process has written to the store or read from it
+	// as the holder; nil before that. Only act uses it.
+	own *ownState
 }
 
 // New returns a Reporter. It must be created when the process starts.
--- a/usage/world_test.go
+++ b/usage/world_test.go
@@ -79,6 +79,8 @@
 	wallStep    time.Duration
 	storeDown   bool
 	acting      bool
+	// era is the store's era that the node has seen.
+	era int64
 }
 
 // killed is the panic that ends a process in the middle of a call.
@@ -215,6 +217,9 @@
 				n.requests(perStep)
 				n.reporter.Tick()
 			}
+			if n.runs() && !n.storeDown && !w.store.Down && (w.now/step)%5 == 0 {
+				n.era = w.store.Era() // the directory reads the store
+			}
 		}
 		for _, from := range w.nodes {
 			for _, to := range w.nodes {
