Reserve the whole buffer of an event that does not end

Here a stream's buffer could hold a quarter more than was reserved for it, and twice as much while it grew, times the number of streams; heads, chunks, extensions and trailers without end stay bounded.

The buffer now grows by doubling, and is reserved before it is allocated, the old one beside it while the bytes are copied.

TestEventMemory fails on the code before (40,960 bytes held, 32,768 reserved).

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -59,11 +59,8 @@
 		if len(e.buf) > maxEventBytes {
 			return nil, "", errTooLong
 		}
-		if int64(len(e.buf)) > e.reserved+uncountedBytes {
-			if !e.memory.ReserveAnswer(door.BlockBytes) {
-				return nil, "", errBuffersFull
-			}
-			e.reserved += door.BlockBytes
+		if !e.grow(len(chunk)) {
+			return nil, "", errBuffersFull
 		}
 		n, err := e.in.Read(chunk[:])
 		e.buf = append(e.buf, chunk[:n]...)
@@ -71,6 +68,30 @@
 	}
 }
 
+// freeEventBytes is the size up to which the buffer is part of what the connection
+// costs.
+const freeEventBytes = 8 << 10
+
+// grow makes room for n more bytes in the buffer and reports whether there is memory
+// for it. While the bytes are copied, the old buffer counts too.
+func (e *eventReader) grow(n int) bool {
+	if cap(e.buf)-len(e.buf) >= n {
+		return true
+	}
+	size := max(2*cap(e.buf), len(e.buf)+n)
+	reserve := int64(0)
+	if size > freeEventBytes {
+		reserve = int64(size)
+	}
+	if reserve > 0 && !e.memory.ReserveAnswer(reserve) {
+		return false
+	}
+	e.buf = append(make([]byte, 0, size), e.buf...)
+	e.release()
+	e.reserved = reserve
+	return true
+}
+
 // release gives back the reserved bytes.
 func (e *eventReader) release() {
 	if e.reserved > 0 {
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"io"
 	"strings"
 	"testing"
@@ -89,3 +90,29 @@
 		}
 	})
 }
+
+// countedMemory counts the reserved bytes.
+type countedMemory struct{ reserved int64 }
+
+func (m *countedMemory) Reserve(n int64) bool       { m.reserved += n; return true }
+func (m *countedMemory) ReserveAnswer(n int64) bool { return m.Reserve(n) }
+func (m *countedMemory) Release(n int64)            { m.reserved -= n }
+
+// TestEventMemory guards against events without an end that hold more memory than is
+// reserved for them.
+func TestEventMemory(t *testing.T) {
+	Convey("The whole buffer of an event without an end is reserved", t, func() {
+		memory := &countedMemory{}
+		e := &eventReader{memory: memory}
+		e.in = readerFunc(func(p []byte) (int, error) {
+			if int64(cap(e.buf)) > memory.reserved+freeEventBytes {
+				t.Fatalf("%d bytes held, %d reserved", cap(e.buf), memory.reserved)
+			}
+			return copy(p, bytes.Repeat([]byte("x"), len(p))), nil
+		})
+		_, _, err := e.next()
+		So(err, ShouldEqual, errTooLong)
+		e.release()
+		So(memory.reserved, ShouldEqual, 0)
+	})
+}
