Do not go on from what was known two returns of the store ago

A holder that is frozen over one return of the store from a copy and notices the next one took itself for the last that had acted, although another instance could have acted in the era in between, which needs no wait for a lease that the copy does not have. It could then have sent other counts for a window. Only the return right after its own era counts now. The new case of TestFencesAfterRestore fails on the code before.

--- a/duty/holder.go
+++ b/duty/holder.go
@@ -158,8 +158,8 @@
 }
 
 // checkEra ends the term if the store has come back from an older copy since it began.
-// Another instance may have acted after it if its lease had expired, and the wait of a
-// successor had passed, before that was noticed.
+// Another instance may have acted after it in the same era if its lease had expired, and
+// the wait of a successor had passed, before that was noticed, and in an era in between.
 func (h *Holder) checkEra(ctx context.Context) {
 	era := leaseholder.Era(h.o.Store)
 	h.mu.Lock()
@@ -173,7 +173,7 @@
 		return
 	}
 	h.lastTerm = lease.Term{}
-	if h.o.Now() < last.ValidUntil+h.o.TTL {
+	if era == last.Era+1 && h.o.Now() < last.ValidUntil+h.o.TTL {
 		h.actedLast = last.Fence
 	}
 	h.o.Log.Warn("duty lost: the store has come back from an older copy", zap.Int64("fence", last.Fence), zap.Int64("era", era),
--- a/duty/holder_test.go
+++ b/duty/holder_test.go
@@ -199,4 +199,19 @@
 		So(a.ActedLast(first), ShouldBeTrue)
 		So(b.ActedLast(first), ShouldBeFalse)
 	})
+	Convey("A holder that has missed one of two returns does not count as the last that acted", t, func() {
+		c := &clock{now: time.Hour}
+		s := dutytest.NewStore(c.read)
+		empty := s.Copy()
+		a, b := newTestHolder("a", c, s, nil), newTestHolder("b", c, s, nil)
+		c.advance(time.Second, a)
+		first := fence(a)
+		So(first, ShouldEqual, 1)
+		s.Restore(empty)
+		c.advance(4*time.Second, b)
+		So(fence(b), ShouldBeGreaterThan, first)
+		s.Restore(empty)
+		c.advance(stepInterval, a)
+		So(a.ActedLast(first), ShouldBeFalse)
+	})
 }
