Keep lost entries over a second reading of a restored store

Servers and instances that a restored store has lost went out of use before their time when the entries were read a second time, as after a compaction. TestServersAfterRestore reads them twice now.

--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -175,8 +175,8 @@
 		seen[e.ID] = true
 		l.Put(e, now)
 	}
-	for id := range l.records {
-		if !seen[id] {
+	for id, r := range l.records {
+		if !seen[id] && now >= r.lostUntil {
 			l.Remove(id, revision, since)
 		}
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -288,10 +288,10 @@
 	}
 	if restored {
 		d.list.ReplaceRestored(servers, at, now)
-		d.keepInstances(instances, now)
 	} else {
 		d.list.Replace(servers, at, since, now)
 	}
+	d.keepInstances(instances, restored, now)
 	d.reportDepartures()
 	d.instances, d.ownKeys = instances, ownKeys
 	maps.DeleteFunc(d.unreadable, func(key string, _ bool) bool { return !existing[key] })
--- a/directory/restore.go
+++ b/directory/restore.go
@@ -44,14 +44,6 @@
 	return d.restores.era
 }
 
-// RestoredWithin reports whether the store has come back from a copy less than a time
-// ago.
-func (d *Directory) RestoredWithin(t time.Duration) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.restores.at > 0 && d.now()-d.restores.at < t
-}
-
 // enterEra records the era of a complete reading of the store and reports whether the
 // store has come back from a copy since the one before. The caller holds mu.
 func (d *Directory) enterEra(revision int64) (restored bool) {
@@ -88,13 +80,20 @@
 	return d.restores.at == 0 || d.now()-d.restores.at >= rewriteTime
 }
 
-// keepInstances adds the instances that the store has lost. The caller holds mu.
-func (d *Directory) keepInstances(instances map[string]Instance, now fleet.Instant) {
+// keepInstances adds the instances to a complete reading that the store has lost and
+// that have not had the time to be listed again. The caller holds mu.
+func (d *Directory) keepInstances(instances map[string]Instance, restored bool, now fleet.Instant) {
 	for key, i := range d.instances {
-		if _, ok := instances[key]; !ok {
-			instances[key] = i
+		if _, ok := instances[key]; ok {
+			delete(d.restores.unconfirmed, key)
+			continue
+		}
+		if restored {
 			d.restores.unconfirmed[key] = now + relistTime
 		}
+		if _, ok := d.restores.unconfirmed[key]; ok {
+			instances[key] = i
+		}
 	}
 }
 
