--- a/core/listing/listing_test.go
+++ b/core/listing/listing_test.go
@@ -120,3 +120,36 @@
 		})
 	})
 }
+
+// TestRestored guards against servers that go out of use because a store that has come
+// back from an older copy lacks their entries, and against removed ones that return.
+func TestRestored(t *testing.T) {
+	Convey("A store that has come back from a copy", t, func() {
+		l := New(Config{SuspectTime: time.Second})
+		for i, id := range []string{"a", "b", "c", "d"} {
+			l.Put(entry(id, 1, 5, false).at(int64(10+i)), 0)
+		}
+		l.Remove("d", 20, 0)
+		So(usable(l, 2*time.Second), ShouldEqual, "abc")
+		restored := []Entry{entry("a", 1, 3, false).at(101), entry("b", 1, 4, false).at(102), entry("d", 1, 5, false).at(103)}
+		now := 10 * time.Second
+		l.ReplaceRestored(restored, 104, now)
+		Convey("leaves servers in use that it lacks until they had the time to write, also when it is read again", func() {
+			So(usable(l, now+time.Second), ShouldEqual, "abc")
+			l.Replace(restored, 105, now, now+time.Second)
+			So(usable(l, now+time.Second), ShouldEqual, "abc")
+			So(l.HasRemoved(), ShouldBeTrue)
+			So(usable(l, now+rewriteTime), ShouldEqual, "ab")
+		})
+		Convey("keeps those that write in time", func() {
+			l.Put(entry("c", 1, 6, false).at(106), now+time.Second)
+			So(usable(l, now+time.Hour), ShouldEqual, "abc")
+		})
+		Convey("does not bring back one that was removed, however often it is read, before it writes again", func() {
+			l.Replace(restored, 105, now, now)
+			So(usable(l, now), ShouldEqual, "abc")
+			l.Put(entry("d", 1, 6, false).at(107), now)
+			So(usable(l, now), ShouldEqual, "abcd")
+		})
+	})
+}
