Let a stream that has begun wait for an engine or a retry

A request without an event is refused at once, since its caller can go elsewhere. A caller that has the beginning of a stream cannot, and waits at least two seconds for the next event. Such a stream now looks for an engine and a retry every 50 ms, up to 1.8 s after its last event and while it has the time for a move.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -201,8 +201,10 @@
 	events int
 	// firstEventAt is when its first event came.
 	firstEventAt time.Time
-	// lastEvent is the id of the last complete event that was forwarded.
-	lastEvent string
+	// lastEvent is the id of the last complete event that was forwarded, and
+	// lastEventAt when it came.
+	lastEvent   string
+	lastEventAt time.Time
 	// bodies are the buffered answers, released with the request.
 	bodies    []*body
 	logFields []zap.Field
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -36,13 +36,15 @@
 			return
 		}
 		choice, ok := p.chooseDecode(direct, split)
-		if !ok || !p.spendRetry() {
+		switch {
+		case ok && p.spendRetry():
+			if p.runAttempt(choice) || p.mayNotBeSent() {
+				return
+			}
+		case !p.awaitContinuation():
 			p.failWithoutServer(choice)
 			return
 		}
-		if p.runAttempt(choice) || p.mayNotBeSent() {
-			return
-		}
 		prefill, direct, split = p.g.State.chooseEngines(p.group, &p.req, p.tried)
 	}
 }
@@ -293,6 +295,7 @@
 			return resultBroken, errors.Wrap(err, "read stream")
 		}
 		lastAt = time.Now()
+		p.lastEventAt = lastAt
 		p.events++
 		if first {
 			first = false
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
@@ -21,7 +23,9 @@
 func (p *proxyRequest) reserveRetries(n int) bool {
 	for p.reservedRetries < n {
 		if !p.g.State.spendRetry(p.group) {
-			p.logFields = append(p.logFields, zap.Bool("budget_used_up", true))
+			if p.denial != retry.DenyBudget {
+				p.logFields = append(p.logFields, zap.Bool("budget_used_up", true))
+			}
 			p.denial = retry.DenyBudget
 			return false
 		}
@@ -68,14 +72,42 @@
 		p.denial = retry.DenyAttempts
 	case p.mayHaveRun && !p.route.Repeatable():
 		p.denial = retry.DenyNotRepeatable
-	case !p.spendRetry():
 	default:
+		for !p.spendRetry() {
+			if !p.awaitContinuation() {
+				return false
+			}
+		}
 		p.g.Observer.Retried(reason)
 		return true
 	}
 	return false
 }
 
+const (
+	// continuationTime is how long after its last event a stream that has begun waits
+	// for an engine or a retry with which it goes on. Its caller waits at least two
+	// seconds for the next event.
+	continuationTime = 1800 * time.Millisecond
+	// continuationPause is the time between two looks.
+	continuationPause = 50 * time.Millisecond
+)
+
+// awaitContinuation waits a moment and reports whether to look once more for what lets
+// the request go on. Only a stream that its caller has the beginning of waits: any other
+// request is refused at once, so that its caller can go elsewhere.
+func (p *proxyRequest) awaitContinuation() bool {
+	if !p.headWritten || !p.route.Repeatable() || p.remaining() < minMove || time.Since(p.lastEventAt) > continuationTime {
+		return false
+	}
+	select {
+	case <-p.ctx.Done():
+		return false
+	case <-time.After(continuationPause):
+		return true
+	}
+}
+
 func (s *State) spendRetry(group fleet.GroupName) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
