Ask an engine again that turns away a stream which has begun

It is the same class as the missing retry: the estimate that another engine will take the stream is no promise, and the refusal, which counts as a send, used up the route's attempts.

The engine that has turned the stream away is a server that it was sent to already, so asking it once more needs no further server. A stream that has begun and may be sent to no further one asks it again, each time for a retry of the budget, until shortly before its caller leaves. The time for that is the caller's patience, as admission has it, no longer a fixed 1.8 s. A request without an event is refused as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -160,6 +160,9 @@
 	bodyBegun, bodyRead bool
 	// tried are the servers that failed or rejected the request.
 	tried []fleet.UpstreamID
+	// askAgain is the last server that the request may be sent to, which has turned it
+	// away and is asked again; nil for none.
+	askAgain *placement.Choice
 	// sentTo are the addresses to which a call was sent or was to be sent.
 	sentTo []string
 	// sends counts the servers to which the request was sent to be run.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -29,7 +29,7 @@
 		return
 	}
 	for {
-		if p.kvSource == nil && split && p.reserveRetries(p.retriesForSplit()) {
+		if p.kvSource == nil && p.askAgain == nil && split && p.reserveRetries(p.retriesForSplit()) {
 			p.prefill(prefill)
 		}
 		if p.callerGone() || p.mayNotBeSent() {
@@ -54,6 +54,9 @@
 // was to run apart or the limit of that engine is used up. It returns false when
 // there is no candidate.
 func (p *proxyRequest) chooseDecode(direct placement.Choice, split bool) (placement.Choice, bool) {
+	if p.askAgain != nil {
+		return *p.askAgain, true
+	}
 	if p.kvSource != nil {
 		return p.g.State.chooseDecode(p.group, &p.req, p.prefillServer, p.tried)
 	}
@@ -175,6 +178,8 @@
 // fetch it.
 func (p *proxyRequest) runAttempt(c placement.Choice) bool {
 	c = p.asSent(c)
+	asked := p.askAgain != nil
+	p.askAgain = nil
 	began := time.Now()
 	uncached := c.UncachedTokens
 	if p.kvSource != nil {
@@ -195,9 +200,11 @@
 	}
 	answer, res, err := p.send(ctx, c.Server, add)
 	if res != resultNotSent {
-		p.sends++
 		p.countCall()
 	}
+	if res != resultNotSent && !asked {
+		p.sends++
+	}
 	status := 0
 	if answer != nil {
 		defer answer.Close()
@@ -218,10 +225,14 @@
 		}
 		return true
 	case resultNotRun:
+		if p.mayAskAgain() {
+			p.askAgain = &c
+			return false
+		}
 		p.tried = append(p.tried, c.Server.ID)
 	case resultNotSent:
 		p.recordFailure(c.Server.ID, err)
-		return p.callerGone() || p.failUnlessRetried(p.remaining() > minAttempt)
+		return p.callerGone() || p.failUnlessRetried(p.remaining() > minAttempt && p.sends < p.route.MaxAttempts)
 	case resultBroken:
 		p.kvSource, p.mayHaveRun = nil, true
 		p.recordFailure(c.Server.ID, err)
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -84,11 +84,26 @@
 	return false
 }
 
+// mayAskAgain reports whether a server that has turned the request away is asked again:
+// a stream that has begun, and that may be sent to no further server. It waits, and
+// spends the retry.
+func (p *proxyRequest) mayAskAgain() bool {
+	if p.sends < p.route.MaxAttempts {
+		return false
+	}
+	for p.awaitContinuation() {
+		if p.spendRetry() {
+			p.g.Observer.Retried(retry.ReasonUpstreamStatus)
+			return true
+		}
+	}
+	return false
+}
+
 const (
-	// continuationTime is how long after its last event a stream that has begun waits
-	// for an engine or a retry with which it goes on. Its caller waits at least two
-	// seconds for the next event.
-	continuationTime = 1800 * time.Millisecond
+	// patienceMargin is how long before its caller leaves a stream that has begun stops
+	// to wait for an engine or a retry with which it goes on.
+	patienceMargin = 200 * time.Millisecond
 	// continuationPause is the time between two looks.
 	continuationPause = 50 * time.Millisecond
 )
@@ -97,7 +112,7 @@
 // the request go on. Only a stream that its caller has the beginning of waits: any other
 // request is refused at once, so that its caller can go elsewhere.
 func (p *proxyRequest) awaitContinuation() bool {
-	if !p.headWritten || !p.route.Repeatable() || p.remaining() < minMove || time.Since(p.lastEventAt) > continuationTime {
+	if !p.headWritten || !p.route.Repeatable() || p.remaining() < minMove || time.Since(p.lastEventAt) > patience(p.route)-patienceMargin {
 		return false
 	}
 	select {
