--- a/directory/confirm.go
+++ b/directory/confirm.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/freshness"
+	"github.com/bramleywick/bramleywick/core/routes"
 	"github.com/bramleywick/bramleywick/logline"
 	"github.com/bramleywick/bramleywick/store"
 )
@@ -265,3 +266,22 @@
 		}
 	}
 }
+
+// configure applies a configuration unless its version is at most the one in
+// force. It returns false if it cannot be read; older reports whether its version is
+// below the one in force.
+func (d *Directory) configure(raw []byte) (readable, older bool) {
+	c, err := d.Decoder.ParseConfiguration(raw)
+	if err != nil {
+		d.Log.Error("the configuration cannot be read; the one in force stays", logline.Error(err))
+		return false, false
+	}
+	if now := d.table.Load(); now != nil && c.Version <= now.Version {
+		return true, c.Version < now.Version
+	}
+	table := routes.Compile(c)
+	d.table.Store(table)
+	d.Log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)))
+	d.Observer.ConfigurationChanged(table)
+	return true, false
+}
