Test successors in fleet size with an old record or none

The postmortem of the restored store listed as open what the holder of autoscaling does with orders that the store has lost. A successor compares the numbers that it inherits with the list and takes the higher ones: with a record that is 2 s to 25 s old, or none, at eleven moments of a wave, its first decision gives up nothing that is listed.

--- a/core/fleetsize/failure_test.go
+++ b/core/fleetsize/failure_test.go
@@ -1,6 +1,7 @@
 package fleetsize
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -268,3 +269,26 @@
 		}
 	})
 }
+
+// TestOldRecord guards against a successor that gives up servers, because its record is
+// older than its predecessor's last orders, as after the return of the store from a copy.
+func TestOldRecord(t *testing.T) {
+	for _, age := range []time.Duration{2 * time.Second, 5 * time.Second, 10 * time.Second, 25 * time.Second, time.Hour} {
+		Convey("A successor with a record that is "+age.String()+" old, or none, gives up nothing that is listed", t, func() {
+			for at := time.Duration(0); at <= 100*time.Second; at += 10 * time.Second {
+				p := newPlatform(testService(), tenEach())
+				first := New(Record{})
+				records := map[time.Duration]Record{}
+				wave := func(d time.Duration) float64 { return 40 + 30*math.Sin(2*math.Pi*d.Seconds()/60) }
+				run(p, wave, trafficAt+at, func(in Input, p *platform) {
+					planned(first)(in, p)
+					records[p.now] = first.Record()
+				}, nil)
+				second := New(records[(p.now - age).Truncate(time.Second)])
+				for _, o := range second.Decide(Input{Service: p.service, Servers: p.engines(), Current: true}, p.now) {
+					So(o.Servers, ShouldBeGreaterThanOrEqualTo, p.count(o.Pool))
+				}
+			}
+		})
+	}
+}
