Reserve a slot at another engine before a silent stream is stopped

The estimate that another engine takes the stream soon is no promise, least of all when the streams of all instances move at the same moment, and what is stopped cannot be taken back.

Engines keep a slot and memory for a request when asked (hold-take). The watch now asks the engine that would make the rest of the answer, for up to the services' own limit, and stops the stream only with the slot, otherwise it stays where it is; so does one that goes on meanwhile, and the slot is given up. The continued stream names its reservation. A stream that drips bytes without events goes the same way. Where engines reserve nothing, a slot must be free as far as is known.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -93,6 +93,9 @@
 	FetchFrom string
 	// LastEventID is the last event that the caller has received; "" for none.
 	LastEventID string
+	// Reservation is the name of the slot that the server keeps for the request; ""
+	// for none.
+	Reservation string
 }
 
 // Load is a server's count of its requests at the time of an answer.
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -102,6 +102,9 @@
 	HandleTTL time.Duration
 	// SwitchTime is how long an engine takes to change its stage.
 	SwitchTime time.Duration
+	// ReservationTime is the longest time for which an engine keeps a slot free for a
+	// request; 0 if engines reserve none.
+	ReservationTime time.Duration
 }
 
 // Service is a declared service.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,12 @@
 	// FreeHandleRequest returns the call that frees the KV cache under a handle at a
 	// server.
 	FreeHandleRequest(handle string) (method, path string)
+	// ReserveRequest returns the call that makes an engine keep a slot, and memory for
+	// a number of tokens, for a time; ParseReservation decodes the name of the
+	// reservation from its answer, and DropReservationRequest gives it up.
+	ReserveRequest(tokens int, ttl time.Duration) (method, path string, body []byte, err error)
+	ParseReservation(body []byte) (string, error)
+	DropReservationRequest(name string) (method, path string)
 }
 
 // Observer records the outcomes of requests, for example in metrics.
@@ -163,6 +169,8 @@
 	// askAgain is the last server that the request may be sent to, which has turned it
 	// away and is asked again; nil for none.
 	askAgain *placement.Choice
+	// slot is what an engine keeps for the request; nil for none.
+	slot *slot
 	// sentTo are the addresses to which a call was sent or was to be sent.
 	sentTo []string
 	// sends counts the servers to which the request was sent to be run.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,7 +24,10 @@
 // serveEngine serves a request with engines: prefill on one engine and decode on
 // another, or both on one.
 func (p *proxyRequest) serveEngine() {
-	defer func() { p.freeKV(p.kvSource) }()
+	defer func() {
+		p.freeKV(p.kvSource)
+		p.dropSlot(p.slot)
+	}()
 	prefill, direct, split := p.g.State.chooseEngines(p.group, &p.req, p.tried)
 	if prefill.Candidates+direct.Candidates > 0 && !p.admit(prefill, direct, split) {
 		return
@@ -54,8 +58,12 @@
 // was to run apart or the limit of that engine is used up. It returns false when
 // there is no candidate.
 func (p *proxyRequest) chooseDecode(direct placement.Choice, split bool) (placement.Choice, bool) {
-	if p.askAgain != nil {
+	switch {
+	case p.askAgain != nil:
 		return *p.askAgain, true
+	case p.slot != nil && !slices.Contains(p.tried, p.slot.engine.Server.ID):
+		p.g.State.takeSlot(p.slot.engine.Server)
+		return p.slot.engine, true
 	}
 	if p.kvSource != nil {
 		return p.g.State.chooseDecode(p.group, &p.req, p.prefillServer, p.tried)
@@ -95,7 +103,7 @@
 	p.g.State.addCachedPrompt(c, &p.req)
 	ctx, stop := context.WithCancel(p.ctx)
 	defer stop()
-	watch := p.watchStall(c, time.Duration(stallShare*float64(p.remaining())), true, stop, p.couldServe)
+	watch := p.watchStall(c, time.Duration(stallShare*float64(p.remaining())), true, stop)
 	overdueTimer := p.startOverdueTimer(c)
 	answer, res, err := p.send(ctx, c.Server, call.SendOptions{Priority: p.priority(), PrefillOnly: true, FetchFrom: c.CopyFrom.Address})
 	overdueTimer.Stop()
@@ -146,8 +154,7 @@
 	return &call.KVSource{Address: s.Address, Handle: out.Handle}, nil
 }
 
-// freeTimeout bounds the call that frees a handle; a handle that is not freed
-// expires.
+// freeTimeout bounds a call that frees what an engine keeps, which expires otherwise.
 const freeTimeout = time.Second
 
 // freeKV frees KV cache that won't be fetched, in the background.
@@ -156,15 +163,20 @@
 		return
 	}
 	method, path := p.g.Wire.FreeHandleRequest(source.Handle)
+	p.free(source.Address, method, path)
+}
+
+// free makes a call that frees what an engine keeps for the request, in the background.
+func (p *proxyRequest) free(address, method, path string) {
 	limit := p.g.State.maxConns(p.service)
 	go func() {
 		ctx, stop := context.WithTimeout(context.Background(), freeTimeout)
 		defer stop()
 		answer, err := p.g.Pool.Do(ctx, &connpool.Request{
-			Address: source.Address, MaxConns: limit, Method: method, URI: path, Host: source.Address, Header: http.Header{},
+			Address: address, MaxConns: limit, Method: method, URI: path, Host: address, Header: http.Header{},
 		}, p.g.Wire)
 		if err != nil {
-			p.g.Log.Debug("KV cache handle not freed", zap.String("request_id", string(p.req.ID)), logline.Error(err))
+			p.g.Log.Debug("not freed; it expires by itself", zap.String("request_id", string(p.req.ID)), zap.String("path", path), logline.Error(err))
 			return
 		}
 		// The body says nothing that matters; the connection is not used again.
@@ -190,7 +202,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
 	mayMove := p.route.Repeatable() && p.sends+1 < p.route.MaxAttempts
-	watch := p.watchStall(c, time.Duration(stallShare*float64(p.remaining())), mayMove, cancel, p.couldServe)
+	watch := p.watchStall(c, time.Duration(stallShare*float64(p.remaining())), mayMove, cancel)
 	overdueTimer := p.startOverdueTimer(c)
 	defer overdueTimer.Stop()
 	source := p.kvSource
@@ -198,9 +210,15 @@
 	if source == nil {
 		add.FetchFrom = c.CopyFrom.Address
 	}
+	if p.slot != nil && p.slot.engine.Server.ID == c.Server.ID {
+		add.Reservation = p.slot.name
+	}
 	answer, res, err := p.send(ctx, c.Server, add)
 	if res != resultNotSent {
 		p.countCall()
+		if add.Reservation != "" {
+			p.slot = nil
+		}
 	}
 	if res != resultNotSent && !asked {
 		p.sends++
@@ -261,10 +279,6 @@
 	return "decode"
 }
 
-// couldServe returns the number of calls with which other servers are expected to take
-// the request soon; 0 if they are not.
-func (p *proxyRequest) couldServe(skip []fleet.UpstreamID) int { return p.g.State.couldServe(p, skip) }
-
 // forwardStream forwards the events of an answer to the caller as they arrive,
 // and returns the outcome of the attempt. It calls prefillDone at the first
 // event, and records each event with the watch.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -100,7 +100,7 @@
 	ctx, stop := context.WithCancel(p.ctx)
 	defer stop()
 	mayMove := p.route.Kind == routes.KindSafe && p.sends+1 < p.route.MaxAttempts && p.route.LatencyTarget > 0
-	watch := p.watchStall(c, time.Duration(attemptShare*float64(p.route.LatencyTarget)), mayMove, stop, p.couldServe)
+	watch := p.watchStall(c, time.Duration(attemptShare*float64(p.route.LatencyTarget)), mayMove, stop)
 	overdueTimer := p.g.State.startOverdueTimer(c)
 	defer overdueTimer.Stop()
 	defer p.presumeBegun()()
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -42,9 +42,8 @@
 
 // refundRetries returns the retries that were spent and not sent.
 func (p *proxyRequest) refundRetries() {
-	for ; p.reservedRetries > 0; p.reservedRetries-- {
-		p.g.State.refundRetry(p.group)
-	}
+	p.g.State.refundRetries(p.group, p.reservedRetries)
+	p.reservedRetries = 0
 }
 
 // retriesForSplit returns the number of retries that prefill and decode at two
@@ -145,8 +144,11 @@
 	return true
 }
 
-func (s *State) refundRetry(group fleet.GroupName) {
+// refundRetries returns n retries.
+func (s *State) refundRetries(group fleet.GroupName, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.Refund(group, s.now())
+	for range n {
+		s.budget.Refund(group, s.now())
+	}
 }
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -46,25 +46,29 @@
 var errStalled = errors.New("the server made no progress")
 
 // stallWatch gives an attempt up that makes no progress, if another server is
-// certain to take the request. A stream whose beginning the caller has goes on
-// elsewhere only once the server has stopped: it has closed its side after this
-// one has, it cannot be reached, or it sends what is no event.
+// expected to take the request soon. A stream whose beginning the caller has is given
+// up only once another engine keeps a slot for it, and goes on there only once its
+// server has stopped: it has closed its side after this one has, it cannot be reached,
+// or it sends what is no event.
 type stallWatch struct {
 	p      *proxyRequest
 	choice placement.Choice
-	// movable returns the number of calls with which other servers are certain to
-	// take the request; 0 if they are not.
-	movable func() int
-	cancel  context.CancelFunc
+	// skip are the servers to which the attempt cannot be moved.
+	skip   []fleet.UpstreamID
+	cancel context.CancelFunc
 
 	mu    sync.Mutex
 	timer *time.Timer
 	// answer is the answer once events are read.
 	answer *connpool.Answer
 	// moved reports whether the attempt was given up, or its server was asked to
-	// stop it. The retries for the whole way at other servers are reserved then.
+	// stop it. The retries for the whole way at other servers are reserved then, and
+	// for a stream that has begun a slot, unless the engines keep none.
 	moved, ended    bool
 	reservedRetries int
+	slot            *slot
+	// reserving reports whether a slot is being reserved.
+	reserving bool
 	// lastEvent and lastByte are the Unix nanoseconds of the last event and of the
 	// last bytes.
 	lastEvent, lastByte atomic.Int64
@@ -72,13 +76,12 @@
 
 // watchStall starts a watch of an attempt that gives it up after limit, if it may
 // be given up at all. The caller must call end.
-func (p *proxyRequest) watchStall(c placement.Choice, limit time.Duration, mayMove bool, cancel context.CancelFunc, movable func(skip []fleet.UpstreamID) int) *stallWatch {
+func (p *proxyRequest) watchStall(c placement.Choice, limit time.Duration, mayMove bool, cancel context.CancelFunc) *stallWatch {
 	w := &stallWatch{p: p, choice: c, cancel: cancel}
 	if !mayMove {
 		return w
 	}
-	skip := append(append([]fleet.UpstreamID(nil), p.tried...), c.Server.ID)
-	w.movable = func() int { return movable(skip) }
+	w.skip = append(append([]fleet.UpstreamID(nil), p.tried...), c.Server.ID)
 	w.timer = time.AfterFunc(limit, w.stalled)
 	return w
 }
@@ -87,33 +90,59 @@
 func (w *stallWatch) stalled() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.ended || w.moved || w.reserving {
+		return
+	}
+	m, ok := w.reserveRetries()
 	switch {
-	case w.ended || w.moved:
-	case !w.reserve():
+	case !ok:
 		w.timer.Reset(recheckTime)
-	case w.answer == nil || w.lastEvent.Load() == 0 || w.dripping():
+	case w.answer == nil || w.lastEvent.Load() == 0:
+		w.moved, w.reservedRetries = true, m.calls
 		w.cancel()
 	default:
-		w.log("server asked to stop a stream that has stalled")
-		if err := w.answer.EndSending(); err != nil {
-			w.p.g.Log.Debug("sending not ended", zap.String("request_id", string(w.p.req.ID)), logline.Error(err))
-		}
-		go w.checkReachable()
+		w.reserving = true
+		go w.stop(m, w.lastEvent.Load())
 	}
 }
 
-// reserve spends the retries for the move of the attempt, which cannot be taken
-// back, and reports whether it is certain that it can be moved. The caller holds mu.
-func (w *stallWatch) reserve() bool {
+// reserveRetries spends the retries for the whole way at other servers, and reports
+// whether it is expected that the attempt can be moved. The caller holds mu.
+func (w *stallWatch) reserveRetries() (move, bool) {
 	if w.p.remaining() < minMove {
-		return false
+		return move{}, false
+	}
+	m := w.p.g.State.moveOf(w.p, w.skip)
+	return m, m.calls > 0 && w.p.g.State.spendRetries(w.p.group, m.calls)
+}
+
+// stop asks the server to stop a stream that has begun, once another engine keeps a
+// slot for it: what is stopped cannot be taken back. The retries of m are spent;
+// lastEvent is the time of the stream's last event.
+func (w *stallWatch) stop(m move, lastEvent int64) {
+	slot, ok := w.p.reserveSlot(m.engine)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reserving = false
+	goesOn := w.ended || w.lastEvent.Load() != lastEvent
+	if !ok || goesOn {
+		w.p.dropSlot(slot)
+		w.p.g.State.refundRetries(w.p.group, m.calls)
+		if !goesOn {
+			w.timer.Reset(recheckTime)
+		}
+		return
+	}
+	w.moved, w.reservedRetries, w.slot = true, m.calls, slot
+	if w.dripping() {
+		w.cancel()
+		return
 	}
-	calls := w.movable()
-	if calls == 0 || !w.p.g.State.spendRetries(w.p.group, calls) {
-		return false
+	w.log("server asked to stop a stream that has stalled")
+	if err := w.answer.EndSending(); err != nil {
+		w.p.g.Log.Debug("sending not ended", zap.String("request_id", string(w.p.req.ID)), logline.Error(err))
 	}
-	w.moved, w.reservedRetries = true, calls
-	return true
+	go w.checkReachable()
 }
 
 // dripping reports whether bytes have come for some time and no event.
@@ -185,35 +214,49 @@
 		return err
 	}
 	w.p.reservedRetries += w.reservedRetries
+	w.p.slot = w.slot
 	if err != nil && !w.p.callerGone() {
 		return errors.Wrap(errStalled, err.Error())
 	}
 	return err
 }
 
-// couldServe returns the number of calls with which servers other than those in
-// skip are expected to take a request soon; 0 if they are not.
-func (s *State) couldServe(p *proxyRequest, skip []fleet.UpstreamID) (calls int) {
+// move is the way of a request at other servers.
+type move struct {
+	// calls is the number of calls that it takes; 0 if no server is expected to take
+	// the request soon.
+	calls int
+	// engine is the one that makes the answer; unset for a plain service.
+	engine placement.Choice
+}
+
+// moveOf returns the way of a request at servers other than those in skip.
+func (s *State) moveOf(p *proxyRequest, skip []fleet.UpstreamID) move {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	certain := func(c placement.Choice, ok bool) bool {
+	soon := func(c placement.Choice, ok bool) bool {
 		return ok && p.asSent(c).Wait <= maxMoveWait && s.fleet.Available(c.Server.ID)
 	}
 	if p.service == nil || p.service.Engine == nil || p.req.PromptTokens == 0 {
 		s.large = false
-		if certain(s.fleet.ChoosePlain(p.group, p.req.ID, now, skip)) {
-			return 1
+		if soon(s.fleet.ChoosePlain(p.group, p.req.ID, now, skip)) {
+			return move{calls: 1}
 		}
-		return 0
+		return move{}
 	}
 	s.large = s.limiter.IsLarge(p.group, p.req.PromptTokens)
 	prefill, _, split := s.fleet.ChooseEngines(p.group, &p.req, now, skip)
-	if !certain(s.fleet.ChooseDirect(p.group, &p.req, now, skip)) && !(split && certain(prefill, true)) {
-		return 0
+	direct, ok := s.fleet.ChooseDirect(p.group, &p.req, now, skip)
+	if !soon(direct, ok) && !(split && soon(prefill, true)) {
+		return move{}
+	}
+	if !split {
+		return move{calls: 1, engine: direct}
 	}
-	if split {
-		return 2
+	decode, ok := s.fleet.ChooseDecode(p.group, &p.req, prefill.Server, now, skip)
+	if !ok {
+		return move{}
 	}
-	return 1
+	return move{calls: 2, engine: decode}
 }
