--- a/core/lease/answer.go
+++ b/core/lease/answer.go
@@ -70,7 +70,7 @@
 		m.becomeHolder(ev.Fence.Number)
 		return
 	}
-	m.first = ev.Revision == 0 && m.era <= firstEra
+	m.first = ev.Revision == 0 && m.era <= fleet.FirstEra
 	m.nextFence = max(ev.Fence.Number, lowestFence(m.era)) + 1
 	fence := Fence{Number: m.nextFence, Attempt: m.attempt}
 	m.issue(writingFence, func(h Header) Command {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -48,16 +48,11 @@
 	Attempt string `json:"attempt"`
 }
 
-const (
-	// fenceEraShift is the number of bits of a fencing number within an era.
-	fenceEraShift = 32
-	// firstEra is the era of a platform that has never come back from a copy. One
-	// without eras is in era 0.
-	firstEra = 1
-)
+// fenceEraShift is the number of bits of a fencing number within an era.
+const fenceEraShift = 32
 
 // lowestFence returns the number that all fencing numbers of an era exceed.
-func lowestFence(era int64) int64 { return max(era-firstEra, 0) << fenceEraShift }
+func lowestFence(era int64) int64 { return max(era-fleet.FirstEra, 0) << fenceEraShift }
 
 type state uint8
 
--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -182,12 +182,12 @@
 	}
 }
 
-// rewriteTime is the time in which servers write their entries again that the store
-// has lost.
-const rewriteTime = 2 * time.Second
+// RewriteTime is the time after the return of the store from an older copy in which the
+// operator and the servers write again what it has lost.
+const RewriteTime = 2 * time.Second
 
 // ReplaceRestored is Replace for a store that has come back from an older copy of
-// itself. Entries that it has lost stay in use for rewriteTime, and those that were
+// itself. Entries that it has lost stay in use for RewriteTime, and those that were
 // removed do not come into use again before their servers write them.
 func (l *List) ReplaceRestored(entries []Entry, revision int64, now fleet.Instant) {
 	seen := map[fleet.UpstreamID]bool{}
@@ -201,7 +201,7 @@
 	}
 	for id, r := range l.records {
 		if !seen[id] && !r.removed {
-			r.lostUntil, r.Revision = now+rewriteTime, revision
+			r.lostUntil, r.Revision = now+RewriteTime, revision
 		}
 	}
 }
--- a/core/listing/listing_test.go
+++ b/core/listing/listing_test.go
@@ -139,7 +139,7 @@
 			l.Replace(restored, 105, now, now+time.Second)
 			So(usable(l, now+time.Second), ShouldEqual, "abc")
 			So(l.HasRemoved(), ShouldBeTrue)
-			So(usable(l, now+rewriteTime), ShouldEqual, "ab")
+			So(usable(l, now+RewriteTime), ShouldEqual, "ab")
 		})
 		Convey("keeps those that write in time", func() {
 			l.Put(entry("c", 1, 6, false).at(106), now+time.Second)
--- a/directory/restore.go
+++ b/directory/restore.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/listing"
 	"github.com/bramleywick/bramleywick/store"
 )
 
@@ -13,14 +14,9 @@
 // operator and the servers write it again; until they have, what this instance knows
 // is newer than the store.
 
-const (
-	// rewriteTime is the time after the store's return in which the operator and the
-	// servers write again what it has lost.
-	rewriteTime = 2 * time.Second
-	// relistTime is the same for instances: the longest time between two renewals of
-	// their registration, with which they notice the loss, and one more write.
-	relistTime = renewInterval*5/4 + 500*time.Millisecond
-)
+// relistTime is what listing.RewriteTime is for instances: the longest time between two
+// renewals of their registration, with which they notice the loss, and one more write.
+const relistTime = renewInterval*5/4 + 500*time.Millisecond
 
 // restores is what a Directory knows of the store's returns from copies. The
 // Directory's mu guards it.
@@ -77,7 +73,7 @@
 // rewritten reports whether the operator has had the time to write again what the
 // store has lost. The caller holds mu.
 func (d *Directory) rewritten() bool {
-	return d.restores.at == 0 || d.now()-d.restores.at >= rewriteTime
+	return d.restores.at == 0 || d.now()-d.restores.at >= listing.RewriteTime
 }
 
 // keepInstances adds the instances to a complete reading that the store has lost and
--- a/duty/dutytest/store.go
+++ b/duty/dutytest/store.go
@@ -91,7 +91,7 @@
 
 // NewStore returns an empty store.
 func NewStore(now func() fleet.Instant) *Store {
-	return &Store{era: store.FirstEra, now: now, removedAt: map[string]fleet.Instant{}, entries: map[string]entry{}, leases: map[string]grant{}}
+	return &Store{era: fleet.FirstEra, now: now, removedAt: map[string]fleet.Instant{}, entries: map[string]entry{}, leases: map[string]grant{}}
 }
 
 // expire removes the leases that have expired.
--- a/duty/holder_test.go
+++ b/duty/holder_test.go
@@ -148,18 +148,22 @@
 	})
 }
 
+// newPair returns two holders of a store, and a copy of the store while it was empty.
+func newPair() (c *clock, s *dutytest.Store, empty dutytest.Copy, a, b *Holder) {
+	c = &clock{now: time.Hour}
+	s = dutytest.NewStore(c.read)
+	return c, s, s.Copy(), newTestHolder("a", c, s, nil), newTestHolder("b", c, s, nil)
+}
+
 // TestFencesAfterRestore guards against a fencing number that is given out twice, and
 // against two holders that act at the same time, when the store comes back from an older
 // copy and the instances learn of it at different times.
 func TestFencesAfterRestore(t *testing.T) {
 	for _, notice := range []time.Duration{0, time.Second, 10 * time.Second} {
 		Convey("A store that comes back from a copy, which the holder notices after "+notice.String(), t, func() {
-			c := &clock{now: time.Hour}
-			s := dutytest.NewStore(c.read)
-			empty := s.Copy()
 			// A process asks for the lease only while no other one holds it, so that each
 			// sees another era at another time.
-			a, b := newTestHolder("a", c, s, nil), newTestHolder("b", c, s, nil)
+			c, s, empty, a, b := newPair()
 			c.advance(time.Second, a, b)
 			So(fence(a), ShouldEqual, 1)
 			c.advance(5*time.Second, a, b)
@@ -182,10 +186,7 @@
 		})
 	}
 	Convey("The instance that has acted last gets the lease again before others", t, func() {
-		c := &clock{now: time.Hour}
-		s := dutytest.NewStore(c.read)
-		empty := s.Copy()
-		b, a := newTestHolder("b", c, s, nil), newTestHolder("a", c, s, nil)
+		c, s, empty, a, b := newPair()
 		c.advance(time.Second, a)
 		c.advance(time.Second, b, a)
 		first := fence(a)
@@ -200,10 +201,7 @@
 		So(b.ActedLast(first), ShouldBeFalse)
 	})
 	Convey("A holder that has missed one of two returns does not count as the last that acted", t, func() {
-		c := &clock{now: time.Hour}
-		s := dutytest.NewStore(c.read)
-		empty := s.Copy()
-		a, b := newTestHolder("a", c, s, nil), newTestHolder("b", c, s, nil)
+		c, s, empty, a, b := newPair()
 		c.advance(time.Second, a)
 		first := fence(a)
 		So(first, ShouldEqual, 1)
--- a/store/era.go
+++ b/store/era.go
@@ -22,7 +22,3 @@
 
 // NumberOf returns the store's own revision number.
 func NumberOf(revision int64) int64 { return revision & (1<<eraShift - 1) }
-
-// FirstEra is the era of a store that has never come back from a copy. A store
-// without eras is in era 0.
-const FirstEra = 1
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -145,7 +145,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	unwritten := false
-	if s.era > store.FirstEra && era(sent) < s.era {
+	if s.era > fleet.FirstEra && era(sent) < s.era {
 		sent, unwritten = r.afterRestore(sent, s.era), true
 	}
 	s.sent, s.sentRevision, s.openRevision, s.loaded, s.unwritten = sent, revision, openRevision, true, unwritten
--- a/usage/restore.go
+++ b/usage/restore.go
@@ -5,7 +5,7 @@
 
 	counts "github.com/bramleywick/bramleywick/core/usage"
 
-	"github.com/bramleywick/bramleywick/store"
+	"github.com/bramleywick/bramleywick/core/fleet"
 )
 
 // ownState is the state of the reports as a holder knew it last.
@@ -19,7 +19,7 @@
 	if sent == nil {
 		return 0
 	}
-	return max(sent.Era, store.FirstEra)
+	return max(sent.Era, fleet.FirstEra)
 }
 
 // afterRestore returns the state of the reports in a store that has come back from an
