--- /dev/null
+++ b/review/standin-2/deployment.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// record writes what was sent, answered and run, with the time since the start.
+type record struct {
+	mu    sync.Mutex
+	out   *os.File
+	start time.Time
+}
+
+func newRecord(path string) (*record, error) {
+	out, err := os.Create(path)
+	return &record{out: out, start: time.Now()}, err
+}
+
+func (r *record) add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.out, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// program is the command of the deploy file, which runs in the root of the repository.
+const program = "target/bramleywickd"
+
+// instance is one process of the system.
+type instance struct {
+	name, front, ready string
+	settings, log      string
+	cmd                *exec.Cmd
+	ended              chan struct{}
+}
+
+// options are the fields of the settings that cases choose.
+type options struct {
+	name, zone, store string
+	// more is text for the sections bounds and cloud.
+	bounds, cloud string
+}
+
+// settingsText is what the platform writes for an instance of a small deployment.
+const settingsText = `node-name = %q
+role = "front"
+machine-class = "front"
+serves = ["front"]
+ip = "127.0.0.1"
+zone = %q
+region = "r"
+internal-ports = [%d,%d]
+seeds = []
+bootstrap = true
+tolerance-member = false
+discovery = "platform"
+entry = "virtual_ip"
+heartbeat-ms = 1200
+contracts = ["base","drain","config","cost","retry","recover","split","stream","engine","platform"]
+[zones]
+a = "r"
+b = "r"
+c = "r"
+[listen]
+front = "127.0.0.1:%d"
+ready = "127.0.0.1:%d"
+[limits]
+cpu-share = 0.4
+cores = 1
+memory-mb = 284
+max-fds = 4100
+link-mbps = 1000.0
+disk-mb = 0
+[fault-tolerance]
+machines = 1
+zones = 1
+regions = 0
+[bounds]
+seed-lag-s = 3
+reuse-after-s = 2
+stable-ms = 3000
+ack-ms = 4000
+catch-up-s = 4
+drain-ms = 2000
+grace-s = 8
+loss-slack-ms = 200
+config-deadline-ms = 2000
+rollback-slack-ms = 250
+max-skew-ms = 5000
+retry-budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 56
+recovery-s = 12
+transit-ms = 120
+reuse-window-s = 9.8
+lease-ms = 3000
+thaw-slack-ms = 300
+%s
+[platform]
+address = %q
+form = "kv"
+writes-per-s = 400
+reads-per-s = 2000
+history-s = 20
+value-bytes = 1048576
+min-ttl-ms = 1000
+%s
+`
+
+// freePorts returns n consecutive pairs of free ports on the loopback address.
+func freePorts(n int) ([]int, error) {
+	var out []int
+	for len(out) < n {
+		a, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		port := a.Addr().(*net.TCPAddr).Port
+		b, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port+1))
+		if err == nil {
+			_ = b.Close()
+			defer a.Close()
+			out = append(out, port)
+			continue
+		}
+		_ = a.Close()
+	}
+	return out, nil
+}
+
+// newInstance writes the settings of an instance; start starts its process.
+func newInstance(dir string, o options) (*instance, error) {
+	ports, err := freePorts(3)
+	if err != nil {
+		return nil, err
+	}
+	i := &instance{
+		name: o.name, front: fmt.Sprint("127.0.0.1:", ports[1]), ready: fmt.Sprint("127.0.0.1:", ports[2]),
+		settings: filepath.Join(dir, o.name+".toml"), log: filepath.Join(dir, o.name+".log"),
+	}
+	text := fmt.Sprintf(settingsText, o.name, o.zone, ports[0], ports[0]+1, ports[1], ports[2], o.bounds, o.store, o.cloud)
+	return i, os.WriteFile(i.settings, []byte(text), 0o600)
+}
+
+func (i *instance) start() error {
+	log, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(program, "front")
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "BRAMLEYWICK_CONFIG=" + i.settings}
+	cmd.Stdout, cmd.Stderr = log, log
+	// The process ends with the harness.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	go func() { _ = cmd.Wait(); _ = log.Close(); close(ended) }()
+	i.cmd, i.ended = cmd, ended
+	return nil
+}
+
+func (i *instance) signal(s syscall.Signal) { _ = i.cmd.Process.Signal(s) }
+
+// kill ends the process and waits for its end.
+func (i *instance) kill() {
+	if i.cmd == nil {
+		return
+	}
+	_ = i.cmd.Process.Kill()
+	<-i.ended
+}
+
+// isReady asks the readiness endpoint as the platform does.
+func (i *instance) isReady() bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + i.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (i *instance) awaitReady(limit time.Duration) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if i.isReady() {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is not ready after %v", i.name, limit)
+}
+
+// answer is what a client got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err is not nil if the answer is not complete.
+	err error
+}
+
+func (a answer) String() string {
+	if a.err != nil {
+		return fmt.Sprintf("status %d, body %q, broken: %v", a.status, a.body, a.err)
+	}
+	return fmt.Sprintf("status %d, retry-after %q, body %q, complete", a.status, a.header.Get("Retry-After"), a.body)
+}
+
+var clients = &http.Client{
+	Timeout:       20 * time.Second,
+	Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
+// send sends a request on a connection of its own and reads the answer.
+func send(i *instance, method, path, id, body string, headers ...string) answer {
+	r, err := http.NewRequest(method, "http://"+i.front+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	r.Host = "h.example"
+	r.Header.Set("Request-Id", id)
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		r.Header.Set(name, value)
+	}
+	resp, err := clients.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(raw), err}
+}
--- /dev/null
+++ b/review/standin-2/halfclose.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// streamConfig is the configuration of a deployment with one service of engines.
+func streamConfig(version int) object {
+	return object{
+		"version": version,
+		"routes": []object{{
+			"name": "r-check", "host": "h.example", "path-prefix": "/check/", "kind": "streaming", "timeout-ms": 5000, "target-latency-ms": 600,
+			"priority": 1, "service": "llm", "max-attempts": 2, "sticky": true, "resumable": true, "target-gap-ms": 300,
+		}},
+		"services": []object{{
+			"name": "llm", "health-path": "/healthz", "max-connections": 370, "protocol": "h1", "tls": false,
+			"engine": object{
+				"slots": 64, "kv-tokens": 440559, "token-kv-bytes": 18432, "link-mbps": 740000.0, "moves": true, "backups": true, "stride": 13, "most": 12,
+				"handle-ttl-s": 5.0, "switch-s": 1.0, "pin-ms": 4000.0, "hold-ms": 2000.0, "models": []object{{"name": "m"}},
+			},
+		}},
+		"limits": object{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+	}
+}
+
+// halfClose sends streams, some of which their engines preempt in the middle. It
+// checks that no answer that ends as complete lacks an event.
+func halfClose(p *play) (bool, error) {
+	const events, requests = 10, 12
+	s, err := newStore(1)
+	if err != nil {
+		return false, err
+	}
+	if err := s.put("op/config", streamConfig(7)); err != nil {
+		return false, err
+	}
+	var mu sync.Mutex
+	preempted := map[string]bool{}
+	// Each second request is preempted once.
+	pause := func(_ *engine, id string, event int) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		if !p.trouble || event != 4 || preempted[id] || !strings.HasSuffix(id, "-p") {
+			return 0
+		}
+		preempted[id] = true
+		return 2100 * time.Millisecond
+	}
+	for n, stage := range []string{"prefill", "prefill", "decode", "decode", "decode", "decode"} {
+		if _, err := newEngine(p.record, s, &engine{
+			id: fmt.Sprint("i-", n), service: "llm", zone: string("abc"[n%3]), stage: stage, slots: 64, event: 60 * time.Millisecond, events: events, pause: pause,
+		}); err != nil {
+			return false, err
+		}
+	}
+	if err := p.deploy(options{name: "front-a-1", zone: "a", store: s.address, bounds: "require-fencing = true"},
+		options{name: "front-b-1", zone: "b", store: s.address, bounds: "require-fencing = true"}); err != nil {
+		return false, err
+	}
+	for _, i := range p.instances {
+		if err := i.awaitReady(15 * time.Second); err != nil {
+			return false, err
+		}
+	}
+	// The platform's traffic starts 10 s after the machines do.
+	time.Sleep(10 * time.Second)
+	want := func(id string) string {
+		var b strings.Builder
+		for n := 1; n <= events; n++ {
+			fmt.Fprintf(&b, "id: %d\ndata: %s/%d\n\n", n, id, n)
+		}
+		return b.String()
+	}
+	var running sync.WaitGroup
+	whole, cut, other := 0, 0, 0
+	for n := range requests {
+		id := fmt.Sprintf("%016x-s", 1000+n)
+		if n%2 == 1 {
+			id = fmt.Sprintf("%016x-p", 1000+n)
+		}
+		running.Go(func() {
+			i := p.instances[n%2]
+			p.add("client: sends %s to %s", id, i.name)
+			a := send(i, "POST", "/check/x", id, "prompt", "Model: m", "Token-Usage: 460,130", fmt.Sprintf("Prompt-Prefix: 5c1e07a%x:400,%08x:60", n%4, n), "Deadline-Ms: 5000")
+			p.add("client: %s: %v", id, a)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.err == nil && a.status == 200 && a.body == want(id):
+				whole++
+			case a.err == nil && a.status == 200:
+				cut++
+				p.add("ORDER: %s ended as complete and lacks events", id)
+			default:
+				other++
+			}
+		})
+		time.Sleep(500 * time.Millisecond)
+	}
+	running.Wait()
+	p.add("%d requests: %d whole, %d ended as complete without all events, %d others", requests, whole, cut, other)
+	return cut > 0, nil
+}
