--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,7 +20,8 @@
 
 // cases are the cases by name; each returns whether the rule was broken.
 var cases = map[string]func(*play) (bool, error){
-	"half-close": halfClose,
+	"half-close":             halfClose,
+	"restart-beside-restore": restartBesideRestore,
 }
 
 func main() {
