--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*play) (bool, error){
 	"half-close":             halfClose,
 	"restart-beside-restore": restartBesideRestore,
+	"restore-usage":          restoreUsage,
 }
 
 func main() {
--- a/review/standin-2/plain.go
+++ b/review/standin-2/plain.go
@@ -16,6 +16,7 @@
 	born              int64
 	store             *store
 	work              time.Duration
+	quiet             bool
 
 	mu   sync.Mutex
 	beat int
@@ -72,7 +73,9 @@
 	p.mu.Lock()
 	p.ran[id], p.tenants[id] = time.Now(), r.Header.Get("Tenant")
 	p.mu.Unlock()
-	p.add("%s: runs %s of tenant %q", p.id, id, r.Header.Get("Tenant"))
+	if !p.quiet {
+		p.add("%s: runs %s of tenant %q", p.id, id, r.Header.Get("Tenant"))
+	}
 	time.Sleep(p.work)
 	w.Header().Set("Response-Signature", "sig-"+id)
 	_, _ = io.WriteString(w, "answer to "+id)
