--- a/review/standin-2/restart.go
+++ b/review/standin-2/restart.go
@@ -27,7 +27,7 @@
 	// has written again what the store has lost.
 	maxCopyAge   = 9 * time.Second
 	storeAway    = 2 * time.Second
-	rewriteAfter = time.Second
+	rewriteAfter = 500 * time.Millisecond
 )
 
 // restartBesideRestore takes a key away, and later plays a drill of the store beside
