--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -229,7 +231,16 @@
 
 // send sends a request on a connection of its own and reads the answer.
 func send(i *instance, method, path, id, body string, headers ...string) answer {
-	r, err := http.NewRequest(method, "http://"+i.front+path, strings.NewReader(body))
+	return sendPatiently(20*time.Second, i, method, path, id, body, headers...)
+}
+
+// sendPatiently does the same and leaves if nothing comes for a time.
+func sendPatiently(patience time.Duration, i *instance, method, path, id, body string, headers ...string) answer {
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	silence := time.AfterFunc(patience, leave)
+	defer silence.Stop()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+i.front+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -244,6 +255,16 @@
 		return answer{err: err}
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, resp.Header, string(raw), err}
+	var got bytes.Buffer
+	for piece := make([]byte, 4<<10); ; {
+		n, err := resp.Body.Read(piece)
+		got.Write(piece[:n])
+		silence.Reset(patience)
+		if err == io.EOF {
+			err = nil
+		} else if err == nil {
+			continue
+		}
+		return answer{resp.StatusCode, resp.Header, got.String(), err}
+	}
 }
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -25,6 +25,11 @@
 	events int
 	// pause returns how long a run is preempted before an event; it may be nil.
 	pause func(e *engine, request string, event int) time.Duration
+	// noticesLate makes the engine notice at its next event, and not before, that its
+	// caller has closed the channel. ran, which may be nil, is called when a run begins
+	// and returns what is called at its end.
+	noticesLate bool
+	ran         func(e *engine, request string) (ended func())
 
 	mu       sync.Mutex
 	stage    string
@@ -214,6 +219,9 @@
 	w.Header().Set("Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := http.NewResponseController(w)
+	if e.ran != nil {
+		defer e.ran(e, id)()
+	}
 	for n := last + 1; n <= e.events; n++ {
 		wait := e.event
 		if e.pause != nil {
@@ -222,9 +230,16 @@
 				wait += pause
 			}
 		}
+		closed := r.Context().Done()
+		if e.noticesLate {
+			time.Sleep(wait)
+			wait = 0
+		}
 		select {
+		case <-closed:
 		case <-time.After(wait):
-		case <-r.Context().Done():
+		}
+		if r.Context().Err() != nil {
 			e.note("%s: %s: its caller's side of the channel is closed; dropped before event %d", e.id, id, n)
 			return
 		}
--- a/review/standin-2/halfclose.go
+++ b/review/standin-2/halfclose.go
@@ -84,7 +84,7 @@
 		running.Go(func() {
 			i := p.instances[n%2]
 			p.add("client: sends %s to %s", id, i.name)
-			a := send(i, "POST", "/check/x", id, "prompt", "Model: m", "Token-Usage: 460,130", fmt.Sprintf("Prompt-Prefix: 5c1e07a%x:400,%08x:60", n%4, n), "Deadline-Ms: 5000")
+			a := sendPatiently(2400*time.Millisecond, i, "POST", "/check/x", id, "prompt", "Model: m", "Token-Usage: 460,130", fmt.Sprintf("Prompt-Prefix: 5c1e07a%x:400,%08x:60", n%4, n), "Deadline-Ms: 5000")
 			p.add("client: %s: %v", id, a)
 			mu.Lock()
 			defer mu.Unlock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,6 +20,7 @@
 
 // cases are the cases by name; each returns whether the rule was broken.
 var cases = map[string]func(*play) (bool, error){
+	"first-event":            firstEvent,
 	"half-close":             halfClose,
 	"restart-beside-restore": restartBesideRestore,
 	"restore-usage":          restoreUsage,
