--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -41,14 +41,19 @@
 type instance struct {
 	name, front, ready string
 	settings, log      string
-	cmd                *exec.Cmd
-	ended              chan struct{}
+	// text returns the settings with a grace time in seconds.
+	text  func(grace int) string
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
+// usualGrace is the grace time of a planned stop in seconds.
+const usualGrace = 8
+
 // options are the fields of the settings that cases choose.
 type options struct {
 	name, zone, store string
-	// more is text for the sections bounds and cloud.
+	// bounds is text for the section of this name, and cloud that section.
 	bounds, cloud string
 }
 
@@ -87,8 +92,15 @@
 		name: o.name, front: fmt.Sprint(ip, ":", ports[1]), ready: fmt.Sprint(ip, ":", ports[2]),
 		settings: filepath.Join(dir, o.name+".toml"), log: filepath.Join(dir, o.name+".log"),
 	}
-	text := fmt.Sprintf(settingsText, o.name, ip, o.zone, ports[0], ports[0]+1, i.front, i.ready, o.bounds, o.store, o.cloud)
-	return i, os.WriteFile(i.settings, []byte(text), 0o600)
+	i.text = func(grace int) string {
+		return fmt.Sprintf(settingsText, o.name, ip, o.zone, ports[0], ports[0]+1, i.front, i.ready, grace, o.bounds, o.store, o.cloud)
+	}
+	return i, i.configure(usualGrace)
+}
+
+// configure writes the settings file.
+func (i *instance) configure(grace int) error {
+	return os.WriteFile(i.settings, []byte(i.text(grace)), 0o600)
 }
 
 func (i *instance) start() error {
--- a/review/standin-2/firstevent.go
+++ b/review/standin-2/firstevent.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return false, err
 	}
-	if err := s.put(wire["configuration"], streamConfig(3000, 400, 200)); err != nil {
+	if err := s.put(wire["configuration"], streamConfig(3000, 400, 200, 2, true)); err != nil {
 		return false, err
 	}
 	var mu sync.Mutex
--- a/review/standin-2/halfclose.go
+++ b/review/standin-2/halfclose.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		return false, err
 	}
-	if err := s.put(wire["configuration"], streamConfig(5000, 600, 300)); err != nil {
+	if err := s.put(wire["configuration"], streamConfig(5000, 600, 300, 2, true)); err != nil {
 		return false, err
 	}
 	var mu sync.Mutex
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 	"first-event":            firstEvent,
 	"half-close":             halfClose,
 	"restart-beside-restore": restartBesideRestore,
+	"shorter-grace":          shorterGrace,
 	"restore-usage":          restoreUsage,
 }
 
--- a/review/standin-2/usage.go
+++ b/review/standin-2/usage.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := newCloud(p.record, 3*time.Second)
+	c, err := newCloud(p.record)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin-2/wire.go
+++ b/review/standin-2/wire.go
@@ -34,9 +34,9 @@
 }()
 
 // streamConfig is the configuration of a deployment with one service of engines and one
-// route, whose streams may be resumed.
-func streamConfig(timeoutMs, targetMs, gapMs int) json.RawMessage {
-	return json.RawMessage(fmt.Sprintf(streamText, timeoutMs, targetMs, gapMs))
+// route.
+func streamConfig(timeoutMs, targetMs, gapMs, attempts int, resumable bool) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(streamText, timeoutMs, targetMs, attempts, resumable, gapMs))
 }
 
 // tenant is a tenant with its keys.
