--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,11 +5,18 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+// maxTime bounds a case.
+const maxTime = 110 * time.Second
+
 // play is what a case has to work with.
 type play struct {
 	*record
@@ -57,7 +64,26 @@
 			i.kill()
 		}
 	}()
-	broken, err := cases[name](p)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	type outcome struct {
+		broken bool
+		err    error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		broken, err := cases[name](p)
+		done <- outcome{broken, err}
+	}()
+	var broken bool
+	select {
+	case o := <-done:
+		broken, err = o.broken, o.err
+	case <-signals:
+		err = errors.New("told to end")
+	case <-time.After(maxTime):
+		err = errors.New("the case takes too long")
+	}
 	switch {
 	case err != nil:
 		p.add("the case could not run: %v", err)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"maps"
 	"net"
 	"net/http"
@@ -101,6 +102,9 @@
 	s.changed = make(chan struct{})
 }
 
+// errAway means that the store is away.
+var errAway = errors.New("the store is away")
+
 // put writes a key as the operator or a server does.
 func (s *store) put(key string, value any) error {
 	raw, err := json.Marshal(value)
@@ -109,6 +113,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return errAway
+	}
 	s.write(key, raw, 0)
 	return nil
 }
--- a/review/standin-2/wire.go
+++ b/review/standin-2/wire.go
@@ -35,8 +35,8 @@
 
 // streamConfig is the configuration of a deployment with one service of engines and one
 // route.
-func streamConfig(timeoutMs, targetMs, gapMs, attempts int, resumable bool) json.RawMessage {
-	return json.RawMessage(fmt.Sprintf(streamText, timeoutMs, targetMs, attempts, resumable, gapMs))
+func streamConfig(slots, timeoutMs, targetMs, gapMs, attempts int, resumable bool) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(streamText, timeoutMs, targetMs, attempts, resumable, gapMs, slots))
 }
 
 // tenant is a tenant with its keys.
