Treat a chunked answer that ends after its server was asked to stop as broken

Cause: a stream that is silent for 1.5 s is stopped by ending the sending side of the connection. Most HTTP servers cancel the handler then and end a chunked body in order. The end was taken for the completion of the answer; only answers with neither a length nor chunks were excepted. Ruled out by the records of the engine and of the log: a rest lost by the engine, and events lost at a second engine.

Change: connpool.Answer.Read decides what the end of a body proves. After EndSending only a stated length does; otherwise the error is ErrStopped and the stream goes on at the engine that keeps its slot. EndSending does nothing once the body was read to its end. A stream that lacked only its end is resumed behind its last event, which yields nothing and so doubles nothing.

--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -77,17 +78,17 @@
 	Header http.Header
 	Meta   call.Answer
 	// Framed reports whether the end of the body is known without the
-	// connection being closed.
-	Framed bool
-	body   io.Reader
-	conn   *conn
-	pool   *Pool
-	// bodyRead reports whether the body has been read to its end.
-	bodyRead bool
-	// reusable reports whether the server keeps the connection open, and
-	// sendingEnded whether this side has ended sending.
-	reusable     bool
-	sendingEnded atomic.Bool
+	// connection being closed, and sized whether its length is.
+	Framed, sized bool
+	body          io.Reader
+	conn          *conn
+	pool          *Pool
+	// reusable reports whether the server keeps the connection open.
+	reusable bool
+	mu       sync.Mutex
+	// bodyRead reports whether the body has been read to its end, and
+	// sendingEnded whether this side had ended sending before.
+	bodyRead, sendingEnded bool
 	// stopCancel makes the end of the context no longer close the connection.
 	// It returns false when the context has ended already.
 	stopCancel func() bool
@@ -267,38 +268,55 @@
 		framed := chunked || resp.ContentLength >= 0
 		return &Answer{
 			Status: resp.StatusCode, Header: resp.Header, Meta: d.ParseAnswer(resp.StatusCode, resp.Header),
-			Framed: framed, body: resp.Body, conn: c, reusable: framed && !resp.Close && r.ID != "",
+			Framed: framed, sized: resp.ContentLength >= 0, body: resp.Body, conn: c, reusable: framed && !resp.Close && r.ID != "",
 		}, nil
 	}
 	return nil, errors.New("received only interim answers")
 }
 
+// ErrStopped means that a body whose length is unknown ended after this side had
+// ended sending. Its server may have stopped in the middle: most HTTP servers end a
+// body in order when its handler returns.
+var ErrStopped = errors.New("the answer ended after its server was asked to stop")
+
 // Read reads the body. The error is io.EOF when the body is complete.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
-	if err == io.EOF {
-		a.bodyRead = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.sendingEnded && !a.sized {
+		return n, ErrStopped
+	}
+	a.bodyRead = true
+	return n, io.EOF
 }
 
-// EndSending closes the sending side of the connection. A server that drops a
-// request when its caller closes the connection ends the answer; one that goes on
-// can still be read. It may be called while the body is read.
+// EndSending closes the sending side of the connection, unless the body has been read
+// to its end. A server that drops a request when its caller closes the connection ends
+// the answer; one that goes on can still be read. It may be called while the body is
+// read.
 func (a *Answer) EndSending() error {
-	a.sendingEnded.Store(true)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.bodyRead {
+		return nil
+	}
+	a.sendingEnded = true
 	return errors.Wrap(a.conn.Conn.(*net.TCPConn).CloseWrite(), "end sending")
 }
 
-// SendingEnded reports whether EndSending has been called.
-func (a *Answer) SendingEnded() bool { return a.sendingEnded.Load() }
-
 // Close returns the connection to the pool when the body was read to its end.
 // Otherwise it closes the connection, which makes most servers cancel the
 // request.
 func (a *Answer) Close() {
 	uncancelled := a.stopCancel()
-	if a.bodyRead && a.reusable && !a.sendingEnded.Load() && uncancelled && a.conn.requestSent() && a.conn.in.Buffered() == 0 {
+	a.mu.Lock()
+	whole := a.bodyRead && !a.sendingEnded
+	a.mu.Unlock()
+	if whole && a.reusable && uncancelled && a.conn.requestSent() && a.conn.in.Buffered() == 0 {
 		a.pool.putIdle(a.conn, a.Meta.IdleTimeout)
 		return
 	}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -304,9 +304,8 @@
 	defer func() { p.g.State.learnDecode(c.Server.ID, &p.req, p.events, lastAt.Sub(firstAt)) }()
 	for {
 		data, id, err := in.next()
-		if err == io.EOF && !a.Framed && (first || a.SendingEnded()) {
-			// Nothing shows that the answer had even begun, or that its server did
-			// not end it because this side had ended sending.
+		if err == io.EOF && !a.Framed && first {
+			// Nothing shows that the answer had even begun.
 			return resultBroken, errors.Wrap(io.ErrUnexpectedEOF, "read stream")
 		}
 		if err == io.EOF {
