Refuse an answer without a length whose connection was cut off

Cause: Linux reports the error of a reset connection once. A long request is written beside the read of its answer; if the writer gets the error, the reader sees an ordinary end, which completes an answer that only its connection ends.

Change: when such an answer ends, the pool waits for the write of the request, and then until the request is acknowledged or the connection is closed. Answers with a length or chunks state their end themselves and are not affected, early or not.

--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -104,12 +104,35 @@
 	usableUntil time.Time
 	// reused reports whether the connection has carried another request.
 	reused bool
-	// written reports whether the whole request has been written. writeDone
-	// receives the result of a write that runs concurrently with the read.
-	written   atomic.Bool
-	writeDone chan error
+	// upload is the write of the last request.
+	upload *upload
 }
 
+// upload is the write of a request, which runs concurrently with the read of its
+// answer when the request is long.
+type upload struct {
+	// done is closed at the end of the write, and err is its error from then on.
+	done chan struct{}
+	err  error
+}
+
+// newUpload returns an upload that runs write.
+func newUpload(write func() error) *upload {
+	u := &upload{done: make(chan struct{})}
+	go func() {
+		defer close(u.done)
+		u.err = write()
+	}()
+	return u
+}
+
+// written is the upload of a request that is not written concurrently.
+var written = func() *upload {
+	u := &upload{done: make(chan struct{})}
+	close(u.done)
+	return u
+}()
+
 // headLimit is a reader that fails after left bytes; it bounds an answer's
 // head.
 type headLimit struct {
@@ -135,13 +158,18 @@
 	return &conn{Conn: raw, address: address, limit: limit, in: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
+// syscallConn returns the connection for system calls.
+func (c *conn) syscallConn() (syscall.RawConn, error) {
+	return c.Conn.(*net.TCPConn).SyscallConn()
+}
+
 // usable reports whether an idle connection is open and has no unread bytes,
 // which would belong to no request.
 func (c *conn) usable() bool {
 	if c.in.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.syscallConn()
 	if err != nil {
 		return false
 	}
@@ -230,24 +258,21 @@
 			return errors.Wrap(ErrNotSent, err.Error())
 		}
 	}
-	c.written.Store(false)
 	if b.Len()+length <= maxSyncWriteBytes {
 		for _, piece := range r.Body {
 			b.Write(piece)
 		}
+		c.upload = written
 		_, err := c.Write(b.Bytes())
-		c.written.Store(err == nil)
 		return errors.Wrap(err, "send request")
 	}
-	c.writeDone = make(chan error, 1)
-	go func(done chan error) {
-		// A copy of a long body would count on top of the body. The list is copied,
-		// because writing it takes pieces off.
-		pieces := append(net.Buffers{b.Bytes()}, r.Body...)
+	// A copy of a long body would count on top of the body. The list is copied,
+	// because writing it takes pieces off.
+	pieces := append(net.Buffers{b.Bytes()}, r.Body...)
+	c.upload = newUpload(func() error {
 		_, err := pieces.WriteTo(c.Conn)
-		c.written.Store(err == nil)
-		done <- err
-	}(c.writeDone)
+		return err
+	})
 	return nil
 }
 
@@ -285,6 +310,11 @@
 	if err != io.EOF {
 		return n, err
 	}
+	if !a.Framed {
+		if err := a.conn.checkEnd(); err != nil {
+			return n, err
+		}
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.sendingEnded && !a.sized {
@@ -327,12 +357,9 @@
 // writeGrace. If part of it were missing, the server would read the next
 // request as the rest of this one.
 func (c *conn) requestSent() bool {
-	if c.written.Load() {
-		return true
-	}
 	select {
-	case err := <-c.writeDone:
-		return err == nil
+	case <-c.upload.done:
+		return c.upload.err == nil
 	case <-time.After(writeGrace):
 		return false
 	}
