Refuse answers whose status is none of HTTP

Callers got the answer of a server in trouble as a 200: one of status 000 (or 099, +20) was skipped like an interim answer without its body, so that the bytes behind it, which may be its body, were read as the answer to the request. Statuses 600 to 999 were passed on as they were.

Cause: http.ReadResponse accepts any three characters that are a number which is not negative, and connpool and upstream took each status below 200 for an interim answer. Ruled out: a late answer to another request, since the id of the request is the right one.

Change: package httphead reads the next final answer for both, with one limit of interim answers, and refuses a status outside 100 to 599, the status 101, which nothing asks for, and another protocol than HTTP/1. Clients of net/http (the store's two, polling, orders) get the same check as a RoundTripper. The attempt counts as broken: a request that may be repeated goes to another server, and any other gets 502, since a status that nobody knows says nothing about what ran. A client has to treat 600 and above like a server error; as a 502 it need not know.

--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -1,7 +1,6 @@
 package connpool
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -17,6 +16,7 @@
 
 	"github.com/bramleywick/bramleywick/core/call"
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/httphead"
 )
 
 const (
@@ -26,8 +26,6 @@
 	// maxStaleAnswerBytes bounds the body of a skipped answer to another
 	// request; a longer one closes the connection.
 	maxStaleAnswerBytes = 64 << 10
-	// maxInterimAnswers bounds the number of interim answers (1xx) to a request.
-	maxInterimAnswers = 8
 	// maxStaleAnswers bounds the number of skipped answers to other requests.
 	maxStaleAnswers = 3
 	// maxSyncWriteBytes is the size up to which a request fits into the
@@ -98,8 +96,7 @@
 type conn struct {
 	net.Conn
 	address string
-	in      *bufio.Reader
-	limit   *headLimit
+	in      *httphead.Reader
 	// usableUntil is the time after which the connection must not be reused.
 	usableUntil time.Time
 	// reused reports whether the connection has carried another request.
@@ -133,29 +130,8 @@
 	return u
 }()
 
-// headLimit is a reader that fails after left bytes; it bounds an answer's
-// head.
-type headLimit struct {
-	r    io.Reader
-	left int64
-}
-
-// Read implements io.Reader.
-func (l *headLimit) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, errors.New("the head of the answer exceeds the size limit")
-	}
-	n, err := l.r.Read(p)
-	l.left -= int64(n)
-	return n, err
-}
-
-// unlimited is the value of headLimit.left while a body is read.
-const unlimited = 1 << 62
-
 func newConn(raw net.Conn, address string) *conn {
-	limit := &headLimit{r: raw}
-	return &conn{Conn: raw, address: address, limit: limit, in: bufio.NewReaderSize(limit, readBufferBytes)}
+	return &conn{Conn: raw, address: address, in: httphead.NewReader(raw, readBufferBytes)}
 }
 
 // syscallConn returns the connection for system calls.
@@ -276,27 +252,18 @@
 	return nil
 }
 
-// readHead reads the head of the next final answer; interim ones (1xx) are
-// skipped.
+// readHead reads the head of the next final answer.
 func (c *conn) readHead(r *Request, d Decoder) (*Answer, error) {
-	for range maxInterimAnswers + 1 {
-		c.limit.left = maxHeadBytes
-		resp, err := http.ReadResponse(c.in, &http.Request{Method: r.Method})
-		c.limit.left = unlimited
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
-		chunked := len(resp.TransferEncoding) > 0
-		framed := chunked || resp.ContentLength >= 0
-		return &Answer{
-			Status: resp.StatusCode, Header: resp.Header, Meta: d.ParseAnswer(resp.StatusCode, resp.Header),
-			Framed: framed, sized: resp.ContentLength >= 0, body: resp.Body, conn: c, reusable: framed && !resp.Close && r.ID != "",
-		}, nil
+	resp, err := c.in.Next(&http.Request{Method: r.Method}, maxHeadBytes)
+	if err != nil {
+		return nil, err
 	}
-	return nil, errors.New("received only interim answers")
+	chunked := len(resp.TransferEncoding) > 0
+	framed := chunked || resp.ContentLength >= 0
+	return &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Meta: d.ParseAnswer(resp.StatusCode, resp.Header),
+		Framed: framed, sized: resp.ContentLength >= 0, body: resp.Body, conn: c, reusable: framed && !resp.Close && r.ID != "",
+	}, nil
 }
 
 // ErrStopped means that a body whose length is unknown ended after this side had
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -8,6 +8,7 @@
 	"github.com/bramleywick/bramleywick/config"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/membership"
+	"github.com/bramleywick/bramleywick/httphead"
 	"github.com/bramleywick/bramleywick/operator"
 	"github.com/bramleywick/bramleywick/store"
 )
@@ -21,7 +22,7 @@
 		limits = store.DefaultLimits()
 	}
 	client := store.NewLimitedClient(d.settings.Platform, &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: platformIdleConnections, IdleConnTimeout: platformIdleTimeout},
+		Transport: httphead.Transport{Base: &http.Transport{MaxIdleConnsPerHost: platformIdleConnections, IdleConnTimeout: platformIdleTimeout}},
 	}, limits)
 	client.SetObserver(d.metrics.RegisterPlatformCalls())
 	return client
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -14,6 +14,7 @@
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/sched"
+	"github.com/bramleywick/bramleywick/httphead"
 	"github.com/bramleywick/bramleywick/upstream"
 )
 
@@ -59,7 +60,7 @@
 func New(ctx context.Context, hooks Hooks) *Poller {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}
 	return &Poller{
-		hooks: hooks, ctx: ctx, http: &http.Client{Transport: transport},
+		hooks: hooks, ctx: ctx, http: &http.Client{Transport: httphead.Transport{Base: transport}},
 		cancel: map[fleet.UpstreamID]context.CancelFunc{},
 	}
 }
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -10,6 +10,7 @@
 
 	"github.com/bramleywick/bramleywick/core/retry"
 	"github.com/bramleywick/bramleywick/core/stream"
+	"github.com/bramleywick/bramleywick/httphead"
 )
 
 // Step names the call at an upstream in which an error occurred.
@@ -89,7 +90,7 @@
 		e.Reason = retry.ReasonNotSent
 	case errors.Is(err, ErrStalled):
 		e.Reason = retry.ReasonStalled
-	case errors.Is(err, ErrTooLarge), errors.Is(err, errDecode):
+	case errors.Is(err, ErrTooLarge), errors.Is(err, errDecode), errors.Is(err, httphead.ErrMalformed):
 		e.Reason = retry.ReasonBadAnswer
 	}
 	return e
--- a/upstream/orders.go
+++ b/upstream/orders.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/httphead"
 )
 
 // OrderRequest is the body of POST /v1/orders at an engine.
@@ -108,7 +109,7 @@
 			return conn, nil
 		},
 	}
-	return &OrderConn{address: address, conn: conn, http: &http.Client{Transport: transport}}, nil
+	return &OrderConn{address: address, conn: conn, http: &http.Client{Transport: httphead.Transport{Base: transport}}}, nil
 }
 
 // Close closes the connection.
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -1,17 +1,17 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bramleywick/bramleywick/httphead"
 )
 
 const (
@@ -68,25 +68,14 @@
 	return resp, nil
 }
 
-// exchange sends a request over conn and reads the answer's headers. It skips
-// informational answers (1xx).
+// exchange sends a request over conn and reads the answer's headers.
 func exchange(conn net.Conn, req *http.Request) (*http.Response, error) {
 	req.Close = true
 	if err := req.Write(conn); err != nil {
 		return nil, errors.Wrap(err, "send request")
 	}
-	limited := &io.LimitedReader{R: conn, N: maxHeaderBytes}
-	in := bufio.NewReaderSize(limited, readBufferBytes)
-	for {
-		resp, err := http.ReadResponse(in, req)
-		if err != nil {
-			return nil, errors.Wrap(err, "read answer's headers")
-		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			limited.N = math.MaxInt64
-			return resp, nil
-		}
-	}
+	resp, err := httphead.NewReader(conn, readBufferBytes).Next(req, maxHeaderBytes)
+	return resp, errors.Wrap(err, "read answer's headers")
 }
 
 // connBody is an answer's body whose Close closes the connection. The inner body
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -142,6 +142,14 @@
 			t.Cleanup(s.CloseClientConnections)
 			return s.Listener.Addr().String()
 		}
+		raw := func(answer string) http.HandlerFunc {
+			return func(w http.ResponseWriter, _ *http.Request) {
+				if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+					_, _ = io.WriteString(conn, answer)
+					_ = conn.Close()
+				}
+			}
+		}
 		closed, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		_ = closed.Close()
@@ -161,6 +169,7 @@
 			{"garbage", serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("data: secret\n\n")) }), false, retry.ReasonBadAnswer},
 			{"one long line", serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(strings.Repeat("x", 1<<20))) }), false, retry.ReasonBadAnswer},
 			{"large headers", serve(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X", strings.Repeat("x", 1<<20)) }), false, retry.ReasonConnectionLost},
+			{"status 000", serve(raw("HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n")), false, retry.ReasonBadAnswer},
 			{"early end", serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("data: {")) }), false, retry.ReasonConnectionLost},
 		} {
 			Convey(c.name, func() {
