Refuse answers with a blank in or before the name of a field

Callers got such an answer of a server in trouble as a 200, with the odd line passed on; where it was "Content-Length : 2" or "Transfer-Encoding : chunked", with more bytes than the server named, or with the chunks' framing, as its body.

Cause: net/http accepts blanks in the names of an answer's fields and ignores the line. A line that begins with a blank it appends to the value before, which may be the signature; Transfer-Encoding in an answer of HTTP/1.0 it drops. Tabs, control bytes, NUL, DEL and bytes beyond ASCII in a name, an empty name and a line without a colon were refused before.

Change: httphead checks that each name of a final head, an interim one and a trailer is a token, and looks at the bytes of a head as they arrive for lines that begin with a blank and for Transfer-Encoding in HTTP/1.0, which net/http does not show afterwards. The error of the source stays, because bufio.ReadLine returns the bytes before an error without it.

--- a/httphead/reader.go
+++ b/httphead/reader.go
@@ -1,4 +1,6 @@
-// Package httphead reads the heads of HTTP/1.1 answers.
+// Package httphead reads the heads of HTTP/1.1 answers. It refuses heads that net/http
+// accepts although it ignores or changes a line of them: a line that is ignored may be
+// the one that says where the answer ends.
 package httphead
 
 import (
@@ -42,6 +44,7 @@
 
 // Next reads the head of the next final answer, of at most limit bytes, and skips interim
 // ones. The body must be read to its end before the next call; its Close reads the rest.
+// A body whose trailers are malformed ends with an error that wraps ErrMalformed.
 func (r *Reader) Next(to *http.Request, limit int64) (*http.Response, error) {
 	for range maxInterim + 1 {
 		resp, err := r.readHead(to, limit)
@@ -51,6 +54,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		resp.Body = &body{ReadCloser: resp.Body, answer: resp}
 		return resp, nil
 	}
 	return nil, ErrOnlyInterim
@@ -58,8 +62,15 @@
 
 // readHead reads the head of the next answer.
 func (r *Reader) readHead(to *http.Request, limit int64) (*http.Response, error) {
-	r.source.left = limit
-	defer func() { r.source.left = math.MaxInt64 }()
+	r.source.left, r.source.lines = limit, headLines{}
+	defer func() { r.source.left, r.source.lines.done = math.MaxInt64, true }()
+	buffered, err := r.in.Peek(r.in.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := r.source.lines.check(buffered); err != nil {
+		return nil, err
+	}
 	resp, err := http.ReadResponse(r.in, to)
 	switch {
 	case r.source.failed != nil:
@@ -70,12 +81,13 @@
 	return resp, check(resp)
 }
 
-// source is the connection under the buffer. It bounds the bytes of a head.
+// source is the connection under the buffer. It bounds and checks the bytes of a head.
 type source struct {
 	conn io.Reader
 	// left is the number of bytes that may still be read.
-	left int64
-	// failed is the error of a head that is too long. It stays, because
+	left  int64
+	lines headLines
+	// failed is the error of a head that is malformed or too long. It stays, because
 	// the buffer returns the bytes before an error without it.
 	failed error
 }
@@ -90,5 +102,25 @@
 	}
 	n, err := s.conn.Read(p)
 	s.left -= int64(n)
+	if s.failed = s.lines.check(p[:n]); s.failed != nil {
+		return 0, s.failed
+	}
+	return n, err
+}
+
+// body is the body of an answer.
+type body struct {
+	io.ReadCloser
+	answer *http.Response
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if malformed := checkNames(b.answer.Trailer); malformed != nil {
+			return n, malformed
+		}
+	}
 	return n, err
 }
--- a/httphead/reader_test.go
+++ b/httphead/reader_test.go
@@ -49,7 +49,7 @@
 				So(r.Buffered(), ShouldEqual, 0)
 			})
 			Convey("are refused when the second is malformed", func() {
-				for _, odd := range []string{"HTTP/1.1 000 Odd\r\n\r\n"} {
+				for _, odd := range []string{"HTTP/1.1 000 Odd\r\n\r\n", "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 2\r\n\r\n", "HTTP/1.1 200 OK\r\nX Y: 2\r\n\r\n", "HTTP/1.0 200 OK\r\nTRANSFER-encoding: chunked\r\n\r\n"} {
 					r := reader(first + odd)
 					_, _, err := next(r)
 					So(err, ShouldBeNil)
@@ -67,7 +67,7 @@
 	}
 }
 
-// TestTransport guards against an answer with an odd status that a client of
+// TestTransport guards against an answer with an odd status or name that a client of
 // net/http takes for sound.
 func TestTransport(t *testing.T) {
 	Convey("A client of net/http", t, func() {
@@ -99,6 +99,8 @@
 		})
 		for _, odd := range []string{
 			"HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok",
+			"HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Y: 1\r\n\r\n",
 		} {
 			Convey(fmt.Sprintf("refuses %.40q", odd), func() {
 				_, err := get(odd)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -170,6 +170,8 @@
 			{"one long line", serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(strings.Repeat("x", 1<<20))) }), false, retry.ReasonBadAnswer},
 			{"large headers", serve(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X", strings.Repeat("x", 1<<20)) }), false, retry.ReasonConnectionLost},
 			{"status 000", serve(raw("HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n")), false, retry.ReasonBadAnswer},
+			{"a blank in a field's name", serve(raw("HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nsecret")), false, retry.ReasonBadAnswer},
+			{"a blank before a field's name", serve(raw("HTTP/1.1 200 OK\r\nX: 1\r\n Content-Length: 2\r\n\r\nsecret")), false, retry.ReasonBadAnswer},
 			{"early end", serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("data: {")) }), false, retry.ReasonConnectionLost},
 		} {
 			Convey(c.name, func() {
