Reset callers of HTTP/1.0 whose answer is cut

To a caller of HTTP/1.0 the end of the connection is the end of a stream, so that a stream that this side cut passed for whole in two places.

Cause: an answer that breaks off already ended with a reset, but a connection closed to make room in the middle of an answer, and those of the requests that are open when the grace time of a planned stop ends, ended in order.

Change: the first is reset; at the end of the grace time the connections of such callers are set to be reset by the end of the process. Callers of HTTP/1.1 miss the last chunk and were never affected.

--- a/door/door.go
+++ b/door/door.go
@@ -239,6 +239,12 @@
 		l.closingBytes += held
 	}
 	l.mu.Unlock()
+	if p.Phase == connlimit.Answering {
+		// An end in order would complete an answer that only its connection ends.
+		if err := c.SetLinger(0); err != nil {
+			l.Log.Warn("connection ends without a reset", zap.String("client", c.client), zap.Error(err))
+		}
+	}
 	// The error says that the connection has been closed already.
 	_ = c.Conn.Close()
 	l.report(reason, c.client, held, p)
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -160,6 +160,36 @@
 	})
 }
 
+// TestClosedAnswerIsNotWhole guards against an answer that is cut to make room and that
+// looks whole to a caller of HTTP/1.0, for which the end of the connection ends it.
+func TestClosedAnswerIsNotWhole(t *testing.T) {
+	Convey("A caller of HTTP/1.0 whose connection is closed in the middle of its answer gets an error", t, func() {
+		s := serveBounded(t, 2, NewBudget(1<<20, 0), func(w http.ResponseWriter, _ *http.Request) {
+			for {
+				if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+					return
+				}
+			}
+		})
+		c := s.dial(t)
+		_, err := io.WriteString(c, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+		So(err, ShouldBeNil)
+		var victim *Conn
+		So(eventually(func() bool {
+			s.Listener.mu.Lock()
+			defer s.Listener.mu.Unlock()
+			if len(s.conns) == 0 || s.conns[0].at().Phase != connlimit.Answering {
+				return false
+			}
+			victim = s.conns[0]
+			return true
+		}), ShouldBeTrue)
+		s.close(victim, connlimit.ReasonNoProgress)
+		_, err = io.Copy(io.Discard, c)
+		So(err, ShouldNotBeNil)
+	})
+}
+
 // TestEarlyAnswer guards against answers that wait for a body which nobody needs, or
 // that are lost because the connection is reset while the client still sends.
 func TestEarlyAnswer(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -253,7 +253,11 @@
 		return
 	}
 	p.deadline = p.start.Add(p.timeout())
-	defer g.open.add(openRequest{id: p.req.ID, route: p.route.Name, start: p.start, deadline: p.deadline})()
+	open := openRequest{id: p.req.ID, route: p.route.Name, start: p.start, deadline: p.deadline}
+	if !r.ProtoAtLeast(1, 1) {
+		open.unframed = p.conn
+	}
+	defer g.open.add(open)()
 	p.boundConnection(p.deadline)
 	if !p.readBody(table) || !p.acceptedWhileDraining() {
 		return
--- a/gateway/unanswered.go
+++ b/gateway/unanswered.go
@@ -8,6 +8,8 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/door"
+	"github.com/bramleywick/bramleywick/logline"
 )
 
 // UnansweredCause is why a request ended without a whole answer; its text is the
@@ -48,6 +50,9 @@
 	id              fleet.RequestID
 	route           string
 	start, deadline time.Time
+	// unframed is the connection of a caller to which only its end ends an answer; nil
+	// for others.
+	unframed *door.Conn
 }
 
 // openRequests holds the requests in flight. Safe for concurrent use.
@@ -74,13 +79,21 @@
 	}
 }
 
-// LogCut logs and counts the requests in flight, which the end of the process cuts.
-func (g *Gateway) LogCut() {
+// CutOpen logs and counts the requests in flight, which the end of the process cuts, and
+// makes it reset the connections of callers that would take an end in order for the end
+// of their answer.
+func (g *Gateway) CutOpen() {
 	g.open.mu.Lock()
 	defer g.open.mu.Unlock()
 	for _, r := range g.open.requests {
 		g.Observer.Unanswered(CauseProcessEnd)
 		g.Log.Error("request ended without a whole answer", zap.String("request_id", string(r.id)), zap.String("cause", string(CauseProcessEnd)),
 			zap.String("route", r.route), zap.Duration("after", time.Since(r.start)), zap.Duration("left", time.Until(r.deadline)))
+		if r.unframed == nil {
+			continue
+		}
+		if err := r.unframed.SetLinger(0); err != nil {
+			g.Log.Warn("connection ends without a reset", zap.String("request_id", string(r.id)), logline.Error(err))
+		}
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -292,7 +292,7 @@
 	defer stop()
 	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn("grace time ended with requests in flight", zap.Int64("open", n.gateway.InFlight()), logline.Error(err))
-		n.gateway.LogCut()
+		n.gateway.CutOpen()
 	}
 	if n.usage != nil {
 		// The counts of the last requests reach another instance.
