Close the connection of TestClosedAnswerIsNotWhole only while its answer waits

Change: the handler says that it has the request, as the gateway does, and the connection is closed only while a write waits for the reader, as in service.

--- a/door/door_test.go
+++ b/door/door_test.go
@@ -164,7 +164,10 @@
 // looks whole to a caller of HTTP/1.0, for which the end of the connection ends it.
 func TestClosedAnswerIsNotWhole(t *testing.T) {
 	Convey("A caller of HTTP/1.0 whose connection is closed in the middle of its answer gets an error", t, func() {
-		s := serveBounded(t, 2, NewBudget(1<<20, 0), func(w http.ResponseWriter, _ *http.Request) {
+		s := serveBounded(t, 2, NewBudget(1<<20, 0), func(w http.ResponseWriter, r *http.Request) {
+			if !FromContext(r.Context()).Received() {
+				return
+			}
 			for {
 				if _, err := w.Write(make([]byte, 64<<10)); err != nil {
 					return
@@ -174,17 +177,18 @@
 		c := s.dial(t)
 		_, err := io.WriteString(c, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
 		So(err, ShouldBeNil)
-		var victim *Conn
 		So(eventually(func() bool {
 			s.Listener.mu.Lock()
-			defer s.Listener.mu.Unlock()
-			if len(s.conns) == 0 || s.conns[0].at().Phase != connlimit.Answering {
-				return false
+			open := append([]*Conn(nil), s.conns...)
+			s.Listener.mu.Unlock()
+			// One whose request runs is left alone; this one waits for its reader.
+			for _, conn := range open {
+				if conn.at().Phase == connlimit.Answering {
+					s.close(conn, connlimit.ReasonNoProgress)
+				}
 			}
-			victim = s.conns[0]
-			return true
+			return s.count(connlimit.ReasonNoProgress) == 1
 		}), ShouldBeTrue)
-		s.close(victim, connlimit.ReasonNoProgress)
 		_, err = io.Copy(io.Discard, c)
 		So(err, ShouldNotBeNil)
 	})
