Set the timer of a stall watch before it may fire

Cause: the timer's function used w.timer, which was assigned after the timer had been started; a limit that has passed already fires at once.

Change: the watch is locked while the timer is assigned.

--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -82,6 +82,9 @@
 		return w
 	}
 	w.skip = append(append([]fleet.UpstreamID(nil), p.tried...), c.Server.ID)
+	// The timer may fire before it is assigned.
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(limit, w.stalled)
 	return w
 }
