Keep or give back a slot when a move changes on the way

An engine kept a slot for up to 2 s that no request used, and a stream that was being moved reached that engine without it and could be turned away there.

Cause: the end of each watched attempt replaced the request's slot by that of the attempt, also when it had none. A stream that has been stopped reads its prompt at another engine first; when that engine made no progress and the next one was taken, the slot at the engine that decodes was forgotten. An engine that was not sent the request after all kept its slot until the request ended.

Change: an attempt replaces the slot only by one of its own and gives the other one back; a slot whose engine is not sent the request is given back at once.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -249,6 +249,10 @@
 		}
 		p.tried = append(p.tried, c.Server.ID)
 	case resultNotSent:
+		if add.Reservation != "" {
+			p.dropSlot(p.slot)
+			p.slot = nil
+		}
 		p.recordFailure(c.Server.ID, err)
 		return p.callerGone() || p.failUnlessRetried(p.remaining() > minAttempt && p.sends < p.route.MaxAttempts)
 	case resultBroken:
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -217,7 +217,10 @@
 		return err
 	}
 	w.p.reservedRetries += w.reservedRetries
-	w.p.slot = w.slot
+	if w.slot != nil {
+		w.p.dropSlot(w.p.slot)
+		w.p.slot = w.slot
+	}
 	if err != nil && !w.p.callerGone() {
 		return errors.Wrap(errStalled, err.Error())
 	}
