Keep the cause in the error of an answer that was cut off

The quarantine of prompt parts counts answers whose server ended the connection, by ECONNRESET and EPIPE. An answer without a length whose reset the writer of the request had seen was refused since, but did not count there.

Cause: ErrCutOff held only the text of the error below it.

Change: the error wraps both. One that this side caused, by the end of the request's context, wraps no error of the network.

--- a/connpool/end.go
+++ b/connpool/end.go
@@ -11,6 +11,15 @@
 // under an answer that only the end of its connection ends.
 var ErrCutOff = errors.New("the connection was cut off before the answer was complete")
 
+// cutOffError is ErrCutOff with its cause.
+type cutOffError struct{ cause error }
+
+// Error implements error.
+func (e *cutOffError) Error() string { return ErrCutOff.Error() + ": " + e.cause.Error() }
+
+// Unwrap returns the errors that it stands for.
+func (e *cutOffError) Unwrap() []error { return []error{ErrCutOff, e.cause} }
+
 const (
 	// firstEndCheck and maxEndCheck are the shortest and the longest time between two
 	// looks at a connection whose end is not certain yet.
@@ -27,11 +36,11 @@
 func (c *conn) checkEnd() error {
 	<-c.upload.done
 	if c.upload.err != nil {
-		return errors.Wrapf(ErrCutOff, "send request: %v", c.upload.err)
+		return &cutOffError{errors.Wrap(c.upload.err, "send request")}
 	}
 	raw, err := c.syscallConn()
 	if err != nil {
-		return errors.Wrap(ErrCutOff, err.Error())
+		return &cutOffError{err}
 	}
 	for wait := firstEndCheck; ; wait = min(2*wait, maxEndCheck) {
 		closed, unacknowledged := false, 0
@@ -46,9 +55,9 @@
 		})
 		switch {
 		case err != nil:
-			return errors.Wrap(ErrCutOff, err.Error())
+			return &cutOffError{err}
 		case closed:
-			return errors.Wrap(ErrCutOff, "the connection was reset")
+			return &cutOffError{unix.ECONNRESET}
 		case unacknowledged == 0:
 			return nil
 		}
