Name the cause of a stopped answer without a length in its log line

Cause: the connection of an answer that this side has stopped is closed by the system once both sides have ended sending. The check for a reset came first, so that the attempt's line spoke of a reset.

Change: an answer that was stopped is not checked for a reset. It is broken either way, and nothing decides by the difference.

Measured: TestStoppedStreamIsNotWhole, which now reads the cause in the log, failed before and passes, 2 of 2 with the race detector.

--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -277,18 +277,33 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if !a.Framed {
+	if err := a.checkEnd(); err != nil {
+		return n, err
+	}
+	return n, io.EOF
+}
+
+// checkEnd returns an error if the end of the body does not show that it is complete.
+func (a *Answer) checkEnd() error {
+	if !a.Framed && !a.stopped() {
 		if err := a.conn.checkEnd(); err != nil {
-			return n, err
+			return err
 		}
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.sendingEnded && !a.sized {
-		return n, ErrStopped
+		return ErrStopped
 	}
 	a.bodyRead = true
-	return n, io.EOF
+	return nil
+}
+
+// stopped reports whether this side has ended sending.
+func (a *Answer) stopped() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sendingEnded
 }
 
 // EndSending closes the sending side of the connection, unless the body has been read
