Log the digest of requests whose answer broke

Cause: the record's logs cannot tell whether the requests that were at the ends of several servers are repeats of one request; a repeat has another id, and plain requests name nothing of what they hold.

No decision uses it yet. The digest is computed for broken attempts only.

Ruled out: logging the path or the body, which may hold callers' data.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -105,6 +105,10 @@
 		zap.Stringer("result", res), zap.Int("status", status), zap.Duration("took", time.Since(began)),
 		zap.Duration("left", p.remaining()), zap.Int("events", p.events), zap.Int("output_tokens", p.req.OutputTokens), zap.Bool("late", p.late), zap.Float64("pressure", c.Pressure),
 	}
+	if res == resultBroken {
+		// Tells repeats of a request by its caller, which have other ids.
+		fields = append(fields, zap.String("digest", p.wholeDigest()))
+	}
 	if p.limit != nil {
 		fields = append(fields, zap.Float64("limit", p.limit.PerSecond), zap.Bool("limit_unreadable", p.limit.Unreadable))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -201,6 +201,7 @@
 	// reports whether an engine's connection ended under the request.
 	trial       quarantineTrial
 	engineEnded bool
+	digest      requestDigest
 	// turnedAway reports whether the server of the last attempt turned it away
 	// for a time.
 	turnedAway bool
