Quarantine requests that end the servers that run them

Cause: ends of servers were held against the parts of prompts only. A plain request has none, a stream's own part was left out, and nothing remembered a request's content beyond its one id. The class: a fault that travels with the input, and of which each instance, and each repeat, sees a part. And an attempt that its instance gave up (no progress, caller gone) counted nowhere, although its server ended a moment later.

Change: the digest of the whole request counts as the last part of its prompt in core/quarantine, also where there is no prompt, so that evidence, reports, verdict, hold, trial and release are those of a part. A verdict takes three ends (four while other servers end too; six if others ended at the same moments without it). It is tried after 2 s, 30 s, 10 min and then each hour. Different requests are counted by their digest, so that a request that is repeated is no evidence against the parts that others share. Attempts that were given up less than 0.5 s before an end are victims of it; their server is dialled once. Prefills count, plain calls and streams of plain services too. A request at two known ends is not sent to a third server. The reason request_quarantined has its own counter.

Ruled out: bounding the repeats of one id (new ids come); a second detector for whole requests; refusing at the first end (sound requests in flight).

--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -38,6 +38,7 @@
 	ReasonOutcomeUnknown     Reason = "outcome_unknown"
 	ReasonCallerGone         Reason = "caller_gone"
 	ReasonPartQuarantined    Reason = "part_quarantined"
+	ReasonRequestQuarantined Reason = "request_quarantined"
 	ReasonServerLimit        Reason = "server_limit"
 	ReasonServersLeaving     Reason = "servers_leaving"
 	ReasonServersPaused      Reason = "servers_paused"
@@ -56,7 +57,7 @@
 		ReasonBadRequest, ReasonUnknownKey, ReasonKindNotGranted, ReasonTooLarge,
 		ReasonShareUsedUp, ReasonQueueFull, ReasonDeadlineUnmeetable, ReasonNoUpstream, ReasonNoRoute,
 		ReasonConfigUnknown, ReasonDraining, ReasonClaimNotPossible,
-		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone, ReasonPartQuarantined, ReasonServerLimit, ReasonServersLeaving, ReasonServersPaused, ReasonBuffersFull,
+		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone, ReasonPartQuarantined, ReasonRequestQuarantined, ReasonServerLimit, ReasonServersLeaving, ReasonServersPaused, ReasonBuffersFull,
 		ReasonKeyRevoked, ReasonMembersOutdated, ReasonUrgentFirst,
 		ReasonTooManyConnections, ReasonSlowClient,
 	}
--- a/core/quarantine/evaluate.go
+++ b/core/quarantine/evaluate.go
@@ -17,8 +17,8 @@
 	trialSlot = 3 * time.Second
 	trialFrom = 500 * time.Millisecond
 	trialTo   = 1500 * time.Millisecond
-	// trialTime is the time in which the result of a trial is awaited.
-	trialTime = 5 * time.Second
+	// TrialTime is the time in which the result of a trial is awaited.
+	TrialTime = 5 * time.Second
 )
 
 // Change is a change of belief: EngineCrashed, Quarantined, TrialStarted,
@@ -54,8 +54,10 @@
 
 // tally is the evidence against one part.
 type tally struct {
-	times    []fleet.Instant
-	requests map[fleet.RequestID]bool
+	times []fleet.Instant
+	// requests are the contents of different requests: a request that is repeated is
+	// evidence against itself, and not against what others share with it.
+	requests map[string]bool
 	// position is the part's least position in its prompts, and begun reports
 	// whether an event of an answer with the part was received.
 	position int
@@ -79,6 +81,17 @@
 	oneMomentAlone     = threshold{3, 6, 1}
 )
 
+// Numbers of servers that ended under a whole request for a verdict on it. It is in the
+// wrong where other causes end several servers under one sound request, so it is tried
+// soon.
+const (
+	digestCrashesAlone = 3
+	digestCrashesMixed = 4
+	// digestCrashesShared is the number if other servers ended at the same moments
+	// without the request, as in a lost rack.
+	digestCrashesShared = 6
+)
+
 // maxEndsPerMoment is the mean number of engines that end at one moment from
 // which a common cause is likelier than several requests.
 const maxEndsPerMoment = 3
@@ -120,27 +133,57 @@
 	d.prune(now)
 	d.updateVerdicts(now)
 	for {
-		tallies, unexplained := d.tallies()
-		part := d.mostSuspect(tallies, unexplained, now)
+		all := d.tallies()
+		part := d.mostSuspect(all, now)
 		if part == "" || len(d.verdicts) >= maxVerdicts {
-			d.open = make(map[string][]fleet.Instant, len(tallies))
-			for p, t := range tallies {
+			d.open = make(map[string][]fleet.Instant, len(all.parts))
+			for p, t := range all.parts {
 				d.open[p] = t.times
 			}
+			d.updateHeads()
 			return
 		}
-		t := tallies[part]
-		at, hold := slices.Max(t.times), baseHold
-		if countMoments(t.times, newMomentGap) == 1 {
-			hold = firstHold
+		t := all.parts[part]
+		d.addVerdict(part, t, now)
+		if !IsDigest(part) {
+			continue
+		}
+		// Requests that were at the same crashes cannot be told apart. Each is tried.
+		for other, u := range all.parts {
+			if IsDigest(other) && other != part && len(u.times) == len(t.times) && u.sufficientDigest(all.unexplainedDigests) {
+				d.addVerdict(other, u, now)
+			}
 		}
-		v := &verdict{at: at, until: at + hold, crashes: len(t.times), requests: len(t.requests), version: d.bump()}
-		d.verdicts[part] = v
-		d.verdictN++
-		d.changes.Add(Quarantined{Verdict: *d.describe(part, v, now)})
 	}
 }
 
+// addVerdict quarantines a part by its evidence.
+func (d *Detector) addVerdict(part string, t *tally, now fleet.Instant) {
+	if len(d.verdicts) >= maxVerdicts {
+		return
+	}
+	at, hold := slices.Max(t.times), baseHold
+	switch {
+	case IsDigest(part):
+		hold = holdAfter(part, 0)
+	case countMoments(t.times, newMomentGap) == 1:
+		hold = firstHold
+	}
+	v := &verdict{at: at, until: at + hold, crashes: len(t.times), requests: len(t.requests), version: d.bump()}
+	d.verdicts[part] = v
+	d.verdictN++
+	d.changes.Add(Quarantined{Verdict: *d.describe(part, v, now)})
+}
+
+// holdAfter returns how long a part is held after a number of failed trials.
+func holdAfter(part string, failedTrials int) time.Duration {
+	if !IsDigest(part) {
+		return min(baseHold<<min(failedTrials, 10), maxHold)
+	}
+	holds := [...]time.Duration{firstDigestHold, secondDigestHold, thirdDigestHold, lastDigestHold}
+	return holds[min(max(failedTrials, 0), len(holds)-1)]
+}
+
 // prune drops expired evidence, victims whose parts have all been answered since
 // and verdicts after which no request came.
 func (d *Detector) prune(now fleet.Instant) {
@@ -186,7 +229,7 @@
 // crashes remain evidence.
 func (d *Detector) forget(part string) {
 	for p, c := range d.crashes {
-		if c.holds(part) && !d.explained(c) {
+		if c.holds(part) && !d.explained(c, true) {
 			delete(d.crashes, p)
 		}
 	}
@@ -204,7 +247,7 @@
 			v.at = c.at
 			if c.at > v.until {
 				v.failedTrials++
-				v.until = c.at + min(baseHold<<min(v.failedTrials, 10), maxHold)
+				v.until = c.at + holdAfter(part, v.failedTrials)
 				v.trialUntil = 0
 				d.changes.Add(TrialFailed{Verdict: *d.describe(part, v, now)})
 			}
@@ -217,35 +260,46 @@
 	return slices.ContainsFunc(c.victims, func(v Victim) bool { return slices.Contains(v.Parts, part) })
 }
 
-// explained reports whether a quarantined part was present at a crash.
-func (d *Detector) explained(c *crash) bool {
+// explained reports whether a quarantined part was present at a crash; digests counts
+// quarantined digests too.
+func (d *Detector) explained(c *crash, digests bool) bool {
 	return slices.ContainsFunc(c.victims, func(v Victim) bool {
-		return slices.ContainsFunc(v.Parts, func(part string) bool { return d.verdicts[part] != nil })
+		return slices.ContainsFunc(v.Parts, func(part string) bool { return d.verdicts[part] != nil && (digests || !IsDigest(part)) })
 	})
 }
 
-// tallies returns the evidence against each part from the crashes that no
-// verdict explains, and the times of those crashes.
-func (d *Detector) tallies() (map[string]*tally, []fleet.Instant) {
-	out := map[string]*tally{}
-	var unexplained []fleet.Instant
+// tallies is the evidence against each part, and the times of the crashes that no
+// verdict explains: those with an open prompt part, and those with an open digest.
+type tallies struct {
+	parts                                map[string]*tally
+	unexplainedParts, unexplainedDigests []fleet.Instant
+}
+
+// tallies returns the evidence from the crashes that no verdict explains. The verdict
+// on a whole request says nothing about its parts: a single request is no evidence
+// against them.
+func (d *Detector) tallies() tallies {
+	out := tallies{parts: map[string]*tally{}}
 	for _, c := range d.crashes {
-		if d.explained(c) {
+		if d.explained(c, false) {
 			continue
 		}
-		unexplained = append(unexplained, c.at)
+		digests := !d.explained(c, true)
+		openPart, openDigest := false, false
 		seen := map[string]bool{}
 		for _, v := range c.victims {
 			for position, part := range v.Parts {
-				if !d.isOpen(part, c.at) {
+				digest := IsDigest(part)
+				if digest && !digests || !d.isOpen(part, c.at) {
 					continue
 				}
-				t := out[part]
+				openPart, openDigest = openPart || !digest, openDigest || digest
+				t := out.parts[part]
 				if t == nil {
-					t = &tally{requests: map[fleet.RequestID]bool{}, position: position}
-					out[part] = t
+					t = &tally{requests: map[string]bool{}, position: position}
+					out.parts[part] = t
 				}
-				t.requests[v.Request] = true
+				t.requests[v.content()] = true
 				t.position = min(t.position, position)
 				t.begun = t.begun || v.Events > 0
 				if !seen[part] {
@@ -254,37 +308,86 @@
 				}
 			}
 		}
+		if openPart {
+			out.unexplainedParts = append(out.unexplainedParts, c.at)
+		}
+		if openDigest {
+			out.unexplainedDigests = append(out.unexplainedDigests, c.at)
+		}
 	}
-	return out, unexplained
+	return out
 }
 
 // mostSuspect returns the part with the most crashes among those with enough
 // evidence, or "". Of several it prefers the one that was answered longest ago
 // or never, and then the one that fewer prompts share.
-func (d *Detector) mostSuspect(tallies map[string]*tally, unexplained []fleet.Instant, now fleet.Instant) string {
+func (d *Detector) mostSuspect(all tallies, now fleet.Instant) string {
 	best := ""
-	for part, t := range tallies {
-		_, answered := d.stamps[part]
-		if !t.sufficient(answered, unexplained) && (answered || !t.oneMoment(now)) {
+	for part, t := range all.parts {
+		if !d.isSufficient(part, t, all, now) {
 			continue
 		}
-		if best == "" || d.compare(part, t, best, tallies[best]) > 0 {
+		if best == "" || d.compare(part, t, best, all.parts[best]) > 0 {
 			best = part
 		}
 	}
 	return best
 }
 
-// sufficient reports whether the evidence is enough for a verdict; answered
-// reports whether the part was ever answered.
-func (t *tally) sufficient(answered bool, unexplained []fleet.Instant) bool {
+// isSufficient reports whether the evidence against a part is enough for a verdict.
+func (d *Detector) isSufficient(part string, t *tally, all tallies, now fleet.Instant) bool {
+	if IsDigest(part) {
+		return t.sufficientDigest(all.unexplainedDigests)
+	}
+	_, answered := d.stamps[part]
+	return t.sufficient(answered, all.unexplainedParts) || !answered && t.oneMoment(now)
+}
+
+// sufficientDigest is like sufficient for the digest of a whole request. All crashes may
+// be at one moment: a request that is sent to the next server when one has ended under
+// it ends all of them at once. A crash at a moment at which other servers ended without
+// the request has a likelier cause.
+func (t *tally) sufficientDigest(unexplained []fleet.Instant) bool {
+	need := digestCrashesAlone
+	if t.mixed(unexplained) {
+		need = digestCrashesMixed
+	}
+	alone := 0
+	for _, at := range t.times {
+		if countNear(unexplained, at) == countNear(t.times, at) {
+			alone++
+		}
+	}
+	return alone >= need || len(t.times) >= digestCrashesShared
+}
+
+// countNear returns the number of times at the moment of at.
+func countNear(times []fleet.Instant, at fleet.Instant) int {
+	n := 0
+	for _, x := range times {
+		if (x - at).Abs() < newMomentGap {
+			n++
+		}
+	}
+	return n
+}
+
+// mixed reports whether over a quarter of the crashes since the first with the part
+// were without it.
+func (t *tally) mixed(unexplained []fleet.Instant) bool {
 	first, since := slices.Min(t.times), 0
 	for _, at := range unexplained {
 		if at >= first {
 			since++
 		}
 	}
-	mixed, gap := 4*len(t.times) < 3*since, newMomentGap
+	return 4*len(t.times) < 3*since
+}
+
+// sufficient reports whether the evidence is enough for a verdict; answered
+// reports whether the part was ever answered.
+func (t *tally) sufficient(answered bool, unexplained []fleet.Instant) bool {
+	mixed, gap := t.mixed(unexplained), newMomentGap
 	if answered {
 		gap = momentGap
 	}
@@ -357,6 +460,9 @@
 	if now < v.until || now < v.trialUntil {
 		return false
 	}
+	if d.config.ClaimedTrials && IsDigest(part) {
+		return true
+	}
 	if within := (now - v.until) % trialSlot; within < trialFrom || within >= trialTo {
 		return false
 	}
@@ -384,8 +490,10 @@
 	out := slices.Clone(parts[:min(len(parts), maxParts)])
 	for i, id := range out {
 		if long(id) {
-			out[i] = "#" + strconv.FormatUint(membership.Hash(id), 16)
+			out[i] = hashedID(id)
 		}
 	}
 	return out
 }
+
+func hashedID(id string) string { return "#" + strconv.FormatUint(membership.Hash(id), 16) }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,7 +1,9 @@
-// Package quarantine finds prompt parts that crash engines and decides which
-// requests are refused because of them. Every instance records the engines that
+// Package quarantine finds requests and prompt parts that crash servers and decides
+// which requests are refused because of them. Every instance records the servers that
 // ended while they began an answer, with the prompt parts that were affected,
-// and the parts that were answered since. The instances exchange these records
+// and the parts that were answered since. A whole request counts as one more part
+// (digest.go), so that a request which its caller repeats is found in the same way,
+// at plain services too. The instances exchange these records
 // (report.go), so that crashes seen by different instances count together. A
 // part that was present at several crashes and has not been answered in between
 // is quarantined: requests that hold it are refused, whatever else they hold.
@@ -45,6 +47,12 @@
 	baseHold  = 30 * time.Second
 	maxHold   = 10 * time.Minute
 	firstHold = 5 * time.Second
+	// firstDigestHold, secondDigestHold and lastDigestHold are the same for a whole
+	// request, by the number of failed trials: it is tried a few times only.
+	firstDigestHold  = 2 * time.Second
+	secondDigestHold = 30 * time.Second
+	thirdDigestHold  = 10 * time.Minute
+	lastDigestHold   = time.Hour
 	// releaseMargin is how much later than the last crash an answer must have
 	// begun to end a quarantine; times from other instances are late by the
 	// transit.
@@ -62,6 +70,9 @@
 // Config identifies the instance and its process.
 type Config struct {
 	Instance fleet.InstanceID
+	// ClaimedTrials reports whether the instances agree by other means on which of
+	// them tries a whole request; they take turns otherwise.
+	ClaimedTrials bool
 	// Epoch differs between the processes of an instance; it is not 0.
 	Epoch uint64
 }
@@ -70,7 +81,8 @@
 // the engine ended.
 type Victim struct {
 	Request fleet.RequestID
-	// Parts are the ids of the prompt's shared parts, in order.
+	// Parts are the ids of the prompt's shared parts, in order, and as the last one
+	// the digest of the whole request.
 	Parts []string
 	// Events is the number of events that the engine had sent.
 	Events int
@@ -130,6 +142,10 @@
 	// open holds, for each part, the times of the crashes that no answer has
 	// followed.
 	open map[string][]fleet.Instant
+	// heads holds the heads of the digests of which something is known.
+	heads map[string]bool
+	// abandoned holds the attempts that this instance has lately given up.
+	abandoned map[fleet.Process]*abandonedAttempts
 	// version counts the changes that other instances must learn of.
 	version  uint64
 	verdictN int
@@ -146,9 +162,13 @@
 	return &Detector{
 		config: config, crashes: map[fleet.Process]*crash{}, stamps: map[string]stamp{}, verdicts: map[string]*verdict{},
 		pending: map[fleet.Process]*crash{}, answered: map[string]fleet.Instant{}, open: map[string][]fleet.Instant{}, peers: gossip.NewPeers(config.Epoch),
+		heads: map[string]bool{}, abandoned: map[fleet.Process]*abandonedAttempts{},
 	}
 }
 
+// SetClaimedTrials sets Config.ClaimedTrials.
+func (d *Detector) SetClaimedTrials(claimed bool) { d.config.ClaimedTrials = claimed }
+
 // SetInstances sets the listed instances, which share the trials among them.
 func (d *Detector) SetInstances(list []fleet.InstanceID) {
 	d.instances = slices.Clone(list)
@@ -194,10 +214,14 @@
 // ProcessAlive drops the broken requests of a process that still runs.
 func (d *Detector) ProcessAlive(p fleet.Process) { delete(d.pending, p) }
 
-// ProcessEnded counts the end of a process with the requests that broke.
+// ProcessEnded counts the end of a process with the requests that broke and those that
+// were given up shortly before.
 func (d *Detector) ProcessEnded(p fleet.Process, now fleet.Instant) {
 	waiting := d.pending[p]
 	if waiting == nil {
+		if at, ok := d.lastAbandoned(p, now); ok {
+			d.addCrash(p, at, nil, now)
+		}
 		return
 	}
 	delete(d.pending, p)
@@ -206,6 +230,8 @@
 
 // addCrash merges the victims into the record of a process's end.
 func (d *Detector) addCrash(p fleet.Process, at fleet.Instant, victims []Victim, now fleet.Instant) {
+	victims = append(victims, d.abandonedBefore(p, at)...)
+	delete(d.abandoned, p)
 	c := d.crashes[p]
 	if c == nil {
 		victims = d.openVictims(at, victims)
@@ -248,7 +274,9 @@
 func (d *Detector) Answered(parts []string, began, now fleet.Instant) {
 	changed := false
 	for _, part := range normalise(parts) {
-		d.noteAnswer(part, began)
+		if !IsDigest(part) {
+			d.noteAnswer(part, began)
+		}
 		if d.clears(part, began) {
 			d.setStamp(part, began)
 			changed = true
@@ -310,7 +338,7 @@
 
 // Admit decides at its arrival whether a request with the given shared parts is
 // admitted; if not, it returns the verdict. trial is a quarantined part whose
-// trial the request is, or "".
+// trial the request is, or "". The trial of a digest begins with StartTrial.
 func (d *Detector) Admit(parts []string, now fleet.Instant) (trial string, refused *Verdict) {
 	d.settle(now)
 	if len(d.verdicts) == 0 {
@@ -326,13 +354,32 @@
 		}
 		trial = part
 	}
-	if trial != "" {
-		d.verdicts[trial].trialUntil = now + trialTime
-		d.changes.Add(TrialStarted{Verdict: *d.describe(trial, d.verdicts[trial], now)})
+	if trial != "" && !IsDigest(trial) {
+		d.startTrial(trial, now)
 	}
 	return trial, nil
 }
 
+// StartTrial begins the trial of a digest that Admit has returned. It returns the
+// verdict if the request may not be tried any more.
+func (d *Detector) StartTrial(digest string, now fleet.Instant) (refused *Verdict) {
+	v := d.verdicts[digest]
+	switch {
+	case v == nil:
+		return nil
+	case now < v.until || now < v.trialUntil:
+		return d.describe(digest, v, now)
+	}
+	d.startTrial(digest, now)
+	return nil
+}
+
+func (d *Detector) startTrial(part string, now fleet.Instant) {
+	v := d.verdicts[part]
+	v.trialUntil = now + TrialTime
+	d.changes.Add(TrialStarted{Verdict: *d.describe(part, v, now)})
+}
+
 // Quarantined returns those of the parts on which there is a verdict. Unlike Admit
 // and Refused it changes nothing, so that it may return one that has just ended.
 func (d *Detector) Quarantined(parts []string) []string {
@@ -360,10 +407,13 @@
 	return nil
 }
 
-// MayRepeat decides whether a request may be sent to a further engine after its
-// connection to one has ended.
-func (d *Detector) MayRepeat(request fleet.RequestID, parts []string) bool {
-	ownCrashes := 1
+// MayRepeat decides whether a request may be sent to a further server after an attempt
+// broke; ended reports whether the server's side ended the connection.
+func (d *Detector) MayRepeat(request fleet.RequestID, parts []string, ended bool) bool {
+	ownCrashes := 0
+	if ended {
+		ownCrashes++
+	}
 	for _, c := range d.crashes {
 		if slices.ContainsFunc(c.victims, func(v Victim) bool { return v.Request == request }) {
 			ownCrashes++
@@ -373,7 +423,10 @@
 		return false
 	}
 	for _, part := range normalise(parts) {
-		if d.verdicts[part] != nil || countMoments(d.open[part], momentGap) >= suspectMoments {
+		switch {
+		case d.verdicts[part] != nil, countMoments(d.open[part], momentGap) >= suspectMoments:
+			return false
+		case IsDigest(part) && len(d.open[part]) >= maxOwnCrashes:
 			return false
 		}
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -531,18 +531,18 @@
 		w := newWorld(1)
 		d := w.detectors[0]
 		parts := []string{"app", "dead"}
-		So(d.MayRepeat("r", parts), ShouldBeTrue)
+		So(d.MayRepeat("r", parts, true), ShouldBeTrue)
 		d.RequestBroken(fleet.Process{Server: "s1", StartTime: 1}, Victim{Request: "r", Parts: parts}, w.now)
-		So(d.MayRepeat("r", parts), ShouldBeTrue)
+		So(d.MayRepeat("r", parts, true), ShouldBeTrue)
 		d.ProcessEnded(fleet.Process{Server: "s1", StartTime: 1}, w.now)
-		So(d.MayRepeat("r", parts), ShouldBeFalse)
+		So(d.MayRepeat("r", parts, true), ShouldBeFalse)
 		Convey("and not at all with a part that was at crashes at two moments", func() {
 			w.now += time.Second
 			d.RequestBroken(fleet.Process{Server: "s2", StartTime: 1}, Victim{Request: "other", Parts: parts}, w.now)
 			d.ProcessEnded(fleet.Process{Server: "s2", StartTime: 1}, w.now)
-			So(d.MayRepeat("new", parts), ShouldBeFalse)
+			So(d.MayRepeat("new", parts, true), ShouldBeFalse)
 			d.Answered([]string{"app"}, w.now+time.Millisecond, w.now+time.Second)
-			So(d.MayRepeat("new", []string{"app", "fine"}), ShouldBeTrue)
+			So(d.MayRepeat("new", []string{"app", "fine"}, true), ShouldBeTrue)
 		})
 	})
 	Convey("A process that still runs is no evidence", t, func() {
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -172,9 +172,15 @@
 	d.setStamp(a.Part, at)
 }
 
+// Learn takes over a verdict that was kept elsewhere.
+func (d *Detector) Learn(r VerdictRecord, now fleet.Instant) {
+	d.mergeVerdict(r, now)
+	d.evidenceChanged(now)
+}
+
 // mergeVerdict takes over a verdict that is unknown or has later evidence.
 func (d *Detector) mergeVerdict(r VerdictRecord, now fleet.Instant) {
-	at, until := now-max(r.Age, 0), now+min(r.Remaining, maxHold)
+	at, until := now-max(r.Age, 0), now+min(r.Remaining, lastDigestHold)
 	if s, ok := d.stamps[r.Part]; ok && s.at > at+releaseMargin || now-until > evidenceTTL || len(r.Part) > maxPartBytes {
 		return
 	}
@@ -186,6 +192,7 @@
 		v = &verdict{at: at, until: until, failedTrials: r.FailedTrials, crashes: r.Crashes, requests: r.Requests, version: d.bump()}
 		d.verdicts[r.Part] = v
 		d.verdictN++
+		d.track(Victim{Parts: []string{r.Part}})
 		d.changes.Add(Quarantined{Verdict: *d.describe(r.Part, v, now), Reported: true})
 		return
 	}
--- a/core/quarantine/victims.go
+++ b/core/quarantine/victims.go
@@ -33,6 +33,7 @@
 			continue
 		}
 		changed = true
+		d.track(v)
 		for _, part := range v.Parts {
 			if at, ok := d.lastAnswer(part); ok {
 				d.setStamp(part, at)
@@ -46,8 +47,9 @@
 }
 
 // insert adds a victim to a crash and reports whether it did. A full record
-// keeps the victims that are most likely to be the cause: those with a part that
-// was never answered or longest ago, and then those with the fewest events.
+// keeps the victims that are most likely to be the cause: those whose request was at
+// other crashes, then those with a part that was never answered or longest ago, and
+// then those with the fewest events.
 func (d *Detector) insert(c *crash, v Victim) bool {
 	if slices.ContainsFunc(c.victims, func(k Victim) bool { return k.Request == v.Request }) {
 		return false
@@ -72,6 +74,9 @@
 // likelier reports whether victim a is more likely than b to be the cause of a
 // crash.
 func (d *Detector) likelier(a, b Victim) bool {
+	if crashesA, crashesB := len(d.open[a.digest()]), len(d.open[b.digest()]); crashesA != crashesB {
+		return crashesA > crashesB
+	}
 	answerA, answerB := d.oldestAnswer(a.Parts), d.oldestAnswer(b.Parts)
 	if answerA != answerB {
 		return answerA < answerB
@@ -86,6 +91,9 @@
 func (d *Detector) oldestAnswer(parts []string) fleet.Instant {
 	oldest := fleet.Instant(1<<63 - 1)
 	for _, part := range parts {
+		if IsDigest(part) {
+			continue
+		}
 		last := neverAnswered
 		if s, ok := d.stamps[part]; ok {
 			last = s.at
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -72,6 +72,7 @@
 	DenyAttempts      Denial = "attempts_used_up"
 	DenyBudget        Denial = "budget_used_up"
 	DenyDeadline      Denial = "deadline_too_near"
+	DenySuspect       Denial = "suspected_of_crashes"
 )
 
 // Decision is the result of Policy.Decide.
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -12,8 +12,17 @@
 // the method, the host, the path with its query, the member, what the caller declares
 // of the prompt, and the body. It is the same at all instances.
 type requestDigest struct {
-	// whole is "" until it is needed.
-	whole string
+	// head and whole are "" until they are needed.
+	head, whole string
+}
+
+// digestHead returns the beginning of the request's digest, which takes no reading of
+// the body.
+func (p *proxyRequest) digestHead() string {
+	if p.digest.head == "" {
+		p.digest.head = quarantine.DigestHead(p.headHash())
+	}
+	return p.digest.head
 }
 
 // wholeDigest returns the request's digest.
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -14,6 +14,7 @@
 	"github.com/bramleywick/bramleywick/core/members"
 	"github.com/bramleywick/bramleywick/core/overload"
 	"github.com/bramleywick/bramleywick/core/placement"
+	"github.com/bramleywick/bramleywick/core/quarantine"
 	"github.com/bramleywick/bramleywick/core/routes"
 	"github.com/bramleywick/bramleywick/core/shutdown"
 	"github.com/bramleywick/bramleywick/explanation"
@@ -163,7 +164,7 @@
 	options := g.Options
 	options.State = view
 	p.g = &Gateway{Options: options, budget: g.budget}
-	e := explained{trace: trace, views: s.fleet.Views(view.at), quarantined: s.quarantine.Quarantined(p.req.SharedParts())}
+	e := explained{trace: trace, views: s.fleet.Views(view.at), quarantined: s.quarantine.Quarantined(quarantine.Parts(p.req.SharedParts(), ""))}
 	limits := view.admitWithinLimits(p.group, &p.req)
 	if limits.Chance > 0 || !limits.Admit {
 		e.limit = &explanation.Limit{Allowed: finite(limits.Allowed), Asked: limits.Asked, Chance: limits.Chance, Share: limits.Share, AgeMS: explanation.Milliseconds(limits.Age)}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -197,11 +197,12 @@
 	complete, bodyTimedOut bool
 	// denial is the reason for which the request was not sent to another server.
 	denial retry.Denial
-	// trial is the request's admission by the quarantine, and engineEnded
-	// reports whether an engine's connection ended under the request.
-	trial       quarantineTrial
-	engineEnded bool
-	digest      requestDigest
+	// trial is the request's admission by the quarantine, and serverEnded and
+	// abandoned report whether a server's connection ended under the request, and
+	// whether an attempt at one was given up.
+	trial                  quarantineTrial
+	serverEnded, abandoned bool
+	digest                 requestDigest
 	// turnedAway reports whether the server of the last attempt turned it away
 	// for a time.
 	turnedAway bool
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -78,7 +78,7 @@
 // its KV cache; p.kvSource stays nil when no engine did it.
 func (p *proxyRequest) prefill(c placement.Choice) {
 	for range maxPrefills {
-		if !p.keyValid() || p.g.State.quarantineVerdict(&p.req, &p.trial) != nil || !p.spendRetry() {
+		if !p.keyValid() || p.quarantineVerdict() != nil || !p.spendRetry() {
 			return
 		}
 		p.prefillAt(c)
@@ -123,6 +123,9 @@
 	}
 	err = watch.end(err)
 	p.logAttempt(c, "prefill", res, status, began, err)
+	if res == resultBroken {
+		p.recordBroken(c.Server, err, 0)
+	}
 	switch {
 	case p.kvSource != nil:
 		p.g.State.recordSuccess(c.Server.ID)
@@ -190,6 +193,7 @@
 // fetch it.
 func (p *proxyRequest) runAttempt(c placement.Choice) bool {
 	c = p.asSent(c)
+	p.events = 0
 	asked := p.askAgain != nil
 	p.askAgain = nil
 	began := time.Now()
@@ -239,7 +243,7 @@
 		p.kvSource = nil
 		p.g.State.recordSuccess(c.Server.ID)
 		if success(status) && p.events > 0 {
-			p.g.State.recordStream(&p.req, p.firstEventAt)
+			p.recordAnswered(p.firstEventAt)
 		}
 		return true
 	case resultNotRun:
@@ -258,7 +262,7 @@
 	case resultBroken:
 		p.kvSource, p.mayHaveRun = nil, true
 		p.recordFailure(c.Server.ID, err)
-		p.recordBroken(c.Server, err)
+		p.recordBroken(c.Server, err, p.events)
 	}
 	if p.callerGone() {
 		return true
@@ -303,7 +307,6 @@
 	in := &eventReader{in: watch.reading(a), memory: p.memory}
 	defer in.release()
 	first := true
-	p.events = 0
 	var firstAt, lastAt time.Time
 	defer func() { p.g.State.learnDecode(c.Server.ID, &p.req, p.events, lastAt.Sub(firstAt)) }()
 	for {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -54,7 +54,7 @@
 			p.g.Observer.Retried(retry.ReasonNotSent)
 			continue
 		}
-		if !p.mayRetry(retryReason(res)) {
+		if !p.mayRepeatAfterCrash() || !p.mayRetry(retryReason(res)) || p.quarantineVerdict() != nil {
 			break
 		}
 	}
@@ -62,7 +62,7 @@
 		p.deliver(last)
 		return
 	}
-	if p.refusedForKey() {
+	if p.mayNotBeSent() {
 		return
 	}
 	p.failWithoutServer(choice)
@@ -124,6 +124,7 @@
 	switch res {
 	case resultAnswer:
 		p.mayHaveRun = true
+		p.recordAnswered(began)
 		if status >= http.StatusInternalServerError {
 			p.recordFailure(c.Server.ID, err)
 		} else {
@@ -136,6 +137,7 @@
 	case resultBroken:
 		p.mayHaveRun = true
 		p.recordFailure(c.Server.ID, err)
+		p.recordBroken(c.Server, err, 0)
 	}
 	return out, res
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -11,10 +11,10 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/bramleywick/bramleywick/core/call"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/placement"
 	"github.com/bramleywick/bramleywick/core/quarantine"
+	"github.com/bramleywick/bramleywick/core/retry"
 )
 
 const (
@@ -23,6 +23,9 @@
 	endChecks     = 3
 	endCheckPause = 100 * time.Millisecond
 	endCheckLimit = 250 * time.Millisecond
+	// abandonedCheckDelay is how long after an attempt was given up its server is
+	// dialled: by then a process that ends under it has ended.
+	abandonedCheckDelay = 250 * time.Millisecond
 )
 
 // serverCheck is what dialling a server shows of its process.
@@ -41,18 +44,38 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// recordBroken tells the quarantine of an answer that broke. The instance that
-// first sees a process's connections end finds out whether it has ended.
-func (p *proxyRequest) recordBroken(s placement.Server, err error) {
-	parts := p.req.SharedParts()
-	if len(parts) == 0 || p.callerGone() || !connectionEnded(err) {
-		return
+// knownParts returns the parts by which the quarantine may know the request. Its digest
+// is among them if something is known of requests that may be the same.
+func (p *proxyRequest) knownParts() []string {
+	if p.digest.whole == "" && p.g.State.tracks(p.digestHead) {
+		p.wholeDigest()
 	}
-	p.engineEnded = true
+	return quarantine.Parts(p.req.SharedParts(), p.digest.whole)
+}
+
+// recordBroken tells the quarantine of an answer that broke after a number of events.
+// The instance that first sees a process's connections end finds out whether it has
+// ended. An attempt that this instance has given up shows nothing of that: its process
+// may end a moment later.
+func (p *proxyRequest) recordBroken(s placement.Server, err error, events int) {
 	process := s.Process()
-	if p.g.State.requestBroken(process, quarantine.Victim{Request: p.req.ID, Parts: parts, Events: p.events}) {
-		go p.g.checkServer(process, s.Address)
+	victim := quarantine.Victim{Request: p.req.ID, Parts: quarantine.Parts(p.req.SharedParts(), p.wholeDigest()), Events: events}
+	if connectionEnded(err) {
+		p.serverEnded = true
+		if p.g.State.requestBroken(process, victim) {
+			go p.g.checkServer(process, s.Address)
+		}
+		return
 	}
+	p.abandoned = true
+	if p.g.State.attemptAbandoned(process, victim) {
+		go p.g.checkAbandoned(process, s.Address)
+	}
+}
+
+// recordAnswered tells the quarantine of a complete answer that began at the given time.
+func (p *proxyRequest) recordAnswered(began time.Time) {
+	p.g.State.recordAnswered(p.knownParts(), began)
 }
 
 // checkServer finds out whether a server's process has ended.
@@ -86,20 +109,33 @@
 	}
 }
 
-// quarantined refuses the request if a part of its prompt is quarantined, and
-// reports whether it did. It is asked before each call to an engine, since the
+// checkAbandoned finds out whether a server's process has ended after an attempt at it
+// was given up.
+func (g *Gateway) checkAbandoned(process fleet.Process, address string) {
+	time.Sleep(abandonedCheckDelay)
+	if dialServer(address) == checkEnded {
+		g.State.processEnded(process)
+	}
+}
+
+// quarantined refuses the request if it, or a part of its prompt, is quarantined, and
+// reports whether it did. It is asked before each call to a server, since the
 // verdict may come while the request is in flight.
 func (p *proxyRequest) quarantined() bool {
-	v := p.g.State.quarantineVerdict(&p.req, &p.trial)
+	v := p.quarantineVerdict()
 	if v == nil {
 		return false
 	}
 	p.logFields = append(p.logFields, zap.Strings("parts", p.req.SharedParts()), zap.String("part", v.Part), zap.Int("crashes", v.Crashes),
 		zap.Int("requests", v.Requests), zap.Duration("last_crash", v.LastCrash), zap.Duration("hold", v.Remaining), zap.Int("failed_trials", v.FailedTrials))
+	reason := fleet.ReasonPartQuarantined
+	if quarantine.IsDigest(v.Part) {
+		reason = fleet.ReasonRequestQuarantined
+	}
 	if p.mayHaveRun {
-		p.refuse(http.StatusBadGateway, fleet.ReasonPartQuarantined, 0)
+		p.refuse(http.StatusBadGateway, reason, 0)
 	} else {
-		p.refuse(http.StatusServiceUnavailable, fleet.ReasonPartQuarantined, max(v.Remaining, minQuarantineWait))
+		p.refuse(http.StatusServiceUnavailable, reason, max(v.Remaining, minQuarantineWait))
 	}
 	return true
 }
@@ -108,13 +144,17 @@
 // part: the time in which a trial at another instance ends.
 const minQuarantineWait = time.Second
 
-// mayRepeatAfterCrash reports whether the request may be sent to another engine
-// as far as the engines that have ended under it are concerned.
+// mayRepeatAfterCrash reports whether the request may be sent to another server
+// as far as the servers that have ended under it are concerned.
 func (p *proxyRequest) mayRepeatAfterCrash() bool {
-	if !p.engineEnded || p.g.State.mayRepeatAfterCrash(&p.req) {
+	if !p.serverEnded && !p.abandoned {
+		return true
+	}
+	if p.g.State.mayRepeatAfterCrash(p.req.ID, p.knownParts(), p.serverEnded) {
 		return true
 	}
-	p.logFields = append(p.logFields, zap.Strings("suspect_parts", p.req.SharedParts()))
+	p.denial = retry.DenySuspect
+	p.logFields = append(p.logFields, zap.Strings("suspect_parts", p.knownParts()))
 	return false
 }
 
@@ -125,21 +165,110 @@
 	part string
 }
 
-func (s *State) quarantineVerdict(r *call.Request, t *quarantineTrial) *quarantine.Verdict {
+// quarantineVerdict returns the verdict for which the request must not be sent, or nil.
+// The first call decides whether the request tries a quarantined part.
+func (p *proxyRequest) quarantineVerdict() *quarantine.Verdict {
+	parts := p.knownParts()
+	if p.trial.admitted {
+		return p.g.State.quarantineRefuses(parts, p.trial.part)
+	}
+	part, verdict := p.g.State.quarantineAdmits(parts)
+	if verdict == nil && quarantine.IsDigest(part) {
+		verdict = p.startTrial(part)
+	}
+	p.trial.admitted, p.trial.part = verdict == nil, part
+	return verdict
+}
+
+// startTrial decides whether the request tries its quarantined digest: there is a server
+// for it, and no other instance tries it. It returns the verdict otherwise.
+func (p *proxyRequest) startTrial(digest string) *quarantine.Verdict {
+	verdict := p.g.State.quarantineRefuses([]string{digest}, "")
+	if verdict == nil {
+		return nil
+	}
+	if p.g.State.moveOf(p, nil).calls == 0 || !p.g.State.mayClaimTrial(p.ctx, digest) {
+		return verdict
+	}
+	return p.g.State.startTrial(digest)
+}
+
+// claimTimeout bounds the time in which a trial is claimed.
+const claimTimeout = 300 * time.Millisecond
+
+// ClaimTrialsWith sets the function by which the instances agree on which of them tries
+// a quarantined request.
+func (s *State) ClaimTrialsWith(claim func(ctx context.Context, digest string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.claimTrial = claim
+	s.quarantine.SetClaimedTrials(true)
+}
+
+func (s *State) mayClaimTrial(ctx context.Context, digest string) bool {
+	s.mu.Lock()
+	claim := s.claimTrial
+	s.mu.Unlock()
+	if claim == nil {
+		return true
+	}
+	ctx, stop := context.WithTimeout(ctx, claimTimeout)
+	defer stop()
+	return claim(ctx, digest)
+}
+
+// OnVerdict sets the function that is called with each change of what the quarantine
+// believes.
+func (s *State) OnVerdict(f func(quarantine.Change)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onVerdict = f
+}
+
+// LearnVerdict takes over a verdict that was kept elsewhere.
+func (s *State) LearnVerdict(r quarantine.VerdictRecord) {
 	s.mu.Lock()
 	defer s.unlockAndLog()
-	if t.admitted {
-		return s.quarantine.Refused(r.SharedParts(), t.part, s.now())
+	s.quarantine.Learn(r, s.now())
+}
+
+// tracks reports whether something is known of a request whose digest begins with what
+// head returns.
+func (s *State) tracks(head func() string) bool {
+	s.mu.Lock()
+	tracksAny := s.quarantine.TracksAny()
+	s.mu.Unlock()
+	if !tracksAny {
+		return false
 	}
-	part, verdict := s.quarantine.Admit(r.SharedParts(), s.now())
-	t.admitted, t.part = verdict == nil, part
-	return verdict
+	h := head()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantine.Tracks(h)
+}
+
+func (s *State) quarantineAdmits(parts []string) (trial string, refused *quarantine.Verdict) {
+	s.mu.Lock()
+	defer s.unlockAndLog()
+	return s.quarantine.Admit(parts, s.now())
 }
 
-func (s *State) mayRepeatAfterCrash(r *call.Request) bool {
+func (s *State) quarantineRefuses(parts []string, trial string) *quarantine.Verdict {
+	s.mu.Lock()
+	defer s.unlockAndLog()
+	return s.quarantine.Refused(parts, trial, s.now())
+}
+
+func (s *State) startTrial(digest string) *quarantine.Verdict {
+	s.mu.Lock()
+	defer s.unlockAndLog()
+	return s.quarantine.StartTrial(digest, s.now())
+}
+
+func (s *State) mayRepeatAfterCrash(id fleet.RequestID, parts []string, ended bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.quarantine.MayRepeat(r.ID, r.SharedParts())
+	return s.quarantine.MayRepeat(id, parts, ended)
 }
 
 func (s *State) requestBroken(p fleet.Process, v quarantine.Victim) bool {
@@ -148,6 +277,12 @@
 	return s.quarantine.RequestBroken(p, v, s.now())
 }
 
+func (s *State) attemptAbandoned(p fleet.Process, v quarantine.Victim) bool {
+	s.mu.Lock()
+	defer s.unlockAndLog()
+	return s.quarantine.AttemptAbandoned(p, v, s.now())
+}
+
 func (s *State) processEnded(p fleet.Process) {
 	s.mu.Lock()
 	defer s.unlockAndLog()
@@ -160,12 +295,11 @@
 	s.quarantine.ProcessAlive(p)
 }
 
-// recordStream records a stream that was answered completely; its first event
-// came took after began.
-func (s *State) recordStream(r *call.Request, firstEvent time.Time) {
+// recordAnswered records a complete answer that began at the given time.
+func (s *State) recordAnswered(parts []string, began time.Time) {
 	s.mu.Lock()
 	defer s.unlockAndLog()
-	s.quarantine.Answered(r.SharedParts(), firstEvent.Sub(s.start), s.now())
+	s.quarantine.Answered(parts, began.Sub(s.start), s.now())
 }
 
 // Quarantine implements loadshare.View.
@@ -186,16 +320,27 @@
 // unlockAndLog unlocks the state and logs what the quarantine and the limiter
 // have found.
 func (s *State) unlockAndLog() {
-	parts, limits, log := s.quarantine.Changes(), s.limiter.Changes(), s.log
+	parts, limits, log, onVerdict := s.quarantine.Changes(), s.limiter.Changes(), s.log, s.onVerdict
 	s.mu.Unlock()
 	for _, c := range parts {
 		logQuarantine(log, c)
+		if onVerdict != nil {
+			onVerdict(c)
+		}
 	}
 	for _, c := range limits {
 		logLimit(log, c)
 	}
 }
 
+// quarantinedMessage returns the log message of a new verdict.
+func quarantinedMessage(part string) string {
+	if quarantine.IsDigest(part) {
+		return "request quarantined"
+	}
+	return "prompt part quarantined"
+}
+
 // logQuarantine logs a change of belief with its evidence.
 func logQuarantine(log *zap.Logger, c quarantine.Change) {
 	fields := func(v quarantine.Verdict, more ...zap.Field) []zap.Field {
@@ -206,15 +351,15 @@
 	}
 	switch c := c.(type) {
 	case quarantine.EngineCrashed:
-		log.Warn("engine ended under requests", zap.String("server", string(c.Process.Server)), zap.Int64("born", c.Process.StartTime),
+		log.Warn("server ended under requests", zap.String("server", string(c.Process.Server)), zap.Int64("born", c.Process.StartTime),
 			zap.Duration("age", c.Age), zap.Int("requests", c.Requests))
 	case quarantine.Quarantined:
-		log.Warn("prompt part quarantined", fields(c.Verdict, zap.Bool("reported", c.Reported))...)
+		log.Warn(quarantinedMessage(c.Part), fields(c.Verdict, zap.Bool("reported", c.Reported))...)
 	case quarantine.TrialStarted:
 		log.Info("quarantined part is tried", fields(c.Verdict)...)
 	case quarantine.TrialFailed:
-		log.Warn("quarantined part crashed an engine again", fields(c.Verdict)...)
+		log.Warn("quarantined part crashed a server again", fields(c.Verdict)...)
 	case quarantine.Released:
-		log.Info("prompt part released", fields(c.Verdict, zap.Bool("answered", c.Answered))...)
+		log.Info("quarantined part released", fields(c.Verdict, zap.Bool("answered", c.Answered))...)
 	}
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -40,8 +41,12 @@
 	// numbers that draw returns.
 	shares *fairshare.Controller
 	draw   func() float64
-	// quarantine decides which prompt parts are refused.
+	// quarantine decides which prompt parts and which requests are refused. claimTrial
+	// asks whether this instance may try one; nil if instances take turns. onVerdict
+	// is called with each change of belief; it may be nil.
 	quarantine *quarantine.Detector
+	claimTrial func(ctx context.Context, digest string) bool
+	onVerdict  func(quarantine.Change)
 	// limiter keeps the limits that servers name.
 	limiter *ratelimit.Limiter
 	// large reports whether the request of the present choice is large for its
