Keep the quarantine's verdicts in the store, and claim trials there

What callers saw: nothing yet; found by looking for the cause elsewhere. After a loss of all instances nobody knows of a crashing request, and it ends three servers again. And instances that take turns to try a request by a hash give a rare one its turn late where there are many of them.

Cause: the verdicts were kept in the instances' memory only.

Change: the package verdicts writes a verdict, of a request or of a part, under a lease of ten minutes; one instance does, after a random pause that grows with their number. The directory passes such entries on as it reads them, so that an instance knows them before it is ready. The trial of a request is claimed by a conditional write under a lease of 5 s: one instance tries it, and none while the store is away. Nothing else on the request path waits for the store.

Ruled out: keeping the evidence of single ends too (a write for each end of a server); turns by hash alone.

Measured: TestVerdictOutlastsInstances fails without the entries being read (a new instance sends the request on) and passes with them.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -57,6 +57,10 @@
 	OwnPrefix = "bramleywick/"
 	// InstancesPrefix is the prefix of the keys of instances.
 	InstancesPrefix = OwnPrefix + "instances/"
+	// VerdictsPrefix and TrialsPrefix are the prefixes of the keys of verdicts of the
+	// quarantine and of claims of trials.
+	VerdictsPrefix = OwnPrefix + "verdicts/"
+	TrialsPrefix   = OwnPrefix + "trials/"
 	// unfollowedPrefix is the prefix of keys that only the holder of a duty reads.
 	// A hub would forward their large values to all instances otherwise.
 	unfollowedPrefix = OwnPrefix + "usage/"
@@ -112,6 +116,9 @@
 	// OnRestore is called when the store has come back from an older copy; it may be
 	// nil.
 	OnRestore func()
+	// OnVerdict is called with each entry under VerdictsPrefix, the value being nil when
+	// it was removed; it may be nil.
+	OnVerdict func(key string, value []byte)
 	// OnConfirmation is called with the result of each attempt to confirm the
 	// configuration by the hub, the store or another instance; it may be nil.
 	OnConfirmation func(source string, confirmed bool)
@@ -281,6 +288,8 @@
 			if i, ok := d.instance(e); ok {
 				instances[e.Key] = i
 			}
+		default:
+			d.notifyVerdict(store.Change{Entry: e})
 		}
 	}
 	if !hasConfiguration {
@@ -339,6 +348,8 @@
 			} else if i, ok := d.instance(c.Entry); ok {
 				d.instances[c.Key] = i
 			}
+		default:
+			d.notifyVerdict(c)
 		}
 	}
 	if servers {
--- a/directory/entries.go
+++ b/directory/entries.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"strings"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -73,3 +74,17 @@
 	d.unreadable[key] = true
 	d.Log.Warn("store entry ignored", zap.String("key", key), logline.Error(err))
 }
+
+// notifyVerdict reports a change under VerdictsPrefix.
+func (d *Directory) notifyVerdict(c store.Change) {
+	if d.OnVerdict == nil || !strings.HasPrefix(c.Key, VerdictsPrefix) {
+		return
+	}
+	value := c.Value
+	if c.Deleted {
+		value = nil
+	} else if value == nil {
+		value = []byte{}
+	}
+	d.OnVerdict(c.Key, value)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,7 @@
 	"github.com/bramleywick/bramleywick/stages"
 	"github.com/bramleywick/bramleywick/store"
 	"github.com/bramleywick/bramleywick/usage"
+	"github.com/bramleywick/bramleywick/verdicts"
 )
 
 // Store is the client of the platform's store that an instance needs.
@@ -121,6 +122,22 @@
 	// reports; nil if they are not reported.
 	usage       *usage.Reporter
 	usageHolder *duty.Holder
+	// verdicts keeps those of the quarantine in the store.
+	verdicts *verdicts.Keeper
+}
+
+// keepVerdicts connects the quarantine with the store.
+func (n *Node) keepVerdicts() {
+	n.verdicts = verdicts.New(verdicts.Options{Store: n.store, Learn: n.state.LearnVerdict, Log: n.log, Instances: n.listedInstances})
+	n.state.OnVerdict(n.verdicts.Changed)
+	n.state.ClaimTrialsWith(n.verdicts.ClaimTrial)
+}
+
+// listedInstances returns the number of listed instances.
+func (n *Node) listedInstances() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.instances)
 }
 
 // New returns an instance that has not been started.
@@ -199,6 +216,7 @@
 		placement.Config{Instance: s.Instance, DataCentre: s.DataCentre, PartMemory: int64(partShare * float64(s.MemoryBytes))},
 		budget.Config{Window: s.BudgetWindow, Ratio: s.BudgetRatio, Slack: s.BudgetSlack},
 	)
+	n.keepVerdicts()
 	n.directory = directory.New(directory.Options{
 		Store: n.store, Decoder: p.Documents, Observer: n, Log: log,
 		SuspectTime: time.Duration(suspectShare * float64(s.DrainBound)),
@@ -206,7 +224,7 @@
 		Freshness: freshness.Config{
 			Strict: s.StrictRevocation, Bound: s.RevocationBound, Margin: freshness.DefaultMargin, Deadline: s.ConfigDeadline,
 		},
-		OnConfirmation: n.metrics.Confirmation, OnRestore: n.metrics.StoreRestored,
+		OnVerdict: n.verdicts.EntryWritten, OnConfirmation: n.metrics.Confirmation, OnRestore: n.metrics.StoreRestored,
 	})
 	n.exchange = loadshare.New(s.Instance, n.state, n.directory, log)
 	n.directory.HubChanges, n.directory.AskPeer = n.exchange.HubClient().After, n.exchange.AskConfiguration
