--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"hash"
 
 	"github.com/bramleywick/bramleywick/core/quarantine"
 )
@@ -45,34 +44,27 @@
 
 // headHash returns the hash of everything but the body's bytes. Each field is preceded
 // by its length, so that no two requests have the same input.
-func (p *proxyRequest) headHash() (out [sha256.Size]byte) {
-	h := sha256.New()
-	writeField(h, p.r.Method)
-	writeField(h, p.r.Host)
-	writeField(h, p.r.RequestURI)
-	writeField(h, string(p.req.Member))
-	writeField(h, string(p.req.Model))
-	writeNumber(h, p.req.PromptTokens)
-	writeNumber(h, p.req.OutputTokens)
-	writeNumber(h, len(p.req.Parts))
+func (p *proxyRequest) headHash() [sha256.Size]byte {
+	field := func(in []byte, text string) []byte {
+		return append(binary.AppendUvarint(in, uint64(len(text))), text...)
+	}
+	number := func(in []byte, n int) []byte { return binary.AppendUvarint(in, uint64(n)) }
+	in := make([]byte, 0, 512)
+	in = field(in, p.r.Method)
+	in = field(in, p.r.Host)
+	in = field(in, p.r.RequestURI)
+	in = field(in, string(p.req.Member))
+	in = field(in, string(p.req.Model))
+	in = number(in, p.req.PromptTokens)
+	in = number(in, p.req.OutputTokens)
+	in = number(in, len(p.req.Parts))
 	for _, part := range p.req.Parts {
-		writeField(h, part.ID)
-		writeNumber(h, part.Tokens)
+		in = field(in, part.ID)
+		in = number(in, part.Tokens)
 	}
 	length := 0
 	if p.body != nil {
 		length = p.body.len()
 	}
-	writeNumber(h, length)
-	h.Sum(out[:0])
-	return out
-}
-
-func writeField(h hash.Hash, field string) {
-	writeNumber(h, len(field))
-	_, _ = h.Write([]byte(field))
-}
-
-func writeNumber(h hash.Hash, n int) {
-	_, _ = h.Write(binary.AppendUvarint(nil, uint64(n)))
+	return sha256.Sum256(number(in, length))
 }
