Log the software version of servers and what a request takes up

Cause: the record of a stream that went on at another version cannot be traced in the project's own logs: no line names a version, and Resumes is not read.

Change: the version of a server's entry and the header Resumes are decoded; the lines of server entries and of attempts name them. No decision uses either.

Ruled out: nothing yet.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -39,6 +39,9 @@
 	// LastEventID is the event after which a stream resumes; "" for a stream
 	// from its start.
 	LastEventID string
+	// Resumes is the id of the attempt that brought the first event of a stream that
+	// its caller takes up again; "" if it names none.
+	Resumes fleet.RequestID
 }
 
 // UnsharedTokens returns the length of the part of the prompt that belongs to the
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -20,6 +20,8 @@
 	Group      fleet.GroupName
 	Address    string
 	DataCentre fleet.DataCentre
+	// SoftwareVersion names the version of the server's software; "" if unknown.
+	SoftwareVersion string
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int
 	// Stage is RolePrefill or RoleDecode for engines, RoleMixed for others.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -335,7 +335,7 @@
 					zap.Duration("at_most_ago", d.now()-since))
 			} else if s, ok := d.server(c.Entry); ok {
 				fresh := d.list.Put(s, d.now())
-				d.Log.Info("server entry", zap.String("server", string(s.ID)), zap.String("service", string(s.Group)),
+				d.Log.Info("server entry", zap.String("server", string(s.ID)), zap.String("service", string(s.Group)), zap.String("software", s.SoftwareVersion),
 					zap.Stringer("stage", s.Stage), zap.Bool("leaving", s.Leaving), zap.Int64("born", s.StartTime),
 					zap.Int64("revision", store.NumberOf(c.Revision)), zap.Bool("newer", fresh))
 				d.reportDepartures()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -99,12 +99,15 @@
 func (p *proxyRequest) logAttempt(c placement.Choice, step string, res result, status int, began time.Time, err error) {
 	fields := []zap.Field{
 		zap.String("request_id", string(p.req.ID)), zap.String("member", string(p.req.Member)), zap.String("route", p.route.Name), zap.String("step", step), zap.Strings("parts", p.req.SharedParts()),
-		zap.String("server", string(c.Server.ID)), zap.String("choice", string(c.Reason)), zap.Int("candidates", c.Candidates),
+		zap.String("server", string(c.Server.ID)), zap.String("software", c.Server.SoftwareVersion), zap.String("choice", string(c.Reason)), zap.Int("candidates", c.Candidates),
 		zap.Duration("view_age", c.ViewAge), zap.Float64("unseen", c.Unseen), zap.Duration("expected", c.Wait), zap.Float64("uncached", c.UncachedTokens), zap.Float64("ahead", c.TokensAhead),
 		zap.String("copied_from", string(c.CopyFrom.ID)), zap.Float64("copied", c.CopiedTokens),
 		zap.Stringer("result", res), zap.Int("status", status), zap.Duration("took", time.Since(began)),
 		zap.Duration("left", p.remaining()), zap.Int("events", p.events), zap.Int("output_tokens", p.req.OutputTokens), zap.Bool("late", p.late), zap.Float64("pressure", c.Pressure),
 	}
+	if p.req.LastEventID != "" {
+		fields = append(fields, zap.String("resumes", string(p.req.Resumes)), zap.String("after_event", p.req.LastEventID))
+	}
 	if res == resultBroken {
 		// Tells repeats of a request by its caller, which have other ids.
 		fields = append(fields, zap.String("digest", p.wholeDigest()))
