Keep an answer at the software version that began it

Cause: a broken or stalled stream goes on at any engine of its service. The class: a choice that ignores what has been fixed by an earlier one.

Change: once an event has been passed on, all choices of a server for the request consider only servers of that version: repeats, prefill and decode, moves of stalled streams and the slots kept for them, plain services. They take one typed restriction, so that none can be left out. Explanations show other_software_version.

Ruled out: adding servers of other versions to the list of tried ones (390 names to compare at the two-year size).

--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -39,6 +39,7 @@
 	ReasonCallerGone         Reason = "caller_gone"
 	ReasonPartQuarantined    Reason = "part_quarantined"
 	ReasonRequestQuarantined Reason = "request_quarantined"
+	ReasonVersionGone        Reason = "software_version_gone"
 	ReasonServerLimit        Reason = "server_limit"
 	ReasonServersLeaving     Reason = "servers_leaving"
 	ReasonServersPaused      Reason = "servers_paused"
@@ -57,7 +58,7 @@
 		ReasonBadRequest, ReasonUnknownKey, ReasonKindNotGranted, ReasonTooLarge,
 		ReasonShareUsedUp, ReasonQueueFull, ReasonDeadlineUnmeetable, ReasonNoUpstream, ReasonNoRoute,
 		ReasonConfigUnknown, ReasonDraining, ReasonClaimNotPossible,
-		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone, ReasonPartQuarantined, ReasonRequestQuarantined, ReasonServerLimit, ReasonServersLeaving, ReasonServersPaused, ReasonBuffersFull,
+		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone, ReasonPartQuarantined, ReasonRequestQuarantined, ReasonVersionGone, ReasonServerLimit, ReasonServersLeaving, ReasonServersPaused, ReasonBuffersFull,
 		ReasonKeyRevoked, ReasonMembersOutdated, ReasonUrgentFirst,
 		ReasonTooManyConnections, ReasonSlowClient,
 	}
--- a/core/placement/candidates.go
+++ b/core/placement/candidates.go
@@ -18,6 +18,9 @@
 			continue
 		}
 		switch {
+		case f.software != "" && s.SoftwareVersion != f.software:
+			f.unavailable.OtherVersions++
+			f.trace.pass(s, PassedVersion, now)
 		case contains(skip, s.ID):
 			f.trace.pass(s, PassedSkipped, now)
 		case !match(s):
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -88,6 +88,9 @@
 	// after PausedFor. Others is the number of all other servers.
 	Leaving, Paused, Others int
 	PausedFor               time.Duration
+	// OtherVersions is the number of servers that have another software version than
+	// the request needs.
+	OtherVersions int
 }
 
 // Config identifies the instance that chooses.
@@ -123,6 +126,8 @@
 	foreignAt fleet.Instant
 	// options is scratch space for the choice of a server.
 	options []option
+	// software is the only software version that is considered; "" for any.
+	software string
 	// permit reports whether a server may be considered as far as its rate limit
 	// is concerned; nil permits all.
 	permit func(Server, fleet.Instant) bool
@@ -134,6 +139,10 @@
 	trace *Trace
 }
 
+// Restrict makes all choices consider servers of one software version only, until it
+// is called with "".
+func (f *Fleet) Restrict(software string) { f.software = software }
+
 // SetPermit sets the function that reports whether a server may be considered as
 // far as its rate limit is concerned.
 func (f *Fleet) SetPermit(permit func(Server, fleet.Instant) bool) { f.permit = permit }
--- a/core/placement/trace.go
+++ b/core/placement/trace.go
@@ -32,6 +32,9 @@
 	PassedLimited Passed = "limited"
 	// PassedStage means that the server does not serve the stage of this step.
 	PassedStage Passed = "other_stage"
+	// PassedVersion means that the server has another software version than the one
+	// that began the stream.
+	PassedVersion Passed = "other_software_version"
 	// PassedSkipped means that the request was already sent there.
 	PassedSkipped Passed = "skipped"
 	// PassedSample means that the server was not among those that are scored for
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -174,7 +174,7 @@
 		return e
 	}
 	if p.route.Kind != routes.KindStream || p.service == nil || p.service.Engine == nil || p.req.PromptTokens <= 0 {
-		e.chosen, e.ok = view.choosePlain(p.group, p.req.ID, nil)
+		e.chosen, e.ok = view.choosePlain(p.group, p.req.ID, restriction{})
 		e.decision = overload.Decision{Admit: e.ok, Priority: noPriority}
 		if p.route.Kind == routes.KindStream {
 			e.decision.Priority = p.priority()
@@ -190,7 +190,7 @@
 
 // explainEngines takes the steps of serveEngine up to the first call.
 func (p *proxyRequest) explainEngines(e *explained) {
-	prefill, direct, split := p.g.State.chooseEngines(p.group, &p.req, nil)
+	prefill, direct, split := p.g.State.chooseEngines(p.group, &p.req, restriction{})
 	e.decision.Admit = true
 	if prefill.Candidates+direct.Candidates > 0 {
 		var estimate overload.Estimate
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -166,6 +166,9 @@
 	bodyBegun, bodyRead bool
 	// tried are the servers that failed or rejected the request.
 	tried []fleet.UpstreamID
+	// software is the software version of the server that began the stream; "" before
+	// its first event.
+	software string
 	// askAgain is the last server that the request may be sent to, which has turned it
 	// away and is asked again; nil for none.
 	askAgain *placement.Choice
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -28,7 +28,7 @@
 		p.freeKV(p.kvSource)
 		p.dropSlot(p.slot)
 	}()
-	prefill, direct, split := p.g.State.chooseEngines(p.group, &p.req, p.tried)
+	prefill, direct, split := p.g.State.chooseEngines(p.group, &p.req, p.allowed())
 	if prefill.Candidates+direct.Candidates > 0 && !p.admit(prefill, direct, split) {
 		return
 	}
@@ -49,7 +49,7 @@
 			p.failWithoutServer(choice)
 			return
 		}
-		prefill, direct, split = p.g.State.chooseEngines(p.group, &p.req, p.tried)
+		prefill, direct, split = p.g.State.chooseEngines(p.group, &p.req, p.allowed())
 	}
 }
 
@@ -66,10 +66,10 @@
 		return p.slot.engine, true
 	}
 	if p.kvSource != nil {
-		return p.g.State.chooseDecode(p.group, &p.req, p.prefillServer, p.tried)
+		return p.g.State.chooseDecode(p.group, &p.req, p.prefillServer, p.allowed())
 	}
 	if len(p.tried) > 0 || direct.Candidates == 0 || direct.Limited > 0 || split {
-		return p.g.State.chooseDirect(p.group, &p.req, p.tried)
+		return p.g.State.chooseDirect(p.group, &p.req, p.allowed())
 	}
 	return direct, true
 }
@@ -87,7 +87,7 @@
 		}
 		p.g.Observer.Retried(retry.ReasonPrefillFailed)
 		var split bool
-		c, _, split = p.g.State.chooseEngines(p.group, &p.req, p.tried)
+		c, _, split = p.g.State.chooseEngines(p.group, &p.req, p.allowed())
 		if !split {
 			return
 		}
@@ -338,6 +338,7 @@
 		if hasEvent(data) {
 			watch.progress()
 			p.countFirstEvent()
+			p.software = c.Server.SoftwareVersion
 		}
 		p.writeHead(a)
 		if _, err := p.w.Write(data); err != nil {
@@ -384,7 +385,7 @@
 // servePlainStream serves a stream of a plain service.
 func (p *proxyRequest) servePlainStream() {
 	for {
-		choice, ok := p.g.State.choosePlain(p.group, p.req.ID, p.tried)
+		choice, ok := p.g.State.choosePlain(p.group, p.req.ID, p.allowed())
 		if !ok {
 			p.failWithoutServer(choice)
 			return
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -50,6 +50,8 @@
 // requests again, spread so that the callers do not return together.
 func unavailableReason(u placement.Unavailable) (fleet.Reason, time.Duration) {
 	switch {
+	case u.OtherVersions > 0 && u.OtherVersions == u.Others:
+		return fleet.ReasonVersionGone, 0
 	case u.Paused > 0:
 		wait := max(u.PausedFor, busyWait)
 		return fleet.ReasonServersPaused, wait + rand.N(wait/pauseSpread)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -31,7 +31,7 @@
 	var choice placement.Choice
 	for p.keyValid() {
 		var ok bool
-		choice, ok = p.g.State.choosePlain(p.group, p.req.ID, p.tried)
+		choice, ok = p.g.State.choosePlain(p.group, p.req.ID, p.allowed())
 		if !ok {
 			break
 		}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -187,7 +187,7 @@
 	if verdict == nil {
 		return nil
 	}
-	if p.g.State.moveOf(p, nil).calls == 0 || !p.g.State.mayClaimTrial(p.ctx, digest) {
+	if p.g.State.moveOf(p, p.allowed()).calls == 0 || !p.g.State.mayClaimTrial(p.ctx, digest) {
 		return verdict
 	}
 	return p.g.State.startTrial(digest)
--- /dev/null
+++ b/gateway/restriction.go
@@ -0,0 +1,25 @@
+package gateway
+
+import "github.com/bramleywick/bramleywick/core/fleet"
+
+// restriction says which servers a request may be sent to. Each choice of a server
+// takes one, so that none can leave it out.
+type restriction struct {
+	// skip are the servers that failed or rejected the request.
+	skip []fleet.UpstreamID
+	// software is the software version that began the stream; "" if the request may go
+	// to any. What two versions write does not fit together.
+	software string
+}
+
+// allowed returns where the request may be sent now.
+func (p *proxyRequest) allowed() restriction {
+	return restriction{skip: p.tried, software: p.software}
+}
+
+// restrict applies a restriction to the choices that follow, until the returned function
+// is called. The caller holds mu.
+func (s *State) restrict(r restriction) (end func()) {
+	s.fleet.Restrict(r.software)
+	return func() { s.fleet.Restrict("") }
+}
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -53,9 +53,9 @@
 type stallWatch struct {
 	p      *proxyRequest
 	choice placement.Choice
-	// skip are the servers to which the attempt cannot be moved.
-	skip   []fleet.UpstreamID
-	cancel context.CancelFunc
+	// allowed says to which servers the attempt can be moved.
+	allowed restriction
+	cancel  context.CancelFunc
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -81,7 +81,8 @@
 	if !mayMove {
 		return w
 	}
-	w.skip = append(append([]fleet.UpstreamID(nil), p.tried...), c.Server.ID)
+	w.allowed = p.allowed()
+	w.allowed.skip = append(append([]fleet.UpstreamID(nil), p.tried...), c.Server.ID)
 	// The timer may fire before it is assigned.
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -115,7 +116,11 @@
 	if w.p.remaining() < minMove {
 		return move{}, false
 	}
-	m := w.p.g.State.moveOf(w.p, w.skip)
+	allowed := w.allowed
+	if w.lastEvent.Load() != 0 {
+		allowed.software = w.choice.Server.SoftwareVersion
+	}
+	m := w.p.g.State.moveOf(w.p, allowed)
 	return m, m.calls > 0 && w.p.g.State.spendRetries(w.p.group, m.calls)
 }
 
@@ -236,10 +241,12 @@
 	engine placement.Choice
 }
 
-// moveOf returns the way of a request at servers other than those in skip.
-func (s *State) moveOf(p *proxyRequest, skip []fleet.UpstreamID) move {
+// moveOf returns the way of a request at the servers that are allowed.
+func (s *State) moveOf(p *proxyRequest, allowed restriction) move {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.restrict(allowed)()
+	skip := allowed.skip
 	now := s.now()
 	soon := func(c placement.Choice, ok bool) bool {
 		return ok && p.asSent(c).Wait <= maxMoveWait && s.fleet.Available(c.Server.ID)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -213,28 +213,30 @@
 	s.budget.CountRequest(group, s.now())
 }
 
-func (s *State) choosePlain(group fleet.GroupName, id fleet.RequestID, skip []fleet.UpstreamID) (placement.Choice, bool) {
+func (s *State) choosePlain(group fleet.GroupName, id fleet.RequestID, r restriction) (placement.Choice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.restrict(r)()
 	return s.take(group, 0, func() (placement.Choice, bool) {
-		return s.fleet.ChoosePlain(group, id, s.now(), skip)
+		return s.fleet.ChoosePlain(group, id, s.now(), r.skip)
 	})
 }
 
 // chooseEngines chooses the engines for a request; split reports whether prefill
 // runs on a separate engine, prefill, instead of on direct. If direct.Limited is
 // set, the limit of that engine is used up: the choice holds for estimates only.
-func (s *State) chooseEngines(group fleet.GroupName, r *call.Request, skip []fleet.UpstreamID) (prefill, direct placement.Choice, split bool) {
+func (s *State) chooseEngines(group fleet.GroupName, r *call.Request, allowed restriction) (prefill, direct placement.Choice, split bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.restrict(allowed)()
 	s.large = s.limiter.IsLarge(group, r.PromptTokens)
 	// The decode engine is chosen again after prefill, so its limit doesn't matter
 	// yet.
 	s.anyDecode = true
-	prefill, direct, split = s.fleet.ChooseEngines(group, r, s.now(), skip)
+	prefill, direct, split = s.fleet.ChooseEngines(group, r, s.now(), allowed.skip)
 	if prefill.Candidates == 0 && !s.large && s.limiter.Active(s.now()) {
 		s.large = true
-		prefill, direct, split = s.fleet.ChooseEngines(group, r, s.now(), skip)
+		prefill, direct, split = s.fleet.ChooseEngines(group, r, s.now(), allowed.skip)
 	}
 	s.anyDecode = false
 	switch now := s.now(); {
@@ -249,19 +251,21 @@
 }
 
 // chooseDirect chooses an engine that runs both prefill and decode.
-func (s *State) chooseDirect(group fleet.GroupName, r *call.Request, skip []fleet.UpstreamID) (placement.Choice, bool) {
+func (s *State) chooseDirect(group fleet.GroupName, r *call.Request, allowed restriction) (placement.Choice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.restrict(allowed)()
 	return s.take(group, r.PromptTokens, func() (placement.Choice, bool) {
-		return s.fleet.ChooseDirect(group, r, s.now(), skip)
+		return s.fleet.ChooseDirect(group, r, s.now(), allowed.skip)
 	})
 }
 
-func (s *State) chooseDecode(group fleet.GroupName, r *call.Request, from placement.Server, skip []fleet.UpstreamID) (placement.Choice, bool) {
+func (s *State) chooseDecode(group fleet.GroupName, r *call.Request, from placement.Server, allowed restriction) (placement.Choice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.restrict(allowed)()
 	return s.take(group, r.PromptTokens, func() (placement.Choice, bool) {
-		return s.fleet.ChooseDecode(group, r, from, s.now(), skip)
+		return s.fleet.ChooseDecode(group, r, from, s.now(), allowed.skip)
 	})
 }
 
