Let a stream that is taken up go on only at the version that began it

Cause: Resumes was not read, and what an instance knew of a stream stayed with it. An instance that has just started sees the servers of now; "there is one version" says nothing of a stream that began before. The class: knowledge that is needed elsewhere and later, kept where it arose.

Change: core/takeup knows which versions may have begun the streams that can still be taken up: the listed ones, those listed until lately, and those of a record in the store that names each version before and after it serves (package takeup; one write when a version comes, one when it has been gone for the time in which a stream can be taken up). While there is one, nothing is kept or told beyond the instance's own memory. While there are several, the version of a stream is told, when it is sent, to three instances that follow from its key (in a large deployment of the same data centre), and any instance asks them. If nobody knows it the request is refused at once as not run (software_version_unknown), and the caller begins anew; if no server of the version is left, likewise (software_version_gone). Streams that began before a second version came are told when it comes.

Ruled out: a version that follows from the request's id (a rolling release moves the shares every second, and a version with few engines has no room); a record in the store for each stream (3,400 a second at the two-year size, some hundred writes a second allowed); telling all instances (30 KB/s at each).

--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -40,6 +40,7 @@
 	ReasonPartQuarantined    Reason = "part_quarantined"
 	ReasonRequestQuarantined Reason = "request_quarantined"
 	ReasonVersionGone        Reason = "software_version_gone"
+	ReasonVersionUnknown     Reason = "software_version_unknown"
 	ReasonServerLimit        Reason = "server_limit"
 	ReasonServersLeaving     Reason = "servers_leaving"
 	ReasonServersPaused      Reason = "servers_paused"
@@ -58,7 +59,7 @@
 		ReasonBadRequest, ReasonUnknownKey, ReasonKindNotGranted, ReasonTooLarge,
 		ReasonShareUsedUp, ReasonQueueFull, ReasonDeadlineUnmeetable, ReasonNoUpstream, ReasonNoRoute,
 		ReasonConfigUnknown, ReasonDraining, ReasonClaimNotPossible,
-		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone, ReasonPartQuarantined, ReasonRequestQuarantined, ReasonVersionGone, ReasonServerLimit, ReasonServersLeaving, ReasonServersPaused, ReasonBuffersFull,
+		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone, ReasonPartQuarantined, ReasonRequestQuarantined, ReasonVersionGone, ReasonVersionUnknown, ReasonServerLimit, ReasonServersLeaving, ReasonServersPaused, ReasonBuffersFull,
 		ReasonKeyRevoked, ReasonMembersOutdated, ReasonUrgentFirst,
 		ReasonTooManyConnections, ReasonSlowClient,
 	}
--- a/core/placement/candidates.go
+++ b/core/placement/candidates.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		switch {
-		case f.software != "" && s.SoftwareVersion != f.software:
+		case f.restriction != nil && !f.restriction(s.Server):
 			f.unavailable.OtherVersions++
 			f.trace.pass(s, PassedVersion, now)
 		case contains(skip, s.ID):
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -126,8 +126,9 @@
 	foreignAt fleet.Instant
 	// options is scratch space for the choice of a server.
 	options []option
-	// software is the only software version that is considered; "" for any.
-	software string
+	// restriction reports whether a server may be considered for the present request;
+	// nil for all.
+	restriction func(Server) bool
 	// permit reports whether a server may be considered as far as its rate limit
 	// is concerned; nil permits all.
 	permit func(Server, fleet.Instant) bool
@@ -139,9 +140,9 @@
 	trace *Trace
 }
 
-// Restrict makes all choices consider servers of one software version only, until it
-// is called with "".
-func (f *Fleet) Restrict(software string) { f.software = software }
+// Restrict makes all choices leave out the servers for which may returns false, because
+// of their software version, until it is called with nil.
+func (f *Fleet) Restrict(may func(Server) bool) { f.restriction = may }
 
 // SetPermit sets the function that reports whether a server may be considered as
 // far as its rate limit is concerned.
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -172,8 +172,10 @@
 	services map[fleet.GroupName]*Service
 	// streamTimeouts is the mean timeout of the stream routes to a service.
 	streamTimeouts map[fleet.GroupName]time.Duration
-	numRoutes      int
-	members        *members.Index
+	// maxStreamTimeout is the longest timeout of the streams that can be resumed.
+	maxStreamTimeout time.Duration
+	numRoutes        int
+	members          *members.Index
 }
 
 // HasRoute returns a function that reports whether a route with a given name
@@ -212,6 +214,11 @@
 		t.hosts[host] = append(t.hosts[host], &c.Routes[i])
 	}
 	t.streamTimeouts = meanStreamTimeouts(c.Routes)
+	for _, r := range c.Routes {
+		if r.Kind == KindStream && r.Resumable {
+			t.maxStreamTimeout = max(t.maxStreamTimeout, r.Timeout)
+		}
+	}
 	for _, list := range t.hosts {
 		// Sorted by descending prefix length, so that the first match is the
 		// longest.
@@ -267,5 +274,9 @@
 // 0 when none declares one.
 func (t *Table) StreamTimeout(name fleet.GroupName) time.Duration { return t.streamTimeouts[name] }
 
+// MaxStreamTimeout returns the longest timeout of the stream routes whose streams can be
+// resumed, or 0 when none declares one.
+func (t *Table) MaxStreamTimeout() time.Duration { return t.maxStreamTimeout }
+
 // Len returns the number of routes.
 func (t *Table) Len() int { return t.numRoutes }
--- /dev/null
+++ b/core/takeup/takeup_test.go
@@ -0,0 +1,109 @@
+package takeup
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+)
+
+const memory = MinMemory
+
+func listed(versions ...string) map[fleet.GroupName]map[string]bool {
+	set := map[string]bool{}
+	for _, v := range versions {
+		set[v] = true
+	}
+	return map[fleet.GroupName]map[string]bool{"g": set}
+}
+
+// TestPossibleVersions guards against a version that is forgotten while streams it began
+// can still be taken up.
+func TestPossibleVersions(t *testing.T) {
+	Convey("The versions that may have begun a stream", t, func() {
+		v, now := NewVersions(), fleet.Instant(time.Minute)
+		v.Listed(listed("old"), now)
+		Convey("are the listed one alone", func() {
+			So(v.Possible("g", memory, now+time.Hour), ShouldResemble, []string{"old"})
+			So(v.Possible("other", memory, now), ShouldBeEmpty)
+		})
+		Convey("include one whose servers have just left, and not for ever", func() {
+			v.Listed(listed("new", "old"), now)
+			v.Listed(listed("new"), now+time.Second)
+			So(v.Possible("g", memory, now+time.Second), ShouldResemble, []string{"new", "old"})
+			So(v.Possible("g", memory, now+time.Second+memory), ShouldResemble, []string{"new", "old"})
+			So(v.Possible("g", memory, now+time.Second+memory+1), ShouldResemble, []string{"new"})
+		})
+		Convey("include those of a service whose servers are all gone", func() {
+			v.Listed(nil, now+time.Second)
+			v.Listed(listed("new"), now+2*time.Second)
+			So(v.Possible("g", memory, now+2*time.Second), ShouldResemble, []string{"new", "old"})
+		})
+		Convey("include those that only the record names, at an instance that has just started", func() {
+			fresh := NewVersions()
+			fresh.Recorded("g", []string{"old", "new"}, now)
+			fresh.Listed(listed("new"), now)
+			So(fresh.Possible("g", memory, now), ShouldResemble, []string{"new", "old"})
+			So(fresh.RecordChanges(memory, now), ShouldBeEmpty)
+			Convey("until it has seen for long enough that they don't serve", func() {
+				So(fresh.Possible("g", memory, now+memory+1), ShouldResemble, []string{"new"})
+				So(fresh.RecordChanges(memory, now+memory+1), ShouldResemble, []RecordChange{{Group: "g", Versions: []string{"new"}}})
+			})
+		})
+		Convey("are recorded before they are needed", func() {
+			So(v.RecordChanges(memory, now), ShouldResemble, []RecordChange{{Group: "g", Versions: []string{"old"}, Added: true}})
+			v.Recorded("g", []string{"old"}, now)
+			So(v.RecordChanges(memory, now), ShouldBeEmpty)
+			v.Listed(listed("new", "old"), now)
+			So(v.RecordChanges(memory, now), ShouldResemble, []RecordChange{{Group: "g", Versions: []string{"new", "old"}, Added: true}})
+		})
+		Convey("are bounded", func() {
+			for i := range 1000 {
+				v.Listed(listed(time.Duration(i).String()), now+fleet.Instant(i))
+			}
+			So(len(v.Possible("g", memory, now)), ShouldBeLessThanOrEqualTo, maxVersions)
+		})
+	})
+}
+
+// TestStreams guards against a stream whose version is forgotten too soon, or is that of
+// an earlier attempt.
+func TestStreams(t *testing.T) {
+	Convey("A stream's version", t, func() {
+		s, now := NewStreams(), fleet.Instant(time.Minute)
+		a, b := KeyOf("m", "a"), KeyOf("m", "b")
+		s.Put(Record{Key: a, Software: "old"}, true, memory, now)
+		Convey("is known while it can be taken up, and not of another member's stream", func() {
+			software, ok := s.Get(a, memory, now+memory)
+			So(ok, ShouldBeTrue)
+			So(software, ShouldEqual, "old")
+			_, ok = s.Get(a, memory, now+memory+1)
+			So(ok, ShouldBeFalse)
+			_, ok = s.Get(KeyOf("other", "a"), memory, now)
+			So(ok, ShouldBeFalse)
+			So(KeyOf("m1", "a"), ShouldNotEqual, KeyOf("m", "1a"))
+		})
+		Convey("is that of the last server to which it was sent, also if news comes late", func() {
+			s.Put(Record{Key: a, Software: "new"}, true, memory, now+1)
+			s.Put(Record{Key: a, Software: "old", Age: time.Second}, false, memory, now+2)
+			software, _ := s.Get(a, memory, now+2)
+			So(software, ShouldEqual, "new")
+		})
+		Convey("that another instance has told is not told again", func() {
+			s.Put(Record{Key: b, Software: "new", Age: time.Second}, false, memory, now)
+			So(s.Own(memory, now+time.Second), ShouldResemble, []Record{{Key: a, Software: "old", Age: time.Second}})
+		})
+		Convey("is one of a bounded number", func() {
+			for i := range 2 * maxStreams {
+				var k Key
+				k[0], k[1], k[2] = byte(i), byte(i>>8), byte(i>>16)
+				s.Put(Record{Key: k}, false, memory, now)
+			}
+			So(s.Len(), ShouldEqual, maxStreams)
+			s.Put(Record{Key: b}, false, memory, now+memory+1)
+			So(s.Len(), ShouldEqual, 1)
+		})
+	})
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -61,6 +61,8 @@
 	// quarantine and of claims of trials.
 	VerdictsPrefix = OwnPrefix + "verdicts/"
 	TrialsPrefix   = OwnPrefix + "trials/"
+	// VersionsPrefix is the prefix of the keys of records of software versions.
+	VersionsPrefix = OwnPrefix + "versions/"
 	// unfollowedPrefix is the prefix of keys that only the holder of a duty reads.
 	// A hub would forward their large values to all instances otherwise.
 	unfollowedPrefix = OwnPrefix + "usage/"
@@ -116,9 +118,9 @@
 	// OnRestore is called when the store has come back from an older copy; it may be
 	// nil.
 	OnRestore func()
-	// OnVerdict is called with each entry under VerdictsPrefix, the value being nil when
-	// it was removed; it may be nil.
-	OnVerdict func(key string, value []byte)
+	// OnEntry is called with each change of an entry under OwnPrefix that is not an
+	// instance's; it may be nil.
+	OnEntry func(store.Change)
 	// OnConfirmation is called with the result of each attempt to confirm the
 	// configuration by the hub, the store or another instance; it may be nil.
 	OnConfirmation func(source string, confirmed bool)
@@ -289,7 +291,7 @@
 				instances[e.Key] = i
 			}
 		default:
-			d.notifyVerdict(store.Change{Entry: e})
+			d.notifyEntry(store.Change{Entry: e})
 		}
 	}
 	if !hasConfiguration {
@@ -302,6 +304,11 @@
 	}
 	d.keepInstances(instances, restored, now)
 	d.reportDepartures()
+	for key := range d.ownKeys {
+		if !ownKeys[key] {
+			d.notifyEntry(store.Change{Entry: store.Entry{Key: key}, Deleted: true})
+		}
+	}
 	d.instances, d.ownKeys = instances, ownKeys
 	maps.DeleteFunc(d.unreadable, func(key string, _ bool) bool { return !existing[key] })
 	d.notifyServers()
@@ -349,7 +356,7 @@
 				d.instances[c.Key] = i
 			}
 		default:
-			d.notifyVerdict(c)
+			d.notifyEntry(c)
 		}
 	}
 	if servers {
--- a/directory/entries.go
+++ b/directory/entries.go
@@ -75,16 +75,9 @@
 	d.Log.Warn("store entry ignored", zap.String("key", key), logline.Error(err))
 }
 
-// notifyVerdict reports a change under VerdictsPrefix.
-func (d *Directory) notifyVerdict(c store.Change) {
-	if d.OnVerdict == nil || !strings.HasPrefix(c.Key, VerdictsPrefix) {
-		return
-	}
-	value := c.Value
-	if c.Deleted {
-		value = nil
-	} else if value == nil {
-		value = []byte{}
+// notifyEntry reports a change under OwnPrefix.
+func (d *Directory) notifyEntry(c store.Change) {
+	if d.OnEntry != nil && strings.HasPrefix(c.Key, OwnPrefix) {
+		d.OnEntry(c)
 	}
-	d.OnVerdict(c.Key, value)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/bramleywick/bramleywick/core/retry"
 	"github.com/bramleywick/bramleywick/core/routes"
 	"github.com/bramleywick/bramleywick/core/shutdown"
+	"github.com/bramleywick/bramleywick/core/takeup"
 	"github.com/bramleywick/bramleywick/door"
 	"github.com/bramleywick/bramleywick/logline"
 )
@@ -79,6 +80,9 @@
 	Pool      *connpool.Pool
 	State     *State
 	Observer  Observer
+	// AskStreamVersion asks other instances which software version began a stream; nil
+	// if there are none.
+	AskStreamVersion func(ctx context.Context, k takeup.Key) (software string, known bool)
 	// Usage counts the members' requests; nil if they are not counted.
 	Usage Counter
 	// ServerLeaves is called when a server's process says that it leaves. No
@@ -166,9 +170,9 @@
 	bodyBegun, bodyRead bool
 	// tried are the servers that failed or rejected the request.
 	tried []fleet.UpstreamID
-	// software is the software version of the server that began the stream; "" before
-	// its first event.
-	software string
+	// software is the software version that began the stream, nil while none has, and
+	// noted that of the server to which it was last sent.
+	software, noted *string
 	// askAgain is the last server that the request may be sent to, which has turned it
 	// away and is asked again; nil for none.
 	askAgain *placement.Choice
@@ -320,7 +324,7 @@
 
 // serve serves a request in the way that suits its route and service.
 func (p *proxyRequest) serve() {
-	if p.exceedsEngines() || !p.mayBeAnswered() || p.mayNotBeSent() || !p.withinLimits() {
+	if p.exceedsEngines() || !p.mayBeAnswered() || p.mayNotBeSent() || !p.findVersion() || !p.withinLimits() {
 		return
 	}
 	switch {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -217,6 +217,7 @@
 	if p.slot != nil && p.slot.engine.Server.ID == c.Server.ID {
 		add.Reservation = p.slot.name
 	}
+	p.noteVersion(c.Server)
 	answer, res, err := p.send(ctx, c.Server, add)
 	if res != resultNotSent {
 		p.countCall()
@@ -338,7 +339,7 @@
 		if hasEvent(data) {
 			watch.progress()
 			p.countFirstEvent()
-			p.software = c.Server.SoftwareVersion
+			p.pin(c.Server.SoftwareVersion)
 		}
 		p.writeHead(a)
 		if _, err := p.w.Write(data); err != nil {
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -30,7 +30,7 @@
 func (p *proxyRequest) failWithoutServer(c placement.Choice) {
 	if c.Limited == 0 {
 		reason, wait := unavailableReason(c.Unavailable)
-		p.logFields = append(p.logFields, zap.Int("leaving", c.Unavailable.Leaving), zap.Int("paused", c.Unavailable.Paused), zap.Int("others", c.Unavailable.Others), zap.Int("other_versions", c.Unavailable.OtherVersions), zap.String("software", p.software))
+		p.logFields = append(p.logFields, zap.Int("leaving", c.Unavailable.Leaving), zap.Int("paused", c.Unavailable.Paused), zap.Int("others", c.Unavailable.Others), zap.Int("other_versions", c.Unavailable.OtherVersions), zap.Stringp("software", p.software))
 		p.fail(reason, wait)
 		return
 	}
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -118,7 +118,7 @@
 	}
 	allowed := w.allowed
 	if w.lastEvent.Load() != 0 {
-		allowed.software = w.choice.Server.SoftwareVersion
+		allowed.software = &w.choice.Server.SoftwareVersion
 	}
 	m := w.p.g.State.moveOf(w.p, allowed)
 	return m, m.calls > 0 && w.p.g.State.spendRetries(w.p.group, m.calls)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -47,6 +47,8 @@
 	quarantine *quarantine.Detector
 	claimTrial func(ctx context.Context, digest string) bool
 	onVerdict  func(quarantine.Change)
+	// software knows the software versions of streams.
+	software streamVersions
 	// limiter keeps the limits that servers name.
 	limiter *ratelimit.Limiter
 	// large reports whether the request of the present choice is large for its
@@ -66,7 +68,7 @@
 		shares: fairshare.New(), draw: rand.Float64,
 		quarantine: quarantine.New(quarantine.Config{Instance: p.Instance, Epoch: uint64(start.UnixNano())}),
 		limiter:    ratelimit.New(ratelimit.Config{Instance: p.Instance, Epoch: uint64(start.UnixNano())}), log: zap.NewNop(),
-		odd: map[fleet.Process]bool{},
+		odd: map[fleet.Process]bool{}, software: newStreamVersions(),
 	}
 	s.fleet.SetPermit(s.permit)
 	return s
@@ -113,6 +115,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleet.Configure(t)
+	s.keepSoftware(t)
 	s.keepShares(t)
 }
 
@@ -121,6 +124,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleet.SetServers(list)
+	s.listSoftware(list)
 }
 
 // InstancesChanged implements directory.Observer.
--- /dev/null
+++ b/gateway/takeup.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/placement"
+	"github.com/bramleywick/bramleywick/core/routes"
+	"github.com/bramleywick/bramleywick/core/takeup"
+)
+
+// streamVersions is what this instance knows of the software versions of streams,
+// guarded by State.mu.
+type streamVersions struct {
+	versions *takeup.Versions
+	streams  *takeup.Streams
+	// memory is the time in which streams can be taken up, and several holds the
+	// services that more than one version may serve.
+	memory  time.Duration
+	several map[fleet.GroupName]bool
+	// tell is called with records that other instances have to know; it may be nil.
+	tell func([]takeup.Record)
+}
+
+func newStreamVersions() streamVersions {
+	return streamVersions{
+		versions: takeup.NewVersions(), streams: takeup.NewStreams(), memory: takeup.MinMemory, several: map[fleet.GroupName]bool{},
+	}
+}
+
+// OnStreams sets the function that is called with the versions of streams that other
+// instances have to know.
+func (s *State) OnStreams(tell func([]takeup.Record)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.software.tell = tell
+}
+
+// keepSoftware sets the time in which streams can be taken up. It does not get shorter:
+// streams of the configuration before go on. The caller holds mu.
+func (s *State) keepSoftware(t *routes.Table) {
+	s.software.memory = max(s.software.memory, takeup.MemoryFor(t.MaxStreamTimeout()))
+}
+
+// listSoftware applies the versions of the listed servers that make answers. The caller
+// holds mu.
+func (s *State) listSoftware(list []placement.Server) {
+	present := map[fleet.GroupName]map[string]bool{}
+	for _, server := range list {
+		if server.Stage == fleet.RolePrefill {
+			continue
+		}
+		if present[server.Group] == nil {
+			present[server.Group] = map[string]bool{}
+		}
+		present[server.Group][server.SoftwareVersion] = true
+	}
+	s.software.versions.Listed(present, s.now())
+	for group := range present {
+		s.checkSeveral(group)
+	}
+}
+
+// LearnVersions applies the record of the versions of a service that outlasts the
+// instances.
+func (s *State) LearnVersions(group fleet.GroupName, versions []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.software.versions.Recorded(group, versions, s.now())
+	s.checkSeveral(group)
+}
+
+// checkSeveral finds out whether more than one version may serve a service. Once that is
+// so, other instances have to know of the streams that have begun here. The caller holds
+// mu.
+func (s *State) checkSeveral(group fleet.GroupName) {
+	v := &s.software
+	possible := v.versions.Possible(group, v.memory, s.now())
+	several := len(possible) > 1
+	if several == v.several[group] {
+		return
+	}
+	v.several[group] = several
+	s.log.Info("software versions of a service", zap.String("service", string(group)), zap.Strings("versions", possible))
+	if several && v.tell != nil {
+		if own := v.streams.Own(v.memory, s.now()); len(own) > 0 {
+			go v.tell(own)
+		}
+	}
+}
+
+// VersionRecords returns the records of versions that have to be written.
+func (s *State) VersionRecords() []takeup.RecordChange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for group := range s.software.several {
+		s.checkSeveral(group)
+	}
+	return s.software.versions.RecordChanges(s.software.memory, s.now())
+}
+
+// LearnStreams records what another instance tells of streams.
+func (s *State) LearnStreams(records []takeup.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		s.software.streams.Put(r, false, s.software.memory, s.now())
+	}
+}
+
+// StreamVersion returns the software version that began a stream, if it is known here.
+func (s *State) StreamVersion(k takeup.Key) (software string, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.software.streams.Get(k, s.software.memory, s.now())
+}
+
+// StreamCounts returns the number of streams whose version is remembered, and of services
+// that several versions may serve.
+func (s *State) StreamCounts() (streams, several int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.software.several {
+		if x {
+			several++
+		}
+	}
+	return s.software.streams.Len(), several
+}
+
+// possibleVersions returns the versions that may have begun a stream of a service.
+func (s *State) possibleVersions(group fleet.GroupName) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.checkSeveral(group)
+	return s.software.versions.Possible(group, s.software.memory, s.now())
+}
+
+// noteStream records the version of the server to which streams are sent, and tells other
+// instances while several versions may serve.
+func (s *State) noteStream(group fleet.GroupName, software string, keys ...takeup.Key) {
+	records := make([]takeup.Record, 0, len(keys))
+	s.mu.Lock()
+	for _, k := range keys {
+		r := takeup.Record{Key: k, Software: software}
+		records = append(records, r)
+		s.software.streams.Put(r, true, s.software.memory, s.now())
+	}
+	tell := s.software.tell
+	if !s.software.several[group] {
+		tell = nil
+	}
+	s.mu.Unlock()
+	if tell != nil {
+		tell(records)
+	}
+}
+
+// noteVersion records the version of the server to which the stream is about to be sent.
+func (p *proxyRequest) noteVersion(server placement.Server) {
+	if p.route.Kind != routes.KindStream || !p.route.Resumable {
+		return
+	}
+	if p.noted != nil && *p.noted == server.SoftwareVersion {
+		return
+	}
+	p.noted = &server.SoftwareVersion
+	keys := []takeup.Key{takeup.KeyOf(p.req.Member, p.req.ID)}
+	if p.req.Resumes != "" {
+		keys = append(keys, takeup.KeyOf(p.req.Member, p.req.Resumes))
+	}
+	p.g.State.noteStream(p.group, server.SoftwareVersion, keys...)
+}
+
+// askTimeout bounds the time in which other instances are asked for a stream's version.
+const askTimeout = 200 * time.Millisecond
+
+// findVersion restricts a stream that its caller takes up to the software version that
+// began it. It refuses the request and returns false if several versions may have, and
+// nobody knows which: the stream would be joined from two.
+func (p *proxyRequest) findVersion() bool {
+	if p.route.Kind != routes.KindStream || p.req.LastEventID == "" {
+		return true
+	}
+	possible := p.g.State.possibleVersions(p.group)
+	if len(possible) <= 1 {
+		if len(possible) == 1 {
+			p.pin(possible[0])
+		}
+		return true
+	}
+	source, software, known := "none", "", false
+	if p.req.Resumes != "" {
+		k := takeup.KeyOf(p.req.Member, p.req.Resumes)
+		if software, known = p.g.State.StreamVersion(k); known {
+			source = "own"
+		} else if software, known = p.askForVersion(k); known {
+			source = "instance"
+		}
+	}
+	fields := []zap.Field{
+		zap.String("resumes", string(p.req.Resumes)), zap.String("after_event", p.req.LastEventID), zap.Strings("versions", possible),
+		zap.String("software", software), zap.String("known_from", source),
+	}
+	if !known {
+		p.logFields = append(p.logFields, fields...)
+		p.refuse(http.StatusServiceUnavailable, fleet.ReasonVersionUnknown, 0)
+		return false
+	}
+	p.g.Log.Info("stream taken up", append(fields, zap.String("request_id", string(p.req.ID)))...)
+	p.pin(software)
+	return true
+}
+
+func (p *proxyRequest) askForVersion(k takeup.Key) (software string, known bool) {
+	if p.g.AskStreamVersion == nil {
+		return "", false
+	}
+	ctx, stop := context.WithTimeout(p.ctx, askTimeout)
+	defer stop()
+	return p.g.AskStreamVersion(ctx, k)
+}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -166,7 +166,8 @@
 	sources    []directory.Instance
 	nextSource int
 	changes    ChangeSource
-	usage      UsageCounts // nil if members' requests are not reported
+	usage      UsageCounts    // nil if members' requests are not reported
+	streams    *streamHolders // nil if the versions of streams are not told
 }
 
 // ChangeSource provides the changes of the store that a hub forwards.
--- a/loadshare/relation.go
+++ b/loadshare/relation.go
@@ -16,6 +16,9 @@
 // others.
 func (e *Exchange) SetPeers(ctx context.Context, list []directory.Instance) {
 	topo := e.connect(ctx, list)
+	if e.streams != nil {
+		e.streams.setPool(list, topo.Hubs != nil)
+	}
 	// Not under e.mu: the view queues notes while it holds its own lock.
 	e.view.KeepLoads(func(id fleet.InstanceID) bool { return topo.CountsLoadOf(id, false) })
 }
--- /dev/null
+++ b/loadshare/streams.go
@@ -0,0 +1,344 @@
+package loadshare
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/rpc"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/membership"
+	"github.com/bramleywick/bramleywick/core/takeup"
+	"github.com/bramleywick/bramleywick/directory"
+	"github.com/bramleywick/bramleywick/logline"
+)
+
+const (
+	// streamCopies is the number of other instances that are told the version of a
+	// stream, and askedHolders the number that are asked for one: those that were told,
+	// and as many to which it went because they did not answer.
+	streamCopies = 3
+	askedHolders = 6
+	// maxHolders bounds the instances that are tried for one copy.
+	maxHolders = 9
+	// maxQueuedStreams bounds the records that wait for an instance, and maxStreamBatch
+	// those of one call.
+	maxQueuedStreams = 4096
+	maxStreamBatch   = 512
+	// minLocalHolders is the number of other instances of the data centre from which on
+	// they alone hold the records of a large deployment: callers return to their data
+	// centre.
+	minLocalHolders = 3
+)
+
+// StreamVersions is what an instance knows of the software versions of streams.
+type StreamVersions interface {
+	LearnStreams([]takeup.Record)
+	StreamVersion(takeup.Key) (software string, known bool)
+}
+
+// streamHolders tells other instances which software version began a stream, and asks
+// them. A record goes to streamCopies instances that follow from its key, so that any
+// instance knows whom to ask, and the death of the one that serves the stream does not
+// lose it.
+type streamHolders struct {
+	self  fleet.InstanceID
+	known StreamVersions
+	log   *zap.Logger
+
+	mu    sync.Mutex
+	pool  []directory.Instance
+	peers map[string]*holderPeer
+}
+
+// holderPeer is the connection to one instance and what waits for it.
+type holderPeer struct {
+	address string
+	mu      sync.Mutex
+	queue   []queuedStream
+	sending bool
+	// connMu guards client, and is held while the connection is opened.
+	connMu sync.Mutex
+	client *rpc.Client
+}
+
+// queuedStream is a record on its way to the instance at a place of its order.
+type queuedStream struct {
+	record takeup.Record
+	place  int
+	at     time.Time
+}
+
+// HoldStreams sets what this instance knows of streams. It must be called before the
+// exchange begins.
+func (e *Exchange) HoldStreams(known StreamVersions) {
+	e.streams = &streamHolders{self: e.self, known: known, log: e.log, peers: map[string]*holderPeer{}}
+}
+
+// setPool sets the instances that hold records: those of the own data centre in a large
+// deployment, all in a small one.
+func (h *streamHolders) setPool(list []directory.Instance, large bool) {
+	var all, local []directory.Instance
+	var own fleet.DataCentre
+	for _, i := range list {
+		if i.ID == h.self {
+			own = i.DataCentre
+		}
+	}
+	for _, i := range list {
+		if i.ID == h.self {
+			continue
+		}
+		all = append(all, i)
+		if i.DataCentre == own {
+			local = append(local, i)
+		}
+	}
+	if large && len(local) >= minLocalHolders {
+		all = local
+	}
+	addresses := map[string]bool{}
+	for _, i := range all {
+		addresses[i.Address] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pool = all
+	for address, p := range h.peers {
+		if !addresses[address] {
+			p.close()
+			delete(h.peers, address)
+		}
+	}
+}
+
+// holders returns the instances that hold a key's record, in order, except this one.
+func (h *streamHolders) holders(k takeup.Key) []directory.Instance {
+	h.mu.Lock()
+	pool := h.pool
+	h.mu.Unlock()
+	type ranked struct {
+		instance directory.Instance
+		hash     uint64
+	}
+	order := make([]ranked, 0, len(pool))
+	for _, i := range pool {
+		order = append(order, ranked{i, membership.Hash(string(k[:]), string(i.ID))})
+	}
+	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	out := make([]directory.Instance, 0, maxHolders)
+	for _, r := range order[:min(len(order), maxHolders)] {
+		out = append(out, r.instance)
+	}
+	return out
+}
+
+// TellStreams sends records to their holders in the background.
+func (e *Exchange) TellStreams(records []takeup.Record) {
+	for _, r := range records {
+		holders := e.streams.holders(r.Key)
+		for place := range min(streamCopies, len(holders)) {
+			e.streams.enqueue(holders[place], queuedStream{record: r, place: place, at: time.Now()})
+		}
+	}
+}
+
+func (h *streamHolders) enqueue(to directory.Instance, q queuedStream) {
+	p := h.peer(to.Address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.queue) >= maxQueuedStreams {
+		p.queue = p.queue[1:]
+	}
+	p.queue = append(p.queue, q)
+	if !p.sending {
+		p.sending = true
+		go h.send(p)
+	}
+}
+
+func (h *streamHolders) peer(address string) *holderPeer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.peers[address] == nil {
+		h.peers[address] = &holderPeer{address: address}
+	}
+	return h.peers[address]
+}
+
+// send sends what waits for an instance. What it does not take goes to the next of its
+// order.
+func (h *streamHolders) send(p *holderPeer) {
+	for {
+		p.mu.Lock()
+		batch := p.queue[:min(len(p.queue), maxStreamBatch)]
+		p.queue = p.queue[len(batch):]
+		if len(batch) == 0 {
+			p.queue, p.sending = nil, false
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		in := StreamsRequest{From: h.self}
+		for _, q := range batch {
+			r := q.record
+			r.Age += time.Since(q.at)
+			in.Records = append(in.Records, r)
+		}
+		ctx, stop := context.WithTimeout(context.Background(), callTimeout)
+		err := p.call(ctx, serviceName+".Streams", in, &struct{}{})
+		stop()
+		if err == nil {
+			continue
+		}
+		h.log.Info("versions of streams not told", zap.String("address", p.address), zap.Int("streams", len(batch)), logline.Error(err))
+		for _, q := range batch {
+			q.place += streamCopies
+			if holders := h.holders(q.record.Key); q.place < len(holders) {
+				h.enqueue(holders[q.place], q)
+			}
+		}
+	}
+}
+
+// AskStreamVersion asks the holders of a stream's record for the software version that
+// began it.
+func (e *Exchange) AskStreamVersion(ctx context.Context, k takeup.Key) (software string, known bool) {
+	holders := e.streams.holders(k)
+	holders = holders[:min(len(holders), askedHolders)]
+	answers := make(chan StreamVersionReply, len(holders))
+	for _, i := range holders {
+		go func() {
+			out := &StreamVersionReply{}
+			err := e.streams.peer(i.Address).call(ctx, serviceName+".StreamVersion", StreamVersionRequest{Key: k}, out)
+			if err != nil {
+				e.log.Debug("instance not asked for a stream's version", zap.String("instance", string(i.ID)), logline.Error(err))
+				// An answer that comes later is still decoded into out.
+				out = &StreamVersionReply{}
+			}
+			answers <- *out
+		}()
+	}
+	for range holders {
+		select {
+		case a := <-answers:
+			if a.Known && len(a.Software) <= takeup.MaxSoftwareBytes {
+				return a.Software, true
+			}
+		case <-ctx.Done():
+			return "", false
+		}
+	}
+	return "", false
+}
+
+// call makes one call to the instance. The connection may have been closed because it was
+// idle; the call is made again over a new one then, since it may be repeated.
+func (p *holderPeer) call(ctx context.Context, method string, in, out any) error {
+	reused, err := p.callOnce(ctx, method, in, out)
+	if err != nil && reused && ctx.Err() == nil {
+		_, err = p.callOnce(ctx, method, in, out)
+	}
+	return errors.Wrapf(err, "call %s", p.address)
+}
+
+// callOnce makes a call, and reports whether the connection had been open before.
+func (p *holderPeer) callOnce(ctx context.Context, method string, in, out any) (reused bool, err error) {
+	client, reused, err := p.connect(ctx)
+	if err != nil {
+		return false, err
+	}
+	call := client.Go(method, in, out, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	var refused rpc.ServerError
+	if errors.As(err, &refused) {
+		return false, err
+	}
+	// A call that is no longer needed says nothing of the connection.
+	if err != nil && !errors.Is(err, context.Canceled) {
+		p.disconnect(client)
+	}
+	return reused, err
+}
+
+func (p *holderPeer) connect(ctx context.Context) (client *rpc.Client, reused bool, err error) {
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	if p.client != nil {
+		return p.client, true, nil
+	}
+	dialer := net.Dialer{Timeout: callTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, false, err
+	}
+	p.client = rpc.NewClient(&progressConn{Conn: conn, idle: idleTimeout, stall: callTimeout})
+	return p.client, false, nil
+}
+
+func (p *holderPeer) disconnect(client *rpc.Client) {
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	if p.client == client {
+		_ = client.Close()
+		p.client = nil
+	}
+}
+
+func (p *holderPeer) close() {
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	if p.client != nil {
+		_ = p.client.Close()
+		p.client = nil
+	}
+}
+
+// StreamsRequest tells the versions that began streams.
+type StreamsRequest struct {
+	From    fleet.InstanceID
+	Records []takeup.Record
+}
+
+// Streams takes records of streams that another instance serves.
+func (s service) Streams(in StreamsRequest, _ *struct{}) error {
+	if s.e.streams == nil || len(in.Records) > maxStreamBatch {
+		return errors.New("records of streams are not taken")
+	}
+	for _, r := range in.Records {
+		if len(r.Software) > takeup.MaxSoftwareBytes || !validAge(r.Age) {
+			return errors.New("a record of a stream that no instance sends")
+		}
+	}
+	s.e.streams.known.LearnStreams(in.Records)
+	return nil
+}
+
+// StreamVersionRequest asks for the version that began a stream, and StreamVersionReply
+// answers it.
+type (
+	StreamVersionRequest struct{ Key takeup.Key }
+	StreamVersionReply   struct {
+		Software string
+		Known    bool
+	}
+)
+
+// StreamVersion serves an instance at which a caller takes a stream up.
+func (s service) StreamVersion(in StreamVersionRequest, out *StreamVersionReply) error {
+	if s.e.streams != nil {
+		out.Software, out.Known = s.e.streams.known.StreamVersion(in.Key)
+	}
+	return nil
+}
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/bramleywick/bramleywick/settings"
 	"github.com/bramleywick/bramleywick/stages"
 	"github.com/bramleywick/bramleywick/store"
+	"github.com/bramleywick/bramleywick/takeup"
 	"github.com/bramleywick/bramleywick/usage"
 	"github.com/bramleywick/bramleywick/verdicts"
 )
@@ -122,22 +123,10 @@
 	// reports; nil if they are not reported.
 	usage       *usage.Reporter
 	usageHolder *duty.Holder
-	// verdicts keeps those of the quarantine in the store.
+	// verdicts keeps those of the quarantine in the store, and versions which software
+	// versions may have begun streams.
 	verdicts *verdicts.Keeper
-}
-
-// keepVerdicts connects the quarantine with the store.
-func (n *Node) keepVerdicts() {
-	n.verdicts = verdicts.New(verdicts.Options{Store: n.store, Learn: n.state.LearnVerdict, Log: n.log, Instances: n.listedInstances})
-	n.state.OnVerdict(n.verdicts.Changed)
-	n.state.ClaimTrialsWith(n.verdicts.ClaimTrial)
-}
-
-// listedInstances returns the number of listed instances.
-func (n *Node) listedInstances() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return len(n.instances)
+	versions *takeup.Keeper
 }
 
 // New returns an instance that has not been started.
@@ -162,6 +151,14 @@
 			_, _, verdicts := n.state.QuarantineCounts()
 			return float64(verdicts)
 		},
+		"bramleywick_streams_remembered": func() float64 {
+			streams, _ := n.state.StreamCounts()
+			return float64(streams)
+		},
+		"bramleywick_services_of_several_versions": func() float64 {
+			_, several := n.state.StreamCounts()
+			return float64(several)
+		},
 		"bramleywick_server_limits": func() float64 {
 			limits, _ := n.state.LimitCounts()
 			return float64(limits)
@@ -216,7 +213,7 @@
 		placement.Config{Instance: s.Instance, DataCentre: s.DataCentre, PartMemory: int64(partShare * float64(s.MemoryBytes))},
 		budget.Config{Window: s.BudgetWindow, Ratio: s.BudgetRatio, Slack: s.BudgetSlack},
 	)
-	n.keepVerdicts()
+	n.keepInStore()
 	n.directory = directory.New(directory.Options{
 		Store: n.store, Decoder: p.Documents, Observer: n, Log: log,
 		SuspectTime: time.Duration(suspectShare * float64(s.DrainBound)),
@@ -224,15 +221,17 @@
 		Freshness: freshness.Config{
 			Strict: s.StrictRevocation, Bound: s.RevocationBound, Margin: freshness.DefaultMargin, Deadline: s.ConfigDeadline,
 		},
-		OnVerdict: n.verdicts.EntryWritten, OnConfirmation: n.metrics.Confirmation, OnRestore: n.metrics.StoreRestored,
+		OnEntry: n.entryChanged, OnConfirmation: n.metrics.Confirmation, OnRestore: n.metrics.StoreRestored,
 	})
 	n.exchange = loadshare.New(s.Instance, n.state, n.directory, log)
+	n.exchange.HoldStreams(n.state)
+	n.state.OnStreams(n.exchange.TellStreams)
 	n.directory.HubChanges, n.directory.AskPeer = n.exchange.HubClient().After, n.exchange.AskConfiguration
 	n.state.OnNote(n.exchange.AddNote)
 	n.setUpUsage(uint64(start.UnixNano()))
 	n.gateway = gateway.New(gateway.Options{
 		Wire: p.Wire, Table: n.directory.Table, Freshness: n.directory.Freshness, Pool: pool, State: n.state, Observer: n.metrics, ServerLeaves: n.directory.ServerLeaves,
-		Budget: n.budget, Usage: n.usageCounter(), Log: log,
+		AskStreamVersion: n.exchange.AskStreamVersion, Budget: n.budget, Usage: n.usageCounter(), Log: log,
 	})
 	return n
 }
@@ -270,6 +269,7 @@
 		directory.Register(ctx, n.store, n.self(), n.log)
 	})
 	start(n.orders().Run)
+	start(n.versions.Run)
 	if n.usage != nil {
 		start(n.usage.Run)
 		start(n.usageHolder.Run)
--- a/verdicts/verdicts.go
+++ b/verdicts/verdicts.go
@@ -28,6 +28,8 @@
 	// writeStep is the mean delay of a write for each listed instance: all of them
 	// reach a verdict at about the same time, and one has to write it.
 	writeStep = 20 * time.Millisecond
+	// rewriteDelay is how long after a verdict has left the store it is written again.
+	rewriteDelay = 2 * time.Second
 	// minRetryPause and maxRetryPause bound the wait after a failed write.
 	minRetryPause = 500 * time.Millisecond
 	maxRetryPause = 10 * time.Second
@@ -115,8 +117,7 @@
 	}
 	k.own[r.Part] = r
 	if write {
-		delay := rand.N(writeStep*time.Duration(max(k.Instances(), 1)) + 1)
-		time.AfterFunc(delay, func() { k.write(r, minRetryPause) })
+		time.AfterFunc(k.writeDelay(), func() { k.write(r, minRetryPause) })
 	}
 }
 
@@ -181,15 +182,15 @@
 	}()
 }
 
-// EntryWritten takes over an entry under directory.VerdictsPrefix; value is nil when
-// the entry was removed.
-func (k *Keeper) EntryWritten(key string, value []byte) {
-	r, err := decode(key, value)
-	if value == nil || err != nil {
-		if err != nil && value != nil {
-			k.Log.Warn("store entry ignored", zap.String("key", key), logline.Error(err))
-		}
-		k.forget(key)
+// EntryChanged takes over a change of an entry under directory.VerdictsPrefix.
+func (k *Keeper) EntryChanged(c store.Change) {
+	if c.Deleted {
+		k.forget(c.Key)
+		return
+	}
+	r, err := decode(c.Key, c.Value)
+	if err != nil {
+		k.Log.Warn("store entry ignored", zap.String("key", c.Key), logline.Error(err))
 		return
 	}
 	k.mu.Lock()
@@ -209,6 +210,9 @@
 	})
 }
 
+// forget takes note of a verdict that has left the store: its lease has ended, or the
+// store has come back without it. It is written again if it is still in force once the
+// news of its release would have arrived.
 func (k *Keeper) forget(key string) {
 	raw, err := hex.DecodeString(strings.TrimPrefix(key, directory.VerdictsPrefix))
 	if err != nil {
@@ -217,6 +221,16 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.stored, string(raw))
+	r, ok := k.own[string(raw)]
+	if !ok || time.Until(time.UnixMilli(r.HeldUntil)) < rewriteDelay {
+		return
+	}
+	time.AfterFunc(rewriteDelay+k.writeDelay(), func() { k.write(r, minRetryPause) })
+}
+
+// writeDelay returns a random delay that grows with the number of instances.
+func (k *Keeper) writeDelay() time.Duration {
+	return rand.N(writeStep*time.Duration(max(k.Instances(), 1)) + 1)
 }
 
 // decode decodes an entry. It returns an error for one that no instance writes.
--- a/verdicts/verdicts_test.go
+++ b/verdicts/verdicts_test.go
@@ -77,8 +77,7 @@
 			Convey("and an instance that reads it learns it", func() {
 				e, err := d.client.Get(context.Background(), key(digest))
 				So(err, ShouldBeNil)
-				newDeployment(t, 1).keepers[0].EntryWritten(e.Key, e.Value)
-				k.EntryWritten(e.Key, e.Value)
+				k.EntryChanged(store.Change{Entry: e})
 				So(d.learned[0].Remaining, ShouldBeBetween, 15*time.Second, 20*time.Second)
 				So(d.learned[0].Age, ShouldBeBetween, 900*time.Millisecond, 5*time.Second)
 				So(d.learned[0].Crashes, ShouldEqual, 3)
@@ -115,7 +114,7 @@
 		for end := time.Now().Add(1200 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			if e, err := d.client.Get(context.Background(), key(digest)); err == nil {
 				for _, k := range d.keepers {
-					k.EntryWritten(e.Key, e.Value)
+					k.EntryChanged(store.Change{Entry: e})
 				}
 			}
 			before++
@@ -130,9 +129,9 @@
 		d := newDeployment(t, 1)
 		for _, value := range []string{"", "{", `{"part":"other"}`, `{"part":5}`, `{"part":"=request","crashes":-1}`,
 			`{"part":"=request","held_until_ms":1e400}`, strings.Repeat("[", 3000), strings.Repeat("x", 5000)} {
-			d.keepers[0].EntryWritten(key(digest), []byte(value))
+			d.keepers[0].EntryChanged(store.Change{Entry: store.Entry{Key: key(digest), Value: []byte(value)}})
 		}
-		d.keepers[0].EntryWritten(directory.VerdictsPrefix+"zz", nil)
+		d.keepers[0].EntryChanged(store.Change{Entry: store.Entry{Key: directory.VerdictsPrefix + "zz"}, Deleted: true})
 		So(d.learned, ShouldBeEmpty)
 	})
 }
