Ask other instances before a stream goes on at the only version known

What callers saw: nothing yet; found by asking what an instance that is cut off from the store believes. It lists servers of one version while others have already sent streams to a second one, and lets those go on at the first.

Cause: one listed version counted as certain, however old the list is.

Change: a stream whose version is not known here is asked for at the instances that hold its record, also while one version is listed; their answers name the versions that they think possible. One possible version counts only if the list is at most 3 s old or another instance has answered.

Ruled out: refusing all streams while the store is away (a loss of the store alone, with one version, would cut what is taken up).

--- a/core/takeup/takeup.go
+++ b/core/takeup/takeup.go
@@ -38,7 +38,20 @@
 	Age time.Duration
 }
 
+// Answer is what other instances know of a stream.
+type Answer struct {
+	// Software is the version that began it, if Known is set.
+	Software string
+	Known    bool
+	// Possible are the versions that may have begun it as far as they know, and
+	// Instances is the number of instances that have answered.
+	Possible  []string
+	Instances int
+}
+
 const (
+	// MaxVersions bounds the versions of a service.
+	MaxVersions = maxVersions
 	// MinMemory and MaxMemory bound the time in which a stream can be taken up.
 	MinMemory = 10 * time.Second
 	MaxMemory = 2 * time.Minute
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -159,8 +159,9 @@
 	hubReportAt fleet.Instant
 
 	// completeAt is when all changes up to then were last known to be applied.
-	// Only Run uses it.
+	// Only Run uses it; listedAt is the same for others.
 	completeAt time.Time
+	listedAt   atomic.Pointer[time.Time]
 }
 
 // New returns an empty Directory.
@@ -193,6 +194,20 @@
 // now returns the time since the Directory was created.
 func (d *Directory) now() fleet.Instant { return time.Since(d.start) }
 
+// ListAge returns the time since all changes of the store up to then were known here.
+func (d *Directory) ListAge() time.Duration {
+	if at := d.listedAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return time.Since(d.start)
+}
+
+// setComplete records that all changes up to a time are applied.
+func (d *Directory) setComplete(at time.Time) {
+	d.completeAt = at
+	d.listedAt.Store(&at)
+}
+
 // Run follows the store until the context ends.
 func (d *Directory) Run(ctx context.Context) {
 	go d.expireRemoved(ctx)
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -20,7 +20,7 @@
 			d.setConnected()
 			d.applyAll(entries, at, d.earliestChange(0))
 			d.confirm(clock, at)
-			d.completeAt = asked
+			d.setComplete(asked)
 			d.history.restart(at)
 		}
 		return at, err
@@ -35,7 +35,7 @@
 		d.apply(batch.Changes, since)
 	}
 	d.confirm(asked, next)
-	d.completeAt = time.Now().Add(-batch.Age)
+	d.setComplete(time.Now().Add(-batch.Age))
 	d.history.add(batch.Changes, next, d.completeAt)
 	if len(batch.Changes) > 0 {
 		// Changes often come in bursts; the next call returns those of the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,9 +80,11 @@
 	Pool      *connpool.Pool
 	State     *State
 	Observer  Observer
-	// AskStreamVersion asks other instances which software version began a stream; nil
-	// if there are none.
-	AskStreamVersion func(ctx context.Context, k takeup.Key) (software string, known bool)
+	// AskStreamVersion asks other instances which software version began a stream of a
+	// service; nil if there are none.
+	AskStreamVersion func(ctx context.Context, group fleet.GroupName, k takeup.Key) takeup.Answer
+	// ListAge returns the age of the list of servers; nil if it has none.
+	ListAge func() time.Duration
 	// Usage counts the members' requests; nil if they are not counted.
 	Usage Counter
 	// ServerLeaves is called when a server's process says that it leaves. No
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -132,8 +133,8 @@
 	return s.software.streams.Len(), several
 }
 
-// possibleVersions returns the versions that may have begun a stream of a service.
-func (s *State) possibleVersions(group fleet.GroupName) []string {
+// PossibleVersions returns the versions that may have begun a stream of a service.
+func (s *State) PossibleVersions(group fleet.GroupName) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.checkSeveral(group)
@@ -176,8 +177,15 @@
 	p.g.State.noteStream(p.group, server.SoftwareVersion, keys...)
 }
 
-// askTimeout bounds the time in which other instances are asked for a stream's version.
-const askTimeout = 200 * time.Millisecond
+const (
+	// askTimeout bounds the time in which other instances are asked for a stream's
+	// version.
+	askTimeout = 200 * time.Millisecond
+	// maxListAge is the age of the list of servers up to which it shows all versions:
+	// changes of the store arrive within a fraction of a second, and the longest wait
+	// for one is 1.5 s.
+	maxListAge = 3 * time.Second
+)
 
 // findVersion restricts a stream that its caller takes up to the software version that
 // began it. It refuses the request and returns false if several versions may have, and
@@ -186,41 +194,58 @@
 	if p.route.Kind != routes.KindStream || p.req.LastEventID == "" {
 		return true
 	}
-	possible := p.g.State.possibleVersions(p.group)
-	if len(possible) <= 1 {
-		if len(possible) == 1 {
-			p.pin(possible[0])
-		}
-		return true
+	k := takeup.KeyOf(p.req.Member, p.req.Resumes)
+	software, known := p.g.State.StreamVersion(k)
+	source := "own"
+	possible := p.g.State.PossibleVersions(p.group)
+	var others takeup.Answer
+	if p.req.Resumes == "" {
+		known = false
 	}
-	source, software, known := "none", "", false
-	if p.req.Resumes != "" {
-		k := takeup.KeyOf(p.req.Member, p.req.Resumes)
-		if software, known = p.g.State.StreamVersion(k); known {
-			source = "own"
-		} else if software, known = p.askForVersion(k); known {
-			source = "instance"
-		}
+	if !known {
+		others = p.askForVersion(k)
+		possible = union(possible, others.Possible)
+		software, known, source = others.Software, others.Known, "instance"
+	}
+	age := p.g.listAge()
+	if !known && len(possible) == 1 && (age <= maxListAge || others.Instances > 0) {
+		software, known, source = possible[0], true, "only_version"
 	}
 	fields := []zap.Field{
 		zap.String("resumes", string(p.req.Resumes)), zap.String("after_event", p.req.LastEventID), zap.Strings("versions", possible),
-		zap.String("software", software), zap.String("known_from", source),
+		zap.Duration("list_age", age), zap.Int("asked", others.Instances),
 	}
 	if !known {
 		p.logFields = append(p.logFields, fields...)
 		p.refuse(http.StatusServiceUnavailable, fleet.ReasonVersionUnknown, 0)
 		return false
 	}
-	p.g.Log.Info("stream taken up", append(fields, zap.String("request_id", string(p.req.ID)))...)
+	p.g.Log.Info("stream taken up", append(fields, zap.String("request_id", string(p.req.ID)), zap.String("software", software), zap.String("known_from", source))...)
 	p.pin(software)
 	return true
 }
 
-func (p *proxyRequest) askForVersion(k takeup.Key) (software string, known bool) {
+// askForVersion asks other instances for the version of a stream.
+func (p *proxyRequest) askForVersion(k takeup.Key) takeup.Answer {
 	if p.g.AskStreamVersion == nil {
-		return "", false
+		return takeup.Answer{}
 	}
 	ctx, stop := context.WithTimeout(p.ctx, askTimeout)
 	defer stop()
-	return p.g.AskStreamVersion(ctx, k)
+	return p.g.AskStreamVersion(ctx, p.group, k)
+}
+
+// listAge returns the age of the list of servers.
+func (g *Gateway) listAge() time.Duration {
+	if g.ListAge == nil {
+		return 0
+	}
+	return g.ListAge()
+}
+
+// union returns the elements of either list.
+func union(a, b []string) []string {
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
 }
--- a/loadshare/streams.go
+++ b/loadshare/streams.go
@@ -41,6 +41,7 @@
 type StreamVersions interface {
 	LearnStreams([]takeup.Record)
 	StreamVersion(takeup.Key) (software string, known bool)
+	PossibleVersions(fleet.GroupName) []string
 }
 
 // streamHolders tells other instances which software version began a stream, and asks
@@ -208,19 +209,19 @@
 }
 
 // AskStreamVersion asks the holders of a stream's record for the software version that
-// began it.
-func (e *Exchange) AskStreamVersion(ctx context.Context, k takeup.Key) (software string, known bool) {
+// began it. It waits for the first that knows it, or for all.
+func (e *Exchange) AskStreamVersion(ctx context.Context, group fleet.GroupName, k takeup.Key) (answer takeup.Answer) {
 	holders := e.streams.holders(k)
 	holders = holders[:min(len(holders), askedHolders)]
 	answers := make(chan StreamVersionReply, len(holders))
 	for _, i := range holders {
 		go func() {
 			out := &StreamVersionReply{}
-			err := e.streams.peer(i.Address).call(ctx, serviceName+".StreamVersion", StreamVersionRequest{Key: k}, out)
+			err := e.streams.peer(i.Address).call(ctx, serviceName+".StreamVersion", StreamVersionRequest{Service: group, Key: k}, out)
 			if err != nil {
 				e.log.Debug("instance not asked for a stream's version", zap.String("instance", string(i.ID)), logline.Error(err))
 				// An answer that comes later is still decoded into out.
-				out = &StreamVersionReply{}
+				out = &StreamVersionReply{Failed: true}
 			}
 			answers <- *out
 		}()
@@ -228,14 +229,20 @@
 	for range holders {
 		select {
 		case a := <-answers:
-			if a.Known && len(a.Software) <= takeup.MaxSoftwareBytes {
-				return a.Software, true
+			if a.Failed || len(a.Software) > takeup.MaxSoftwareBytes || len(a.Possible) > takeup.MaxVersions {
+				continue
+			}
+			answer.Instances++
+			answer.Possible = append(answer.Possible, a.Possible...)
+			if a.Known {
+				answer.Software, answer.Known = a.Software, true
+				return answer
 			}
 		case <-ctx.Done():
-			return "", false
+			return answer
 		}
 	}
-	return "", false
+	return answer
 }
 
 // call makes one call to the instance. The connection may have been closed because it was
@@ -328,10 +335,17 @@
 // StreamVersionRequest asks for the version that began a stream, and StreamVersionReply
 // answers it.
 type (
-	StreamVersionRequest struct{ Key takeup.Key }
-	StreamVersionReply   struct {
+	StreamVersionRequest struct {
+		Service fleet.GroupName
+		Key     takeup.Key
+	}
+	StreamVersionReply struct {
 		Software string
 		Known    bool
+		// Possible are the versions that may have begun a stream of the service.
+		Possible []string
+		// Failed is set by the caller if the call has failed.
+		Failed bool
 	}
 )
 
@@ -339,6 +353,7 @@
 func (s service) StreamVersion(in StreamVersionRequest, out *StreamVersionReply) error {
 	if s.e.streams != nil {
 		out.Software, out.Known = s.e.streams.known.StreamVersion(in.Key)
+		out.Possible = s.e.streams.known.PossibleVersions(in.Service)
 	}
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -231,7 +231,7 @@
 	n.setUpUsage(uint64(start.UnixNano()))
 	n.gateway = gateway.New(gateway.Options{
 		Wire: p.Wire, Table: n.directory.Table, Freshness: n.directory.Freshness, Pool: pool, State: n.state, Observer: n.metrics, ServerLeaves: n.directory.ServerLeaves,
-		AskStreamVersion: n.exchange.AskStreamVersion, Budget: n.budget, Usage: n.usageCounter(), Log: log,
+		AskStreamVersion: n.exchange.AskStreamVersion, ListAge: n.directory.ListAge, Budget: n.budget, Usage: n.usageCounter(), Log: log,
 	})
 	return n
 }
