Try a quarantined request only where the trial can show something

Cause: any answer ended a verdict, also the 504 of a server that stops at its deadline 4 ms after it began; a claim lasted its full time even if no server had run the request; every instance claimed again with every repeat.

Change: a server's 5xx says nothing for a request.

Ruled out: longer claims (they delay the release of sound requests).

TestTrialIsClaimedOnce covers the release of a claim.

--- a/core/quarantine/admission.go
+++ b/core/quarantine/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/bramleywick/bramleywick/core/fleet"
 )
@@ -44,6 +45,24 @@
 	return nil
 }
 
+// DeferTrial keeps this instance from trying a digest for a time.
+func (d *Detector) DeferTrial(digest string, until fleet.Instant) {
+	if v := d.verdicts[digest]; v != nil {
+		v.trialUntil = max(v.trialUntil, until)
+	}
+}
+
+// abortPause is the time for which an instance does not try a digest after a trial that
+// has not run.
+const abortPause = 250 * time.Millisecond
+
+// AbortTrial ends the trial of a digest whose request has not run.
+func (d *Detector) AbortTrial(digest string, now fleet.Instant) {
+	if v := d.verdicts[digest]; v != nil {
+		v.trialUntil = now + abortPause
+	}
+}
+
 func (d *Detector) startTrial(part string, now fleet.Instant) {
 	v := d.verdicts[part]
 	v.trialUntil = now + TrialTime
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -282,6 +282,7 @@
 	p.lastEvent = p.req.LastEventID
 	g.State.countRequest(p.group)
 	defer p.refundRetries()
+	defer p.endTrial()
 	p.serve()
 }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -33,7 +33,7 @@
 		return
 	}
 	for {
-		if p.kvSource == nil && p.askAgain == nil && split && p.reserveRetries(p.retriesForSplit()) {
+		if p.kvSource == nil && p.askAgain == nil && split && !p.triesDigest() && p.reserveRetries(p.retriesForSplit()) {
 			p.prefill(prefill)
 		}
 		if p.callerGone() || p.mayNotBeSent() {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -124,10 +124,12 @@
 	switch res {
 	case resultAnswer:
 		p.mayHaveRun = true
-		p.recordAnswered(began)
 		if status >= http.StatusInternalServerError {
 			p.recordFailure(c.Server.ID, err)
 		} else {
+			// A server that failed the request, or stopped at its deadline, may not have
+			// come to what would have ended it.
+			p.recordAnswered(began)
 			p.g.State.recordAnswer(c.Server.ID, time.Since(began))
 		}
 	case resultNotRun:
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -45,7 +44,7 @@
 	// asks whether this instance may try one; nil if instances take turns. onVerdict
 	// is called with each change of belief; it may be nil.
 	quarantine *quarantine.Detector
-	claimTrial func(ctx context.Context, digest string) bool
+	claimTrial ClaimTrial
 	onVerdict  func(quarantine.Change)
 	// software knows the software versions of streams.
 	software streamVersions
--- a/verdicts/verdicts.go
+++ b/verdicts/verdicts.go
@@ -170,16 +170,9 @@
 	delete(k.own, part)
 	delete(k.leases, part)
 	k.mu.Unlock()
-	if lease == "" {
-		return
+	if lease != "" {
+		go k.revoke(lease, part)
 	}
-	go func() {
-		ctx, stop := context.WithTimeout(context.Background(), callTimeout)
-		defer stop()
-		if err := k.Store.RevokeLease(ctx, lease); err != nil {
-			k.Log.Info("verdict not removed from the store; it expires by itself", zap.String("part", part), logline.Error(err))
-		}
-	}()
 }
 
 // EntryChanged takes over a change of an entry under directory.VerdictsPrefix.
@@ -253,16 +246,26 @@
 
 // ClaimTrial reports whether this instance may try a quarantined request: no other one
 // has claimed its trial in quarantine.TrialTime. It returns false if the store does not
-// answer.
-func (k *Keeper) ClaimTrial(ctx context.Context, part string) bool {
+// answer. release gives the claim up.
+func (k *Keeper) ClaimTrial(ctx context.Context, part string) (release func(), ok bool) {
 	lease, err := k.Store.GrantLease(ctx, quarantine.TrialTime)
 	if err == nil {
 		_, err = k.Store.CompareAndSwap(ctx, key(directory.TrialsPrefix, part), 0, []byte("{}"), lease.ID)
 	}
 	if err != nil {
 		k.Log.Info("trial not claimed", zap.String("part", part), logline.Error(err))
+		return nil, false
+	}
+	return func() { go k.revoke(lease.ID, part) }, true
+}
+
+// revoke ends a lease under which an entry of a part was written.
+func (k *Keeper) revoke(lease, part string) {
+	ctx, stop := context.WithTimeout(context.Background(), callTimeout)
+	defer stop()
+	if err := k.Store.RevokeLease(ctx, lease); err != nil {
+		k.Log.Info("entry not removed from the store; it expires by itself", zap.String("part", part), logline.Error(err))
 	}
-	return err == nil
 }
 
 // key returns the store's key for a part, whose id may hold any bytes.
--- a/verdicts/verdicts_test.go
+++ b/verdicts/verdicts_test.go
@@ -143,12 +143,14 @@
 		var claimed sync.WaitGroup
 		var mu sync.Mutex
 		n := 0
+		var release func()
 		for _, k := range d.keepers {
 			claimed.Go(func() {
-				if k.ClaimTrial(context.Background(), digest) {
+				if r, ok := k.ClaimTrial(context.Background(), digest); ok {
 					mu.Lock()
 					defer mu.Unlock()
 					n++
+					release = r
 				}
 			})
 		}
@@ -156,7 +158,15 @@
 		So(n, ShouldEqual, 1)
 		Convey("and none while the store is down", func() {
 			d.store.SetFaults(platformtest.Faults{Down: true})
-			So(d.keepers[0].ClaimTrial(context.Background(), "=new"), ShouldBeFalse)
+			_, ok := d.keepers[0].ClaimTrial(context.Background(), "=new")
+			So(ok, ShouldBeFalse)
+		})
+		Convey("and another once it has given the claim up", func() {
+			release()
+			So(within(time.Second, func() bool {
+				_, ok := d.keepers[1].ClaimTrial(context.Background(), digest)
+				return ok
+			}), ShouldBeTrue)
 		})
 	})
 }
