--- a/directory/directory.go
+++ b/directory/directory.go
@@ -194,20 +194,6 @@
 // now returns the time since the Directory was created.
 func (d *Directory) now() fleet.Instant { return time.Since(d.start) }
 
-// ListAge returns the time since all changes of the store up to then were known here.
-func (d *Directory) ListAge() time.Duration {
-	if at := d.listedAt.Load(); at != nil {
-		return time.Since(*at)
-	}
-	return time.Since(d.start)
-}
-
-// setComplete records that all changes up to a time are applied.
-func (d *Directory) setComplete(at time.Time) {
-	d.completeAt = at
-	d.listedAt.Store(&at)
-}
-
 // Run follows the store until the context ends.
 func (d *Directory) Run(ctx context.Context) {
 	go d.expireRemoved(ctx)
@@ -382,16 +368,6 @@
 	}
 }
 
-func (d *Directory) notifyServers() { d.Observer.ServersChanged(d.list.Servers(d.now())) }
-
-func (d *Directory) notifyInstances() {
-	list := make([]Instance, 0, len(d.instances))
-	for _, i := range d.instances {
-		list = append(list, i)
-	}
-	d.Observer.InstancesChanged(list)
-}
-
 // expireRemoved notifies the observer of the servers every expiryInterval while
 // the SuspectTime of a removed server runs, so that it is dropped when it ends.
 func (d *Directory) expireRemoved(ctx context.Context) {
--- a/directory/entries.go
+++ b/directory/entries.go
@@ -81,3 +81,13 @@
 		d.OnEntry(c)
 	}
 }
+
+func (d *Directory) notifyServers() { d.Observer.ServersChanged(d.list.Servers(d.now())) }
+
+func (d *Directory) notifyInstances() {
+	list := make([]Instance, 0, len(d.instances))
+	for _, i := range d.instances {
+		list = append(list, i)
+	}
+	d.Observer.InstancesChanged(list)
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -104,3 +104,17 @@
 	}
 	return since
 }
+
+// ListAge returns the time since all changes of the store up to then were known here.
+func (d *Directory) ListAge() time.Duration {
+	if at := d.listedAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return time.Since(d.start)
+}
+
+// setComplete records that all changes up to a time are applied.
+func (d *Directory) setComplete(at time.Time) {
+	d.completeAt = at
+	d.listedAt.Store(&at)
+}
