Tell of a change of version before the request is sent to the second one

Its first attempt had been told to other instances and did not reach its engine; the second went to another version, and its instance was killed before the others had heard of that.

Cause: the version was told before a connection was open, a change of it in the background, and an instance that asks took the first answer.

Change: it is told once the request is certain to be sent; a change is told, and waited for, before the request goes to the second version. Records are numbered by the sends of an attempt; the latest of the answers counts, for which one that asks waits 20 ms after the first.

Ruled out: load. The log of the killed process names both engines.

--- a/core/takeup/takeup.go
+++ b/core/takeup/takeup.go
@@ -34,6 +34,9 @@
 type Record struct {
 	Key      Key
 	Software string
+	// Send numbers the servers of different versions to which the attempt was sent, from
+	// 0 on: the last one has made the events, if any.
+	Send int
 	// Age is the time since the stream was sent to the server.
 	Age time.Duration
 }
@@ -50,8 +53,9 @@
 }
 
 const (
-	// MaxVersions bounds the versions of a service.
+	// MaxVersions bounds the versions of a service, and MaxSends the sends of an attempt.
 	MaxVersions = maxVersions
+	MaxSends    = 1 << 16
 	// MinMemory and MaxMemory bound the time in which a stream can be taken up.
 	MinMemory = 10 * time.Second
 	MaxMemory = 2 * time.Minute
@@ -80,6 +84,7 @@
 
 type stream struct {
 	software string
+	send     int
 	at       fleet.Instant
 	own      bool
 }
@@ -92,35 +97,35 @@
 // NewStreams returns an empty memory.
 func NewStreams() *Streams { return &Streams{streams: map[Key]stream{}} }
 
-// Put records a version at a time, unless a later one is known. own reports whether this
+// Put records a version, unless one of a later send is known. own reports whether this
 // instance has sent the stream.
 func (s *Streams) Put(r Record, own bool, memory time.Duration, now fleet.Instant) {
 	at := now - max(r.Age, 0)
 	s.expire(memory, now)
-	if known, ok := s.streams[r.Key]; ok && known.at > at {
+	if known, ok := s.streams[r.Key]; ok && (known.send > r.Send || known.send == r.Send && known.at > at) {
 		return
 	}
 	for len(s.order) >= maxStreams {
 		s.dropFirst()
 	}
-	s.streams[r.Key] = stream{software: r.Software, at: at, own: own}
+	s.streams[r.Key] = stream{software: r.Software, send: r.Send, at: at, own: own}
 	s.order = append(s.order, entry{r.Key, at})
 }
 
-// Get returns the version that began a stream, if it is known.
-func (s *Streams) Get(k Key, memory time.Duration, now fleet.Instant) (software string, known bool) {
+// Get returns the record of a stream, if there is one.
+func (s *Streams) Get(k Key, memory time.Duration, now fleet.Instant) (r Record, known bool) {
 	x, ok := s.streams[k]
 	if !ok || now-x.at > memory {
-		return "", false
+		return Record{}, false
 	}
-	return x.software, true
+	return Record{Key: k, Software: x.software, Send: x.send, Age: now - x.at}, true
 }
 
 // Own returns the records of the streams that this instance has sent.
 func (s *Streams) Own(memory time.Duration, now fleet.Instant) (out []Record) {
 	for k, x := range s.streams {
 		if x.own && now-x.at <= memory {
-			out = append(out, Record{Key: k, Software: x.software, Age: now - x.at})
+			out = append(out, Record{Key: k, Software: x.software, Send: x.send, Age: now - x.at})
 		}
 	}
 	return out
--- a/core/takeup/takeup_test.go
+++ b/core/takeup/takeup_test.go
@@ -76,9 +76,9 @@
 		a, b := KeyOf("m", "a"), KeyOf("m", "b")
 		s.Put(Record{Key: a, Software: "old"}, true, memory, now)
 		Convey("is known while it can be taken up, and not of another member's stream", func() {
-			software, ok := s.Get(a, memory, now+memory)
+			r, ok := s.Get(a, memory, now+memory)
 			So(ok, ShouldBeTrue)
-			So(software, ShouldEqual, "old")
+			So(r.Software, ShouldEqual, "old")
 			_, ok = s.Get(a, memory, now+memory+1)
 			So(ok, ShouldBeFalse)
 			_, ok = s.Get(KeyOf("other", "a"), memory, now)
@@ -86,10 +86,10 @@
 			So(KeyOf("m1", "a"), ShouldNotEqual, KeyOf("m", "1a"))
 		})
 		Convey("is that of the last server to which it was sent, also if news comes late", func() {
-			s.Put(Record{Key: a, Software: "new"}, true, memory, now+1)
-			s.Put(Record{Key: a, Software: "old", Age: time.Second}, false, memory, now+2)
-			software, _ := s.Get(a, memory, now+2)
-			So(software, ShouldEqual, "new")
+			s.Put(Record{Key: a, Software: "new", Send: 1}, true, memory, now+1)
+			s.Put(Record{Key: a, Software: "old"}, false, memory, now+2)
+			r, _ := s.Get(a, memory, now+2)
+			So(r.Software, ShouldEqual, "new")
 		})
 		Convey("that another instance has told is not told again", func() {
 			s.Put(Record{Key: b, Software: "new", Age: time.Second}, false, memory, now)
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -217,7 +217,6 @@
 	if p.slot != nil && p.slot.engine.Server.ID == c.Server.ID {
 		add.Reservation = p.slot.name
 	}
-	p.noteVersion(c.Server)
 	answer, res, err := p.send(ctx, c.Server, add)
 	if res != resultNotSent {
 		p.countCall()
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -23,8 +23,16 @@
 	// services that more than one version may serve.
 	memory  time.Duration
 	several map[fleet.GroupName]bool
-	// tell is called with records that other instances have to know; it may be nil.
-	tell func([]takeup.Record)
+	// others are told the records that they have to know; it may be nil.
+	others StreamHolders
+}
+
+// StreamHolders are the other instances that keep the versions of streams.
+type StreamHolders interface {
+	// TellStreams tells them in the background.
+	TellStreams(records []takeup.Record)
+	// TellStreamsNow returns when those that can be reached know, or the context ends.
+	TellStreamsNow(ctx context.Context, records []takeup.Record)
 }
 
 func newStreamVersions() streamVersions {
@@ -33,12 +41,11 @@
 	}
 }
 
-// OnStreams sets the function that is called with the versions of streams that other
-// instances have to know.
-func (s *State) OnStreams(tell func([]takeup.Record)) {
+// HoldStreamsAt sets the other instances that keep the versions of streams.
+func (s *State) HoldStreamsAt(others StreamHolders) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.software.tell = tell
+	s.software.others = others
 }
 
 // keepSoftware sets the time in which streams can be taken up. It does not get shorter:
@@ -87,9 +94,9 @@
 	}
 	v.several[group] = several
 	s.log.Info("software versions of a service", zap.String("service", string(group)), zap.Strings("versions", possible))
-	if several && v.tell != nil {
+	if several && v.others != nil {
 		if own := v.streams.Own(v.memory, s.now()); len(own) > 0 {
-			go v.tell(own)
+			go v.others.TellStreams(own)
 		}
 	}
 }
@@ -114,7 +121,7 @@
 }
 
 // StreamVersion returns the software version that began a stream, if it is known here.
-func (s *State) StreamVersion(k takeup.Key) (software string, known bool) {
+func (s *State) StreamVersion(k takeup.Key) (r takeup.Record, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.software.streams.Get(k, s.software.memory, s.now())
@@ -141,23 +148,27 @@
 	return s.software.versions.Possible(group, s.software.memory, s.now())
 }
 
-// noteStream records the version of the server to which streams are sent, and tells other
-// instances while several versions may serve.
-func (s *State) noteStream(group fleet.GroupName, software string, keys ...takeup.Key) {
-	records := make([]takeup.Record, 0, len(keys))
+// noteStreams records the version of the server to which a stream is sent, and tells other
+// instances while several versions may serve. If it was sent to another version before, it
+// waits until they know: one that knows only of the former would join it from both.
+func (s *State) noteStreams(ctx context.Context, group fleet.GroupName, records []takeup.Record) {
 	s.mu.Lock()
-	for _, k := range keys {
-		r := takeup.Record{Key: k, Software: software}
-		records = append(records, r)
+	for _, r := range records {
 		s.software.streams.Put(r, true, s.software.memory, s.now())
 	}
-	tell := s.software.tell
+	others := s.software.others
 	if !s.software.several[group] {
-		tell = nil
+		others = nil
 	}
 	s.mu.Unlock()
-	if tell != nil {
-		tell(records)
+	switch {
+	case others == nil:
+	case records[0].Send == 0:
+		others.TellStreams(records)
+	default:
+		ctx, stop := context.WithTimeout(ctx, askTimeout)
+		defer stop()
+		others.TellStreamsNow(ctx, records)
 	}
 }
 
@@ -170,11 +181,12 @@
 		return
 	}
 	p.noted = &server.SoftwareVersion
-	keys := []takeup.Key{takeup.KeyOf(p.req.Member, p.req.ID)}
+	records := []takeup.Record{{Key: takeup.KeyOf(p.req.Member, p.req.ID), Software: server.SoftwareVersion, Send: p.notedSends}}
 	if p.req.Resumes != "" {
-		keys = append(keys, takeup.KeyOf(p.req.Member, p.req.Resumes))
+		records = append(records, takeup.Record{Key: takeup.KeyOf(p.req.Member, p.req.Resumes), Software: server.SoftwareVersion, Send: p.notedSends})
 	}
-	p.g.State.noteStream(p.group, server.SoftwareVersion, keys...)
+	p.notedSends++
+	p.g.State.noteStreams(p.ctx, p.group, records)
 }
 
 const (
@@ -195,8 +207,8 @@
 		return true
 	}
 	k := takeup.KeyOf(p.req.Member, p.req.Resumes)
-	software, known := p.g.State.StreamVersion(k)
-	source := "own"
+	own, known := p.g.State.StreamVersion(k)
+	software, source := own.Software, "own"
 	possible := p.g.State.PossibleVersions(p.group)
 	var others takeup.Answer
 	if p.req.Resumes == "" {
--- a/loadshare/streams.go
+++ b/loadshare/streams.go
@@ -40,7 +40,7 @@
 // StreamVersions is what an instance knows of the software versions of streams.
 type StreamVersions interface {
 	LearnStreams([]takeup.Record)
-	StreamVersion(takeup.Key) (software string, known bool)
+	StreamVersion(takeup.Key) (r takeup.Record, known bool)
 	PossibleVersions(fleet.GroupName) []string
 }
 
@@ -143,13 +143,33 @@
 // TellStreams sends records to their holders in the background.
 func (e *Exchange) TellStreams(records []takeup.Record) {
 	for _, r := range records {
-		holders := e.streams.holders(r.Key)
-		for place := range min(streamCopies, len(holders)) {
-			e.streams.enqueue(holders[place], queuedStream{record: r, place: place, at: time.Now()})
+		for place, i := range firstOf(e.streams.holders(r.Key), streamCopies) {
+			e.streams.enqueue(i, queuedStream{record: r, place: place, at: time.Now()})
 		}
 	}
 }
 
+// TellStreamsNow sends records to their holders and waits until they have them, or until
+// the context ends.
+func (e *Exchange) TellStreamsNow(ctx context.Context, records []takeup.Record) {
+	var told sync.WaitGroup
+	for _, r := range records {
+		for _, i := range firstOf(e.streams.holders(r.Key), streamCopies) {
+			told.Go(func() {
+				in := StreamsRequest{From: e.self, Records: []takeup.Record{r}}
+				if err := e.streams.peer(i.Address).call(ctx, serviceName+".Streams", in, &struct{}{}); err != nil {
+					e.log.Info("versions of streams not told", zap.String("address", i.Address), zap.Int("streams", 1), logline.Error(err))
+				}
+			})
+		}
+	}
+	told.Wait()
+}
+
+func firstOf(list []directory.Instance, n int) []directory.Instance {
+	return list[:min(len(list), n)]
+}
+
 func (h *streamHolders) enqueue(to directory.Instance, q queuedStream) {
 	p := h.peer(to.Address)
 	p.mu.Lock()
@@ -209,10 +229,10 @@
 }
 
 // AskStreamVersion asks the holders of a stream's record for the software version that
-// began it. It waits for the first that knows it, or for all.
+// began it. It waits for all, or a moment after the first that knows it: of several the one
+// that knows of the latest send is right.
 func (e *Exchange) AskStreamVersion(ctx context.Context, group fleet.GroupName, k takeup.Key) (answer takeup.Answer) {
-	holders := e.streams.holders(k)
-	holders = holders[:min(len(holders), askedHolders)]
+	holders := firstOf(e.streams.holders(k), askedHolders)
 	answers := make(chan StreamVersionReply, len(holders))
 	for _, i := range holders {
 		go func() {
@@ -226,18 +246,28 @@
 			answers <- *out
 		}()
 	}
+	latest := takeup.Record{Send: -1}
+	var enough <-chan time.Time
 	for range holders {
 		select {
 		case a := <-answers:
-			if a.Failed || len(a.Software) > takeup.MaxSoftwareBytes || len(a.Possible) > takeup.MaxVersions {
+			if a.Failed || checkRecord(a.Record) != nil || len(a.Possible) > takeup.MaxVersions {
 				continue
 			}
 			answer.Instances++
 			answer.Possible = append(answer.Possible, a.Possible...)
-			if a.Known {
-				answer.Software, answer.Known = a.Software, true
-				return answer
+			if !a.Known {
+				continue
 			}
+			if enough == nil {
+				enough = time.After(lateAnswerTime)
+			}
+			if r := a.Record; r.Send > latest.Send || r.Send == latest.Send && r.Age < latest.Age {
+				latest = r
+				answer.Software, answer.Known = r.Software, true
+			}
+		case <-enough:
+			return answer
 		case <-ctx.Done():
 			return answer
 		}
@@ -245,6 +275,10 @@
 	return answer
 }
 
+// lateAnswerTime is how long after the first instance that knows a stream's version the
+// others are waited for.
+const lateAnswerTime = 20 * time.Millisecond
+
 // call makes one call to the instance. The connection may have been closed because it was
 // idle; the call is made again over a new one then, since it may be repeated.
 func (p *holderPeer) call(ctx context.Context, method string, in, out any) error {
@@ -324,14 +358,22 @@
 		return errors.New("records of streams are not taken")
 	}
 	for _, r := range in.Records {
-		if len(r.Software) > takeup.MaxSoftwareBytes || !validAge(r.Age) {
-			return errors.New("a record of a stream that no instance sends")
+		if err := checkRecord(r); err != nil {
+			return err
 		}
 	}
 	s.e.streams.known.LearnStreams(in.Records)
 	return nil
 }
 
+// checkRecord returns an error for a record that no instance sends.
+func checkRecord(r takeup.Record) error {
+	if len(r.Software) > takeup.MaxSoftwareBytes || !validAge(r.Age) || r.Send < 0 || r.Send > takeup.MaxSends {
+		return errors.Errorf("record of a stream: version of %d bytes, age %v, send %d", len(r.Software), r.Age, r.Send)
+	}
+	return nil
+}
+
 // StreamVersionRequest asks for the version that began a stream, and StreamVersionReply
 // answers it.
 type (
@@ -340,8 +382,8 @@
 		Key     takeup.Key
 	}
 	StreamVersionReply struct {
-		Software string
-		Known    bool
+		Record takeup.Record
+		Known  bool
 		// Possible are the versions that may have begun a stream of the service.
 		Possible []string
 		// Failed is set by the caller if the call has failed.
@@ -352,7 +394,7 @@
 // StreamVersion serves an instance at which a caller takes a stream up.
 func (s service) StreamVersion(in StreamVersionRequest, out *StreamVersionReply) error {
 	if s.e.streams != nil {
-		out.Software, out.Known = s.e.streams.known.StreamVersion(in.Key)
+		out.Record, out.Known = s.e.streams.known.StreamVersion(in.Key)
 		out.Possible = s.e.streams.known.PossibleVersions(in.Service)
 	}
 	return nil
--- a/node/node.go
+++ b/node/node.go
@@ -225,7 +225,7 @@
 	})
 	n.exchange = loadshare.New(s.Instance, n.state, n.directory, log)
 	n.exchange.HoldStreams(n.state)
-	n.state.OnStreams(n.exchange.TellStreams)
+	n.state.HoldStreamsAt(n.exchange)
 	n.directory.HubChanges, n.directory.AskPeer = n.exchange.HubClient().After, n.exchange.AskConfiguration
 	n.state.OnNote(n.exchange.AddNote)
 	n.setUpUsage(uint64(start.UnixNano()))
