Give up the claim of a trial that does not begin

Cause: a claim that was granted while the instance's own trial was under way would have reset that trial when its request ended.

Change: the claim is kept by the request only once its trial has begun.

Measured: TestVerdictOutlastsInstances and TestSoundRequestAtSeveralEnds pass.

--- a/gateway/trial.go
+++ b/gateway/trial.go
@@ -32,8 +32,12 @@
 		p.g.State.deferTrial(digest)
 		return verdict
 	}
+	if verdict := p.g.State.startTrial(digest); verdict != nil {
+		release()
+		return verdict
+	}
 	p.trial.release = release
-	return p.g.State.startTrial(digest)
+	return nil
 }
 
 // endTrial gives the trial of the request's digest back if no server has run it.
@@ -53,10 +57,10 @@
 	// claimTimeout bounds the time in which a trial is claimed, and claimPause is the
 	// time after which a claim that has failed is made again.
 	claimTimeout = 300 * time.Millisecond
+	claimPause   = time.Second
 	// minTrialTime is the least time that a request must have left to try whether it
 	// ends its server.
 	minTrialTime = 100 * time.Millisecond
-	claimPause   = time.Second
 )
 
 // ClaimTrial asks whether this instance may try a quarantined request. It returns the
