Record a stream's software version at its first event

The class: a value that may still change is passed on as if it were final.

Change: the version is recorded and told once the first event has come, just before it is passed on. Before that nothing can be taken up, and after it the version does not change, so that a record is either missing, and the stream is refused as unknown, or right. The number of the send and the call that waited for other instances are gone.

Ruled out: to let an attempt change its version only when all holders have confirmed (a cut holder would end requests that nothing hinders), and to let readers ask again (those who answer may have missed the same news).

--- a/core/takeup/takeup.go
+++ b/core/takeup/takeup.go
@@ -29,15 +29,11 @@
 	return k
 }
 
-// Record is the software version of the server that began a stream, or that was about
-// to.
+// Record is the software version of the server that made a stream's first event.
 type Record struct {
 	Key      Key
 	Software string
-	// Send numbers the servers of different versions to which the attempt was sent, from
-	// 0 on: the last one has made the events, if any.
-	Send int
-	// Age is the time since the stream was sent to the server.
+	// Age is the time since that event.
 	Age time.Duration
 }
 
@@ -53,9 +49,8 @@
 }
 
 const (
-	// MaxVersions bounds the versions of a service, and MaxSends the sends of an attempt.
+	// MaxVersions bounds the versions of a service.
 	MaxVersions = maxVersions
-	MaxSends    = 1 << 16
 	// MinMemory and MaxMemory bound the time in which a stream can be taken up.
 	MinMemory = 10 * time.Second
 	MaxMemory = 2 * time.Minute
@@ -84,7 +79,6 @@
 
 type stream struct {
 	software string
-	send     int
 	at       fleet.Instant
 	own      bool
 }
@@ -97,18 +91,21 @@
 // NewStreams returns an empty memory.
 func NewStreams() *Streams { return &Streams{streams: map[Key]stream{}} }
 
-// Put records a version, unless one of a later send is known. own reports whether this
-// instance has sent the stream.
+// Put records a version, unless the stream is known: a stream that is taken up again
+// keeps its version. own reports whether this instance has sent the stream.
 func (s *Streams) Put(r Record, own bool, memory time.Duration, now fleet.Instant) {
 	at := now - max(r.Age, 0)
 	s.expire(memory, now)
-	if known, ok := s.streams[r.Key]; ok && (known.send > r.Send || known.send == r.Send && known.at > at) {
-		return
+	if known, ok := s.streams[r.Key]; ok {
+		if known.at >= at {
+			return
+		}
+		r.Software, own = known.software, own || known.own
 	}
 	for len(s.order) >= maxStreams {
 		s.dropFirst()
 	}
-	s.streams[r.Key] = stream{software: r.Software, send: r.Send, at: at, own: own}
+	s.streams[r.Key] = stream{software: r.Software, at: at, own: own}
 	s.order = append(s.order, entry{r.Key, at})
 }
 
@@ -118,14 +115,14 @@
 	if !ok || now-x.at > memory {
 		return Record{}, false
 	}
-	return Record{Key: k, Software: x.software, Send: x.send, Age: now - x.at}, true
+	return Record{Key: k, Software: x.software, Age: now - x.at}, true
 }
 
 // Own returns the records of the streams that this instance has sent.
 func (s *Streams) Own(memory time.Duration, now fleet.Instant) (out []Record) {
 	for k, x := range s.streams {
 		if x.own && now-x.at <= memory {
-			out = append(out, Record{Key: k, Software: x.software, Send: x.send, Age: now - x.at})
+			out = append(out, Record{Key: k, Software: x.software, Age: now - x.at})
 		}
 	}
 	return out
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -58,9 +58,6 @@
 			if err := p.g.State.checkTakesRequests(s); err != nil {
 				return err
 			}
-			if !add.PrefillOnly {
-				p.noteVersion(s)
-			}
 			p.countSent()
 			return nil
 		},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -172,10 +172,10 @@
 	bodyBegun, bodyRead bool
 	// tried are the servers that failed or rejected the request.
 	tried []fleet.UpstreamID
-	// software is the software version that began the stream, nil while none has, and
-	// noted that of the server to which it was last sent, of notedSends different ones.
-	software, noted *string
-	notedSends      int
+	// software is the software version that began the stream, nil while none has;
+	// versionRecorded reports whether it has been recorded.
+	software        *string
+	versionRecorded bool
 	// askAgain is the last server that the request may be sent to, which has turned it
 	// away and is asked again; nil for none.
 	askAgain *placement.Choice
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -339,6 +339,7 @@
 			watch.progress()
 			p.countFirstEvent()
 			p.pin(c.Server.SoftwareVersion)
+			p.recordVersion(c.Server)
 		}
 		p.writeHead(a)
 		if _, err := p.w.Write(data); err != nil {
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -31,8 +31,6 @@
 type StreamHolders interface {
 	// TellStreams tells them in the background.
 	TellStreams(records []takeup.Record)
-	// TellStreamsNow returns when those that can be reached know, or the context ends.
-	TellStreamsNow(ctx context.Context, records []takeup.Record)
 }
 
 func newStreamVersions() streamVersions {
@@ -148,10 +146,9 @@
 	return s.software.versions.Possible(group, s.software.memory, s.now())
 }
 
-// noteStreams records the version of the server to which a stream is sent, and tells other
-// instances while several versions may serve. If it was sent to another version before, it
-// waits until they know: one that knows only of the former would join it from both.
-func (s *State) noteStreams(ctx context.Context, group fleet.GroupName, records []takeup.Record) {
+// noteStreams records the version of the server that made a stream's first event, and
+// tells other instances while several versions may serve.
+func (s *State) noteStreams(group fleet.GroupName, records []takeup.Record) {
 	s.mu.Lock()
 	for _, r := range records {
 		s.software.streams.Put(r, true, s.software.memory, s.now())
@@ -161,32 +158,23 @@
 		others = nil
 	}
 	s.mu.Unlock()
-	switch {
-	case others == nil:
-	case records[0].Send == 0:
+	if others != nil {
 		others.TellStreams(records)
-	default:
-		ctx, stop := context.WithTimeout(ctx, askTimeout)
-		defer stop()
-		others.TellStreamsNow(ctx, records)
 	}
 }
 
-// noteVersion records the version of the server to which the stream is about to be sent.
-func (p *proxyRequest) noteVersion(server placement.Server) {
-	if p.route.Kind != routes.KindStream || !p.route.Resumable {
+// recordVersion records the version of the server whose first event is about to be passed
+// on. From then on the stream can be taken up, and its version no longer changes.
+func (p *proxyRequest) recordVersion(server placement.Server) {
+	if p.versionRecorded || p.route.Kind != routes.KindStream || !p.route.Resumable {
 		return
 	}
-	if p.noted != nil && *p.noted == server.SoftwareVersion {
-		return
-	}
-	p.noted = &server.SoftwareVersion
-	records := []takeup.Record{{Key: takeup.KeyOf(p.req.Member, p.req.ID), Software: server.SoftwareVersion, Send: p.notedSends}}
+	p.versionRecorded = true
+	records := []takeup.Record{{Key: takeup.KeyOf(p.req.Member, p.req.ID), Software: server.SoftwareVersion}}
 	if p.req.Resumes != "" {
-		records = append(records, takeup.Record{Key: takeup.KeyOf(p.req.Member, p.req.Resumes), Software: server.SoftwareVersion, Send: p.notedSends})
+		records = append(records, takeup.Record{Key: takeup.KeyOf(p.req.Member, p.req.Resumes), Software: server.SoftwareVersion})
 	}
-	p.notedSends++
-	p.g.State.noteStreams(p.ctx, p.group, records)
+	p.g.State.noteStreams(p.group, records)
 }
 
 const (
--- a/loadshare/streams.go
+++ b/loadshare/streams.go
@@ -136,23 +136,6 @@
 	}
 }
 
-// TellStreamsNow sends records to their holders and waits until they have them, or until
-// the context ends.
-func (e *Exchange) TellStreamsNow(ctx context.Context, records []takeup.Record) {
-	var told sync.WaitGroup
-	for _, r := range records {
-		for _, i := range firstOf(e.streams.holders(r.Key), streamCopies) {
-			told.Go(func() {
-				in := StreamsRequest{From: e.self, Records: []takeup.Record{r}}
-				if err := e.streams.peer(i.Address).call(ctx, serviceName+".Streams", in, &struct{}{}); err != nil {
-					e.log.Info("versions of streams not told", zap.String("address", i.Address), zap.Int("streams", 1), logline.Error(err))
-				}
-			})
-		}
-	}
-	told.Wait()
-}
-
 func firstOf(list []directory.Instance, n int) []directory.Instance {
 	return list[:min(len(list), n)]
 }
@@ -216,8 +199,7 @@
 }
 
 // AskStreamVersion asks the holders of a stream's record for the software version that
-// began it. It waits for all, or a moment after the first that knows it: of several the one
-// that knows of the latest send is right.
+// began it. It waits for all, or a moment after the first that knows it.
 func (e *Exchange) AskStreamVersion(ctx context.Context, group fleet.GroupName, k takeup.Key) (answer takeup.Answer) {
 	holders := firstOf(e.streams.holders(k), askedHolders)
 	answers := make(chan StreamVersionReply, len(holders))
@@ -233,7 +215,7 @@
 			answers <- *out
 		}()
 	}
-	latest := takeup.Record{Send: -1}
+	latest := takeup.Record{Age: maxAge}
 	var enough <-chan time.Time
 	for range holders {
 		select {
@@ -249,7 +231,7 @@
 			if enough == nil {
 				enough = time.After(lateAnswerTime)
 			}
-			if r := a.Record; r.Send > latest.Send || r.Send == latest.Send && r.Age < latest.Age {
+			if r := a.Record; r.Age <= latest.Age {
 				latest = r
 				answer.Software, answer.Known = r.Software, true
 			}
@@ -288,8 +270,8 @@
 
 // checkRecord returns an error for a record that no instance sends.
 func checkRecord(r takeup.Record) error {
-	if len(r.Software) > takeup.MaxSoftwareBytes || !validAge(r.Age) || r.Send < 0 || r.Send > takeup.MaxSends {
-		return errors.Errorf("record of a stream: version of %d bytes, age %v, send %d", len(r.Software), r.Age, r.Send)
+	if len(r.Software) > takeup.MaxSoftwareBytes || !validAge(r.Age) {
+		return errors.Errorf("record of a stream: version of %d bytes, age %v", len(r.Software), r.Age)
 	}
 	return nil
 }
