Let streams begin only at software versions that the store's record names

Cause: no order between a version's first stream and the moment at which others can know of the version. The class: the absence of news taken for news.

Change: a stream that may be taken up begins at a version only once the record of versions in the store names it (a write of some milliseconds when a version comes, by one instance). An instance at which a stream is taken up whose version it doesn't know reads that record, from the store itself or through another instance that reaches it; reads are shared. If nobody can read it, or the store has just come back from an older copy, the stream is refused as unknown at once. A record that was written or read late never replaces a newer one.

Ruled out: a hold of 3 s before a new version is used (half of the fleet would idle in a release of half of the servers at once), and telling every stream's version to other instances at all times (a cut instance could not ask them).

--- a/core/takeup/takeup.go
+++ b/core/takeup/takeup.go
@@ -4,6 +4,12 @@
 // has to be known of a stream (Versions). Otherwise its version is looked up by the
 // attempt that began it (Streams), which instances tell each other.
 //
+// An instance may miss news of a version or of a stream for seconds. Two rules keep it
+// from taking what it knows for all there is: no stream begins at a version before the
+// record of versions in the store names it, so that whoever reads the record afterwards
+// knows of every version that may have begun a stream; and a stream's version is
+// recorded once its first event has come, after which it does not change.
+//
 // It performs no input or output and reads no clock. Not safe for concurrent use.
 package takeup
 
@@ -46,6 +52,9 @@
 	// Instances is the number of instances that have answered.
 	Possible  []string
 	Instances int
+	// Confirmed reports whether one of them has read the record of versions in the
+	// store for this question: Possible then holds all versions.
+	Confirmed bool
 }
 
 const (
@@ -159,6 +168,16 @@
 	present  map[string]bool
 	seen     map[string]fleet.Instant
 	recorded map[string]bool
+	// allRecorded reports whether the record names all versions of the listed servers.
+	allRecorded bool
+}
+
+// compare sets allRecorded.
+func (s *service) compare() {
+	s.allRecorded = true
+	for version := range s.present {
+		s.allRecorded = s.allRecorded && s.recorded[version]
+	}
 }
 
 // NewVersions returns a Versions without services.
@@ -177,11 +196,13 @@
 		s.note(s.present, now)
 		if present[group] == nil {
 			s.present = map[string]bool{}
+			s.compare()
 		}
 	}
 	for group, versions := range present {
 		s := v.get(group)
 		s.present = maps.Clone(versions)
+		s.compare()
 		s.note(versions, now)
 	}
 }
@@ -196,6 +217,7 @@
 			s.note(map[string]bool{version: true}, now)
 		}
 	}
+	s.compare()
 }
 
 // note records versions as serving. Of too many, the oldest is forgotten.
@@ -237,6 +259,26 @@
 	return out
 }
 
+// AllRecorded reports whether streams may begin at all listed servers of a service.
+func (v *Versions) AllRecorded(group fleet.GroupName) bool {
+	s := v.services[group]
+	return s == nil || s.allRecorded
+}
+
+// MayBegin reports whether streams may begin at a version: the record names it. While
+// there is no record, that is the only version known.
+func (v *Versions) MayBegin(group fleet.GroupName, version string, memory time.Duration, now fleet.Instant) bool {
+	s := v.services[group]
+	if s == nil {
+		return true
+	}
+	if len(s.recorded) > 0 {
+		return s.recorded[version]
+	}
+	possible := s.possible(memory, now)
+	return len(possible) == 1 && possible[0] == version
+}
+
 // RecordChange is a record that has to be written.
 type RecordChange struct {
 	Group    fleet.GroupName
--- a/core/takeup/takeup_test.go
+++ b/core/takeup/takeup_test.go
@@ -68,6 +68,39 @@
 	})
 }
 
+// TestVersionsAtWhichStreamsBegin guards against streams of a version that the record does
+// not name, and against a service that begins none because there is no record yet.
+func TestVersionsAtWhichStreamsBegin(t *testing.T) {
+	Convey("Streams begin", t, func() {
+		v, now := NewVersions(), fleet.Instant(time.Minute)
+		may := func(version string) bool { return v.MayBegin("g", version, memory, now) }
+		v.Listed(listed("old"), now)
+		Convey("at the only version while there is no record", func() {
+			So(may("old"), ShouldBeTrue)
+			v.Listed(listed("old", "new"), now)
+			So(may("old"), ShouldBeFalse)
+			So(may("new"), ShouldBeFalse)
+			So(v.AllRecorded("g"), ShouldBeFalse)
+		})
+		Convey("at recorded versions", func() {
+			v.Recorded("g", []string{"old"}, now)
+			So(v.AllRecorded("g"), ShouldBeTrue)
+			v.Listed(listed("old", "new"), now)
+			So(v.AllRecorded("g"), ShouldBeFalse)
+			So(may("old"), ShouldBeTrue)
+			So(may("new"), ShouldBeFalse)
+			v.Recorded("g", []string{"old", "new"}, now)
+			So(v.AllRecorded("g"), ShouldBeTrue)
+			So(may("new"), ShouldBeTrue)
+			Convey("and no longer at one that a store come back from a copy has lost", func() {
+				v.Recorded("g", []string{"old"}, now)
+				So(v.AllRecorded("g"), ShouldBeFalse)
+				So(may("new"), ShouldBeFalse)
+			})
+		})
+	})
+}
+
 // TestStreams guards against a stream whose version is forgotten too soon, or is that of
 // an earlier attempt.
 func TestStreams(t *testing.T) {
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -27,7 +27,7 @@
 func (s *State) copy(group fleet.GroupName) (*State, *placement.Trace) {
 	out := &State{
 		start: s.start, at: s.now(), instances: s.instances, overload: s.overload.Copy(group), limiter: s.limiter.Copy(group), log: zap.NewNop(),
-		shares: s.shares.Copy(group), draw: func() float64 { return explainedDraw },
+		shares: s.shares.Copy(group), draw: func() float64 { return explainedDraw }, software: s.software,
 	}
 	var trace *placement.Trace
 	out.fleet, trace = s.fleet.Copy(group, out.at)
@@ -174,7 +174,7 @@
 		return e
 	}
 	if p.route.Kind != routes.KindStream || p.service == nil || p.service.Engine == nil || p.req.PromptTokens <= 0 {
-		e.chosen, e.ok = view.choosePlain(p.group, p.req.ID, restriction{})
+		e.chosen, e.ok = view.choosePlain(p.group, p.req.ID, p.allowed())
 		e.decision = overload.Decision{Admit: e.ok, Priority: noPriority}
 		if p.route.Kind == routes.KindStream {
 			e.decision.Priority = p.priority()
@@ -190,7 +190,7 @@
 
 // explainEngines takes the steps of serveEngine up to the first call.
 func (p *proxyRequest) explainEngines(e *explained) {
-	prefill, direct, split := p.g.State.chooseEngines(p.group, &p.req, restriction{})
+	prefill, direct, split := p.g.State.chooseEngines(p.group, &p.req, p.allowed())
 	e.decision.Admit = true
 	if prefill.Candidates+direct.Candidates > 0 {
 		var estimate overload.Estimate
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,11 +80,11 @@
 	Pool      *connpool.Pool
 	State     *State
 	Observer  Observer
-	// AskStreamVersion asks other instances which software version began a stream of a
-	// service; nil if there are none.
-	AskStreamVersion func(ctx context.Context, group fleet.GroupName, k takeup.Key) takeup.Answer
-	// ListAge returns the age of the list of servers; nil if it has none.
-	ListAge func() time.Duration
+	// ConfirmVersions reads which software versions may have begun streams of a service
+	// from where all instances record them; nil if they don't. AskStreamVersion asks
+	// other instances which one began a stream; nil if there are none.
+	ConfirmVersions  func(ctx context.Context, group fleet.GroupName) ([]string, error)
+	AskStreamVersion func(ctx context.Context, group fleet.GroupName, k takeup.Key, confirm bool) takeup.Answer
 	// Usage counts the members' requests; nil if they are not counted.
 	Usage Counter
 	// ServerLeaves is called when a server's process says that it leaves. No
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -29,7 +29,12 @@
 // number of servers that were passed over because of their limit.
 func (p *proxyRequest) failWithoutServer(c placement.Choice) {
 	if c.Limited == 0 {
-		reason, wait := unavailableReason(c.Unavailable)
+		u := c.Unavailable
+		if p.software == nil {
+			// A version at which streams may not begin yet is recorded in a moment.
+			u.OtherVersions = 0
+		}
+		reason, wait := unavailableReason(u)
 		p.logFields = append(p.logFields, zap.Int("leaving", c.Unavailable.Leaving), zap.Int("paused", c.Unavailable.Paused), zap.Int("others", c.Unavailable.Others), zap.Int("other_versions", c.Unavailable.OtherVersions), zap.Stringp("software", p.software))
 		p.fail(reason, wait)
 		return
--- a/gateway/restriction.go
+++ b/gateway/restriction.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/placement"
+	"github.com/bramleywick/bramleywick/core/routes"
 )
 
 // restriction says which servers a request may be sent to. Each choice of a server
@@ -13,28 +14,39 @@
 	// software is the software version that began the stream; nil if the request may
 	// go to any. What two versions write does not fit together.
 	software *string
+	// begins is the service of a stream that may be taken up again and that no version
+	// has begun; "" for other requests. Such streams begin only at recorded versions.
+	begins fleet.GroupName
 }
 
 // allowed returns where the request may be sent now.
 func (p *proxyRequest) allowed() restriction {
-	return restriction{skip: p.tried, software: p.software}
+	r := restriction{skip: p.tried, software: p.software}
+	if p.software == nil && p.route.Kind == routes.KindStream && p.route.Resumable {
+		r.begins = p.group
+	}
+	return r
 }
 
 // pin restricts the request to servers of a software version.
 func (p *proxyRequest) pin(software string) { p.software = &software }
 
-// mayGoTo reports whether the stream may go on at a server as far as its software version
-// is concerned.
-func (r restriction) mayGoTo(s placement.Server) bool {
-	return r.software == nil || *r.software == s.SoftwareVersion
+// mayGoTo reports whether a request may go to a server as far as software versions are
+// concerned. The caller holds mu.
+func (s *State) mayGoTo(r restriction, server placement.Server) bool {
+	if r.software != nil {
+		return *r.software == server.SoftwareVersion
+	}
+	// A prefill server makes no events.
+	return server.Stage == fleet.RolePrefill || s.software.mayBegin(server, s.now())
 }
 
 // restrict applies a restriction to the choices that follow, until the returned function
 // is called. The caller holds mu.
 func (s *State) restrict(r restriction) (end func()) {
-	if r.software == nil {
+	if r.software == nil && (r.begins == "" || s.software.versions.AllRecorded(r.begins)) {
 		return func() {}
 	}
-	s.fleet.Restrict(r.mayGoTo)
+	s.fleet.Restrict(func(server placement.Server) bool { return s.mayGoTo(r, server) })
 	return func() { s.fleet.Restrict(nil) }
 }
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -12,6 +12,7 @@
 	"github.com/bramleywick/bramleywick/core/placement"
 	"github.com/bramleywick/bramleywick/core/routes"
 	"github.com/bramleywick/bramleywick/core/takeup"
+	"github.com/bramleywick/bramleywick/logline"
 )
 
 // streamVersions is what this instance knows of the software versions of streams,
@@ -33,6 +34,12 @@
 	TellStreams(records []takeup.Record)
 }
 
+// mayBegin reports whether streams may begin at a server as far as its software version
+// is concerned. The caller holds State.mu.
+func (v *streamVersions) mayBegin(s placement.Server, now fleet.Instant) bool {
+	return v.versions.MayBegin(s.Group, s.SoftwareVersion, v.memory, now)
+}
+
 func newStreamVersions() streamVersions {
 	return streamVersions{
 		versions: takeup.NewVersions(), streams: takeup.NewStreams(), memory: takeup.MinMemory, several: map[fleet.GroupName]bool{},
@@ -179,12 +186,9 @@
 
 const (
 	// askTimeout bounds the time in which other instances are asked for a stream's
-	// version.
-	askTimeout = 200 * time.Millisecond
-	// maxListAge is the age of the list of servers up to which it shows all versions:
-	// changes of the store arrive within a fraction of a second, and the longest wait
-	// for one is 1.5 s.
-	maxListAge = 3 * time.Second
+	// version, and confirmTimeout that of reading the record of versions.
+	askTimeout     = 400 * time.Millisecond
+	confirmTimeout = 300 * time.Millisecond
 )
 
 // findVersion restricts a stream that its caller takes up to the software version that
@@ -196,24 +200,27 @@
 	}
 	k := takeup.KeyOf(p.req.Member, p.req.Resumes)
 	own, known := p.g.State.StreamVersion(k)
+	if p.req.Resumes == "" {
+		known = false
+	}
 	software, source := own.Software, "own"
 	possible := p.g.State.PossibleVersions(p.group)
 	var others takeup.Answer
-	if p.req.Resumes == "" {
-		known = false
+	confirmed := false
+	if !known && len(possible) == 1 {
+		possible, confirmed = p.confirmVersions(possible)
 	}
-	if !known {
-		others = p.askForVersion(k)
-		possible = union(possible, others.Possible)
+	if !known && (!confirmed || len(possible) > 1) {
+		others = p.askForVersion(k, !confirmed)
+		possible, confirmed = union(possible, others.Possible), confirmed || others.Confirmed
 		software, known, source = others.Software, others.Known, "instance"
 	}
-	age := p.g.listAge()
-	if !known && len(possible) == 1 && (age <= maxListAge || others.Instances > 0) {
+	if !known && confirmed && len(possible) == 1 {
 		software, known, source = possible[0], true, "only_version"
 	}
 	fields := []zap.Field{
 		zap.String("resumes", string(p.req.Resumes)), zap.String("after_event", p.req.LastEventID), zap.Strings("versions", possible),
-		zap.Duration("list_age", age), zap.Int("asked", others.Instances),
+		zap.Bool("confirmed", confirmed), zap.Int("asked", others.Instances),
 	}
 	if !known {
 		p.logFields = append(p.logFields, fields...)
@@ -225,22 +232,31 @@
 	return true
 }
 
-// askForVersion asks other instances for the version of a stream.
-func (p *proxyRequest) askForVersion(k takeup.Key) takeup.Answer {
-	if p.g.AskStreamVersion == nil {
-		return takeup.Answer{}
+// confirmVersions adds the versions that the record in the store names to those that are
+// known here, and reports whether it was read.
+func (p *proxyRequest) confirmVersions(known []string) (versions []string, confirmed bool) {
+	if p.g.ConfirmVersions == nil {
+		return known, false
 	}
-	ctx, stop := context.WithTimeout(p.ctx, askTimeout)
+	ctx, stop := context.WithTimeout(p.ctx, confirmTimeout)
 	defer stop()
-	return p.g.AskStreamVersion(ctx, p.group, k)
+	recorded, err := p.g.ConfirmVersions(ctx, p.group)
+	if err != nil {
+		p.g.Log.Info("record of software versions not read", zap.String("request_id", string(p.req.ID)), logline.Error(err))
+		return known, false
+	}
+	return union(known, recorded), len(recorded) > 0
 }
 
-// listAge returns the age of the list of servers.
-func (g *Gateway) listAge() time.Duration {
-	if g.ListAge == nil {
-		return 0
+// askForVersion asks other instances for the version of a stream; confirm makes them read
+// the record of versions.
+func (p *proxyRequest) askForVersion(k takeup.Key, confirm bool) takeup.Answer {
+	if p.g.AskStreamVersion == nil {
+		return takeup.Answer{}
 	}
-	return g.ListAge()
+	ctx, stop := context.WithTimeout(p.ctx, askTimeout)
+	defer stop()
+	return p.g.AskStreamVersion(ctx, p.group, k, confirm)
 }
 
 // union returns the elements of either list.
--- a/loadshare/streams.go
+++ b/loadshare/streams.go
@@ -33,6 +33,8 @@
 	// they alone hold the records of a large deployment: callers return to their data
 	// centre.
 	minLocalHolders = 3
+	// confirmTimeout bounds the reading of a record of versions for another instance.
+	confirmTimeout = 300 * time.Millisecond
 )
 
 // StreamVersions is what an instance knows of the software versions of streams.
@@ -42,14 +44,19 @@
 	PossibleVersions(fleet.GroupName) []string
 }
 
+// ConfirmVersions reads the record of a service's software versions from the store, so
+// that all that may have begun streams by then are known.
+type ConfirmVersions func(ctx context.Context, group fleet.GroupName) ([]string, error)
+
 // streamHolders tells other instances which software version began a stream, and asks
 // them. A record goes to streamCopies instances that follow from its key, so that any
 // instance knows whom to ask, and the death of the one that serves the stream does not
 // lose it.
 type streamHolders struct {
-	self  fleet.InstanceID
-	known StreamVersions
-	log   *zap.Logger
+	self    fleet.InstanceID
+	known   StreamVersions
+	confirm ConfirmVersions
+	log     *zap.Logger
 
 	mu    sync.Mutex
 	pool  []directory.Instance
@@ -63,10 +70,10 @@
 	at     time.Time
 }
 
-// HoldStreams sets what this instance knows of streams. It must be called before the
-// exchange begins.
-func (e *Exchange) HoldStreams(known StreamVersions) {
-	e.streams = &streamHolders{self: e.self, known: known, log: e.log, peers: map[string]*holderPeer{}}
+// HoldStreams sets what this instance knows of streams, and how it confirms their
+// versions. It must be called before the exchange begins.
+func (e *Exchange) HoldStreams(known StreamVersions, confirm ConfirmVersions) {
+	e.streams = &streamHolders{self: e.self, known: known, confirm: confirm, log: e.log, peers: map[string]*holderPeer{}}
 }
 
 // setPool sets the instances that hold records: those of the own data centre in a large
@@ -199,15 +206,16 @@
 }
 
 // AskStreamVersion asks the holders of a stream's record for the software version that
-// began it. It waits for all, or a moment after the first that knows it.
-func (e *Exchange) AskStreamVersion(ctx context.Context, group fleet.GroupName, k takeup.Key) (answer takeup.Answer) {
+// began it, until one knows it or all have answered. If confirm is set, they read the
+// record of versions in the store first, as far as they reach it.
+func (e *Exchange) AskStreamVersion(ctx context.Context, group fleet.GroupName, k takeup.Key, confirm bool) (answer takeup.Answer) {
 	holders := firstOf(e.streams.holders(k), askedHolders)
 	answers := make(chan StreamVersionReply, len(holders))
+	in := StreamVersionRequest{Service: group, Key: k, Confirm: confirm}
 	for _, i := range holders {
 		go func() {
 			out := &StreamVersionReply{}
-			err := e.streams.peer(i.Address).call(ctx, serviceName+".StreamVersion", StreamVersionRequest{Service: group, Key: k}, out)
-			if err != nil {
+			if err := e.streams.peer(i.Address).call(ctx, serviceName+".StreamVersion", in, out); err != nil {
 				e.log.Debug("instance not asked for a stream's version", zap.String("instance", string(i.ID)), logline.Error(err))
 				// An answer that comes later is still decoded into out.
 				out = &StreamVersionReply{Failed: true}
@@ -215,8 +223,6 @@
 			answers <- *out
 		}()
 	}
-	latest := takeup.Record{Age: maxAge}
-	var enough <-chan time.Time
 	for range holders {
 		select {
 		case a := <-answers:
@@ -225,18 +231,11 @@
 			}
 			answer.Instances++
 			answer.Possible = append(answer.Possible, a.Possible...)
-			if !a.Known {
-				continue
-			}
-			if enough == nil {
-				enough = time.After(lateAnswerTime)
-			}
-			if r := a.Record; r.Age <= latest.Age {
-				latest = r
-				answer.Software, answer.Known = r.Software, true
+			answer.Confirmed = answer.Confirmed || a.Confirmed
+			if a.Known {
+				answer.Software, answer.Known = a.Record.Software, true
+				return answer
 			}
-		case <-enough:
-			return answer
 		case <-ctx.Done():
 			return answer
 		}
@@ -244,10 +243,6 @@
 	return answer
 }
 
-// lateAnswerTime is how long after the first instance that knows a stream's version the
-// others are waited for.
-const lateAnswerTime = 20 * time.Millisecond
-
 // StreamsRequest tells the versions that began streams.
 type StreamsRequest struct {
 	From    fleet.InstanceID
@@ -282,12 +277,16 @@
 	StreamVersionRequest struct {
 		Service fleet.GroupName
 		Key     takeup.Key
+		// Confirm asks for Possible as of now.
+		Confirm bool
 	}
 	StreamVersionReply struct {
 		Record takeup.Record
 		Known  bool
 		// Possible are the versions that may have begun a stream of the service.
 		Possible []string
+		// Confirmed reports whether Possible holds all of them.
+		Confirmed bool
 		// Failed is set by the caller if the call has failed.
 		Failed bool
 	}
@@ -295,9 +294,16 @@
 
 // StreamVersion serves an instance at which a caller takes a stream up.
 func (s service) StreamVersion(in StreamVersionRequest, out *StreamVersionReply) error {
-	if s.e.streams != nil {
-		out.Record, out.Known = s.e.streams.known.StreamVersion(in.Key)
-		out.Possible = s.e.streams.known.PossibleVersions(in.Service)
+	h := s.e.streams
+	if h == nil {
+		return nil
+	}
+	if out.Record, out.Known = h.known.StreamVersion(in.Key); !out.Known && in.Confirm && h.confirm != nil {
+		ctx, stop := context.WithTimeout(context.Background(), confirmTimeout)
+		defer stop()
+		_, err := h.confirm(ctx, in.Service)
+		out.Confirmed = err == nil
 	}
+	out.Possible = h.known.PossibleVersions(in.Service)
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -224,14 +224,14 @@
 		OnEntry: n.entryChanged, OnConfirmation: n.metrics.Confirmation, OnRestore: n.metrics.StoreRestored,
 	})
 	n.exchange = loadshare.New(s.Instance, n.state, n.directory, log)
-	n.exchange.HoldStreams(n.state)
+	n.exchange.HoldStreams(n.state, n.versions.Confirm)
 	n.state.HoldStreamsAt(n.exchange)
 	n.directory.HubChanges, n.directory.AskPeer = n.exchange.HubClient().After, n.exchange.AskConfiguration
 	n.state.OnNote(n.exchange.AddNote)
 	n.setUpUsage(uint64(start.UnixNano()))
 	n.gateway = gateway.New(gateway.Options{
 		Wire: p.Wire, Table: n.directory.Table, Freshness: n.directory.Freshness, Pool: pool, State: n.state, Observer: n.metrics, ServerLeaves: n.directory.ServerLeaves,
-		AskStreamVersion: n.exchange.AskStreamVersion, ListAge: n.directory.ListAge, Budget: n.budget, Usage: n.usageCounter(), Log: log,
+		ConfirmVersions: n.versions.Confirm, AskStreamVersion: n.exchange.AskStreamVersion, Budget: n.budget, Usage: n.usageCounter(), Log: log,
 	})
 	return n
 }
--- a/takeup/takeup.go
+++ b/takeup/takeup.go
@@ -1,6 +1,7 @@
 // Package takeup keeps in the platform's store which software versions may have begun
-// streams (core/takeup), so that an instance knows it that has started after all others
-// were lost.
+// streams (core/takeup). A version is recorded before streams begin at it, so that an
+// instance that has started after all others were lost knows it from the record, and one
+// that has missed news by reading the record.
 package takeup
 
 import (
@@ -26,8 +27,8 @@
 	// checkInterval is the time between two looks for records that have to be written.
 	checkInterval = 100 * time.Millisecond
 	// addStep and removeStep are the mean delays of a write for each listed instance,
-	// so that one of them writes. Streams must not begin at a version for long that the
-	// record lacks; one that it names too long does no harm.
+	// so that one of them writes. Streams wait for a version to be recorded; one that
+	// is named too long does no harm.
 	addStep    = 5 * time.Millisecond
 	removeStep = 20 * time.Millisecond
 	// retryPause is the wait after a failed write, and callTimeout bounds it.
@@ -39,6 +40,8 @@
 
 // Store is the part of the store's client that a Keeper needs.
 type Store interface {
+	// Get returns the entry as of a moment after the call, not an older one.
+	Get(ctx context.Context, key string) (store.Entry, error)
 	CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, leaseID string) (store.Entry, error)
 }
 
@@ -62,6 +65,11 @@
 	// services whose record is about to be written.
 	revisions map[fleet.GroupName]int64
 	scheduled map[fleet.GroupName]bool
+	reads     map[fleet.GroupName]*reads
+	// era is the highest era of the store that was seen, -1 for none, and restoredAt when it took the
+	// place of an earlier one.
+	era        int64
+	restoredAt time.Time
 }
 
 // record is a service's record in the store.
@@ -72,7 +80,7 @@
 
 // New returns a Keeper that knows no records.
 func New(o Options) *Keeper {
-	return &Keeper{Options: o, revisions: map[fleet.GroupName]int64{}, scheduled: map[fleet.GroupName]bool{}}
+	return &Keeper{Options: o, revisions: map[fleet.GroupName]int64{}, scheduled: map[fleet.GroupName]bool{}, reads: map[fleet.GroupName]*reads{}, era: -1}
 }
 
 // Run writes records until the context ends.
@@ -138,8 +146,7 @@
 		}
 		return false
 	}
-	k.revisions[c.Group] = max(k.revisions[c.Group], entry.Revision)
-	k.Learn(c.Group, c.Versions)
+	k.apply(c.Group, entry.Revision, c.Versions)
 	return true
 }
 
@@ -154,11 +161,19 @@
 		k.Log.Warn("store entry ignored", zap.String("key", c.Key), logline.Error(err))
 		return
 	}
-	group := fleet.GroupName(r.Service)
 	k.mu.Lock()
-	k.revisions[group] = c.Revision
-	k.mu.Unlock()
-	k.Learn(group, r.Versions)
+	defer k.mu.Unlock()
+	k.apply(fleet.GroupName(r.Service), c.Revision, r.Versions)
+}
+
+// apply applies a record, unless a newer one is known. The caller holds mu.
+func (k *Keeper) apply(group fleet.GroupName, revision int64, versions []string) {
+	if revision < k.revisions[group] {
+		return
+	}
+	k.revisions[group] = revision
+	k.noteEra(store.EraOf(revision))
+	k.Learn(group, versions)
 }
 
 // forget takes note of a record that is gone, which is written again.
