End a stream's events at CR and CRLF line ends too

What callers would see: of a stream whose lines end with CRLF or CR, which server-sent events allow, no event until the stream ends, and then a broken connection, since what was read counted as the inside of an event.

Cause: the reader looked for two LF only. Change: an event ends at a blank line whatever ends the lines; a CR after an LF waits for the LF that may belong to it. The fuzz test's reference finds the ends line by line.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -20,7 +20,6 @@
 const maxEventBytes = 1 << 20
 
 var (
-	eventEnd  = []byte("\n\n")
 	idField   = []byte("id:")
 	dataField = []byte("data:")
 )
@@ -45,14 +44,13 @@
 func (e *eventReader) next() (data []byte, id string, err error) {
 	var chunk [4 << 10]byte
 	for {
-		if end := bytes.LastIndex(e.buf[e.searched:], eventEnd); end >= 0 {
-			end += e.searched + len(eventEnd)
+		if end := lastEventEnd(e.buf, e.searched); end > 0 {
 			data = e.buf[:end]
 			e.buf, e.searched = append([]byte(nil), e.buf[end:]...), 0
 			e.release()
 			return data, lastID(data), nil
 		}
-		e.searched = max(len(e.buf)-len(eventEnd)+1, 0)
+		e.searched = max(len(e.buf)-2, 0)
 		if e.err != nil {
 			return e.remainder()
 		}
@@ -68,6 +66,35 @@
 	}
 }
 
+// lastEventEnd returns the end of the last blank line in buf, 0 if there is none after the
+// byte at from. A line ends with LF, CR or CRLF.
+func lastEventEnd(buf []byte, from int) int {
+	for i := len(buf) - 1; i > from; i-- {
+		switch {
+		case !isLineEnd(buf[i]) || !isLineEnd(buf[i-1]), buf[i-1] == '\r' && buf[i] == '\n':
+		case buf[i-1] == '\n' && buf[i] == '\r' && i == len(buf)-1:
+			// The LF that belongs to the CR has not come yet.
+		case buf[i] == '\r' && i+1 < len(buf) && buf[i+1] == '\n':
+			return i + 2
+		default:
+			return i + 1
+		}
+	}
+	return 0
+}
+
+func isLineEnd(c byte) bool { return c == '\n' || c == '\r' }
+
+// cutLine returns the first line of data without its end, and what follows it. CRLF counts
+// as a line end and an empty line, which changes nothing for fields.
+func cutLine(data []byte) (line, rest []byte) {
+	i := bytes.IndexAny(data, "\r\n")
+	if i < 0 {
+		return data, nil
+	}
+	return data[:i], data[i+1:]
+}
+
 // freeEventBytes is the size up to which the buffer is part of what the connection
 // costs.
 const freeEventBytes = 8 << 10
@@ -103,10 +130,12 @@
 // hasEvent reports whether data, which holds complete events, has more than
 // comments, which show no progress of the answer.
 func hasEvent(data []byte) bool {
-	for line := range bytes.Lines(data) {
+	for len(data) > 0 {
+		line, rest := cutLine(data)
 		if bytes.HasPrefix(line, dataField) || bytes.HasPrefix(line, idField) {
 			return true
 		}
+		data = rest
 	}
 	return false
 }
@@ -130,7 +159,7 @@
 func lastID(data []byte) string {
 	id := ""
 	for len(data) > 0 {
-		line, rest, _ := bytes.Cut(data, []byte("\n"))
+		line, rest := cutLine(data)
 		if value, ok := bytes.CutPrefix(line, idField); ok {
 			id = string(bytes.TrimSpace(value))
 		}
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -49,6 +49,11 @@
 			{"that begins with another field", "weight-versions: 2\nid: 1\ndata: a\n\n", "weight-versions: 2\nid: 1\ndata: a\n\n", "1", false, false},
 			{"without ids", "data: a\n\n", "data: a\n\n", "", false, false},
 			{"empty", "", "", "", false, false},
+			{"whose lines end with CRLF", crlf(whole), crlf(whole), "2", false, false},
+			{"whose lines end with CR", cr(whole), cr(whole), "2", false, false},
+			{"with CRLF, cut in the middle of an event", crlf(whole + "id: 3\nda"), crlf(whole), "2", true, true},
+			{"with CR that ends inside an event", cr(whole + "id: 3\n"), cr(whole), "2", true, false},
+			{"with all line ends", "id: 1\r\ndata: a\n\rid: 2\rdata: b\r\n\n", "id: 1\r\ndata: a\n\rid: 2\rdata: b\r\n\n", "2", false, false},
 		} {
 			Convey(c.name, func() {
 				in := io.Reader(strings.NewReader(c.in))
@@ -64,28 +69,78 @@
 	})
 }
 
+func crlf(text string) string { return strings.ReplaceAll(text, "\n", "\r\n") }
+func cr(text string) string   { return strings.ReplaceAll(text, "\n", "\r") }
+
+// TestEventsArePassedOnAsTheyEnd guards against events that are held back until the stream
+// ends because their lines do not end with LF.
+func TestEventsArePassedOnAsTheyEnd(t *testing.T) {
+	Convey("Each event is returned at its end, and its id with it", t, func() {
+		for _, end := range []string{"\n", "\r\n", "\r"} {
+			event := strings.ReplaceAll("id: 1\ndata: a\n\n", "\n", end)
+			in, out := io.Pipe()
+			go func() { _, _ = out.Write([]byte(event + "id: 2")) }()
+			e := &eventReader{memory: door.NewBudget(2*defaultBufferBytes, defaultBufferBytes), in: in}
+			data, id, err := e.next()
+			So(err, ShouldBeNil)
+			So(string(data), ShouldEqual, event)
+			So(id, ShouldEqual, "1")
+			So(hasEvent(data), ShouldBeTrue)
+			_ = in.Close()
+		}
+	})
+}
+
+// eventEnds returns the ends of the events of a text, line by line. A CR at its end may be
+// half of a line end.
+func eventEnds(text string) map[int]bool {
+	ends := map[int]bool{}
+	start := 0
+	for i := 0; i < len(text); i++ {
+		if text[i] != '\n' && text[i] != '\r' {
+			continue
+		}
+		empty := i == start && i > 0
+		half := text[i] == '\r' && i == len(text)-1 && i > 0 && text[i-1] == '\n'
+		if text[i] == '\r' && i+1 < len(text) && text[i+1] == '\n' {
+			i++
+		}
+		start = i + 1
+		if empty && !half {
+			ends[start] = true
+		}
+	}
+	return ends
+}
+
 // FuzzEvents checks that events are forwarded byte for byte however the stream
 // is divided into reads, and that no part of a truncated event is forwarded.
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2", 3)
 	f.Add("\n\n\n", 1)
 	f.Add("0\n\n\n0", 3)
+	f.Add("id: 1\r\ndata: a\r\n\r\nid: 2", 18)
+	f.Add("id: 1\rdata: a\r\rid: 2\r\r", 16)
+	f.Add("a\n\r\n\r", 3)
 	f.Fuzz(func(t *testing.T, text string, cut int) {
 		if cut < 0 || cut > len(text) {
 			return
 		}
 		out, _, err := readAll(io.MultiReader(strings.NewReader(text[:cut]), strings.NewReader(text[cut:])))
-		end := strings.LastIndex(text, "\n\n")
-		events := strings.TrimRight(text[:max(end, 0)], "\n")
-		inside := strings.Trim(text[max(end, 0):], "\r\n") != ""
+		end := 0
+		for e := range eventEnds(text) {
+			end = max(end, e)
+		}
+		events := strings.TrimRight(text[:end], "\r\n")
+		inside := strings.Trim(text[end:], "\r\n") != ""
 		switch {
 		case !inside && (err != nil || out != text):
 			t.Fatalf("%q became %q: %v", text, out, err)
-		case inside && (!errors.Is(err, io.ErrUnexpectedEOF) || !strings.HasPrefix(text, out) || strings.TrimRight(out, "\n") != events):
+		case inside && (!errors.Is(err, io.ErrUnexpectedEOF) || !strings.HasPrefix(text, out) || strings.TrimRight(out, "\r\n") != events):
 			t.Fatalf("%q ends inside an event and became %q: %v", text, out, err)
 		}
 		out, _, err = readAll(io.MultiReader(strings.NewReader(text[:cut]), iotest.ErrReader(errors.New("reset"))))
-		if err == nil || !strings.HasPrefix(text, out) || (out != "" && !strings.HasSuffix(out, "\n\n")) {
+		if err == nil || !strings.HasPrefix(text, out) || (out != "" && !eventEnds(text[:cut])[len(out)]) {
 			t.Fatalf("%q was cut to %q: %v", text[:cut], out, err)
 		}
 	})
