Treat a stream whose ids go back as a broken answer

Change: the reader of a stream compares each id with the one before, the first with the event that was asked for. One that does not follow makes the answer a broken one, as if the connection had ended there; nothing of that read is passed on. Ids that are not both numbers have no order and must only differ.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -14,6 +15,7 @@
 	errUnsigned     = errors.New("the answer is not signed")
 	errFalsePromise = errors.New("the status says that the request did not run, but the server does not state it")
 	errTooLong      = errors.New("an event exceeds the size limit")
+	errOutOfOrder   = errors.New("the id of an event does not follow the one before")
 )
 
 // maxEventBytes bounds the size of one event of a stream.
@@ -36,6 +38,8 @@
 	searched int
 	reserved int64
 	err      error
+	// last is the id of the event before, "" if none is known.
+	last string
 }
 
 // next returns all complete events that have been read, at least one, and the
@@ -48,7 +52,13 @@
 			data = e.buf[:end]
 			e.buf, e.searched = append([]byte(nil), e.buf[end:]...), 0
 			e.release()
-			return data, lastID(data), nil
+			if id, err = lastID(data, e.last); err != nil {
+				return nil, "", err
+			}
+			if id != "" {
+				e.last = id
+			}
+			return data, id, nil
 		}
 		e.searched = max(len(e.buf)-2, 0)
 		if e.err != nil {
@@ -154,16 +164,34 @@
 	return data, "", nil
 }
 
-// lastID returns the last id in data, which holds complete events; "" when
-// there is none.
-func lastID(data []byte) string {
-	id := ""
+// lastID returns the last id in data, which holds complete events; "" when there is none.
+// It returns errOutOfOrder if an id does not follow the one before; the first comes after
+// the event last, if that is not "".
+func lastID(data []byte, last string) (id string, err error) {
 	for len(data) > 0 {
 		line, rest := cutLine(data)
 		if value, ok := bytes.CutPrefix(line, idField); ok {
 			id = string(bytes.TrimSpace(value))
+			if !follows(id, last) {
+				return "", errors.Wrapf(errOutOfOrder, "%q after %q", id, last)
+			}
+			last = id
 		}
 		data = rest
 	}
-	return id
+	return id, nil
+}
+
+// follows reports whether an event may come after another. Ids that are not both numbers
+// have no order, and must differ.
+func follows(id, last string) bool {
+	if id == "" || last == "" {
+		return true
+	}
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(last, 10, 64)
+	if errA != nil || errB != nil {
+		return id != last
+	}
+	return a > b
 }
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -304,7 +304,7 @@
 	if !a.Meta.Signed {
 		return resultBroken, errUnsigned
 	}
-	in := &eventReader{in: watch.reading(a), memory: p.memory}
+	in := &eventReader{in: watch.reading(a), memory: p.memory, last: p.lastEvent}
 	defer in.release()
 	first := true
 	var firstAt, lastAt time.Time
