--- a/core/takeup/bench_test.go
+++ b/core/takeup/bench_test.go
@@ -31,3 +31,22 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/maxStreams, "bytes-held/stream")
 	runtime.KeepAlive(s)
 }
+
+// BenchmarkMayBegin measures what a request costs for which streams may begin at all
+// listed servers, and one for which each of them has to be looked at.
+func BenchmarkMayBegin(b *testing.B) {
+	now := fleet.Instant(time.Minute)
+	v := NewVersions()
+	v.Listed(listed("v1", "v1.1"), now)
+	v.Recorded("g", []string{"v1"}, now)
+	b.Run("all", func(b *testing.B) {
+		for b.Loop() {
+			v.AllRecorded("g")
+		}
+	})
+	b.Run("server", func(b *testing.B) {
+		for b.Loop() {
+			v.MayBegin("g", "v1.1", MinMemory, now)
+		}
+	})
+}
