--- a/gateway/restriction.go
+++ b/gateway/restriction.go
@@ -22,12 +22,17 @@
 // allowed returns where the request may be sent now.
 func (p *proxyRequest) allowed() restriction {
 	r := restriction{skip: p.tried, software: p.software}
-	if p.software == nil && p.route.Kind == routes.KindStream && p.route.Resumable {
+	if p.software == nil && p.mayBeTakenUp() {
 		r.begins = p.group
 	}
 	return r
 }
 
+// mayBeTakenUp reports whether the request is a stream that its caller may take up again.
+func (p *proxyRequest) mayBeTakenUp() bool {
+	return p.route != nil && p.route.Kind == routes.KindStream && p.route.Resumable
+}
+
 // pin restricts the request to servers of a software version.
 func (p *proxyRequest) pin(software string) { p.software = &software }
 
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -173,7 +173,7 @@
 // recordVersion records the version of the server whose first event is about to be passed
 // on. From then on the stream can be taken up, and its version no longer changes.
 func (p *proxyRequest) recordVersion(server placement.Server) {
-	if p.versionRecorded || p.route.Kind != routes.KindStream || !p.route.Resumable {
+	if p.versionRecorded || !p.mayBeTakenUp() {
 		return
 	}
 	p.versionRecorded = true
