Prefill streams that are taken up at engines of any software version

Cause: once a stream had begun, the prompt had to be prefilled at an engine of its version too. A new stream was free to use any prefill engine. The class: a constraint on one step that is applied to all steps of a request.

Change: the restriction binds the engines that make events. Prefill engines make none, and their KV cache already passed between versions for every new stream. An engine that prefills and decodes keeps to the version. The count of servers of other versions still includes prefill engines, so that software_version_gone is answered as before. With one version nothing changes.

TestTakenUpAtOnlyVersion: same choices with one version. TestVersionGoneBesidePrefillEngines.

--- a/core/placement/candidates.go
+++ b/core/placement/candidates.go
@@ -17,9 +17,12 @@
 		if !f.takesRequests(s, now) {
 			continue
 		}
-		switch {
-		case f.restriction != nil && !f.restriction(s.Server):
+		fits := f.versionFits(s)
+		if !fits {
 			f.unavailable.OtherVersions++
+		}
+		switch {
+		case !fits && !isPrefill(s):
 			f.trace.pass(s, PassedVersion, now)
 		case contains(skip, s.ID):
 			f.trace.pass(s, PassedSkipped, now)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -88,8 +88,8 @@
 	// after PausedFor. Others is the number of all other servers.
 	Leaving, Paused, Others int
 	PausedFor               time.Duration
-	// OtherVersions is the number of servers that have another software version than
-	// the request needs.
+	// OtherVersions is the number of servers, prefill engines among them, that have
+	// another software version than the request needs.
 	OtherVersions int
 }
 
@@ -126,7 +126,7 @@
 	foreignAt fleet.Instant
 	// options is scratch space for the choice of a server.
 	options []option
-	// restriction reports whether a server may be considered for the present request;
+	// restriction reports whether a server may make the events of the present request;
 	// nil for all.
 	restriction func(Server) bool
 	// permit reports whether a server may be considered as far as its rate limit
@@ -141,9 +141,13 @@
 }
 
 // Restrict makes all choices leave out the servers for which may returns false, because
-// of their software version, until it is called with nil.
+// of their software version, until it is called with nil. Prefill engines are not left
+// out: they make no events, and an engine of any version fetches what they prefill.
 func (f *Fleet) Restrict(may func(Server) bool) { f.restriction = may }
 
+// versionFits reports whether the software version of a server fits the present request.
+func (f *Fleet) versionFits(s *server) bool { return f.restriction == nil || f.restriction(s.Server) }
+
 // SetPermit sets the function that reports whether a server may be considered as
 // far as its rate limit is concerned.
 func (f *Fleet) SetPermit(permit func(Server, fleet.Instant) bool) { f.permit = permit }
--- a/core/placement/prefill.go
+++ b/core/placement/prefill.go
@@ -147,7 +147,7 @@
 	var out []source
 	most := 0.0
 	for _, s := range f.groups[group] {
-		if s.Leaving || !s.available || isDecode(s) || f.isHeld(s.ID, now) || (f.restriction != nil && !f.restriction(s.Server)) {
+		if s.Leaving || !s.available || isDecode(s) || f.isHeld(s.ID, now) || (!isPrefill(s) && !f.versionFits(s)) {
 			continue
 		}
 		tokens := s.cache.copyableTokens(r, now)
--- a/gateway/restriction.go
+++ b/gateway/restriction.go
@@ -12,7 +12,7 @@
 	// skip are the servers that failed or rejected the request.
 	skip []fleet.UpstreamID
 	// software is the software version that began the stream; nil if the request may
-	// go to any. What two versions write does not fit together.
+	// go to any. The events that two versions write do not fit together.
 	software *string
 	// begins is the service of a stream that may be taken up again and that no version
 	// has begun; "" for other requests. Such streams begin only at recorded versions.
@@ -32,13 +32,12 @@
 func (p *proxyRequest) pin(software string) { p.software = &software }
 
 // mayGoTo reports whether a request may go to a server as far as software versions are
-// concerned. The caller holds mu.
+// concerned, if the server makes events. The caller holds mu.
 func (s *State) mayGoTo(r restriction, server placement.Server) bool {
 	if r.software != nil {
 		return *r.software == server.SoftwareVersion
 	}
-	// A prefill server makes no events.
-	return server.Stage == fleet.RolePrefill || s.software.mayBegin(server, s.now())
+	return s.software.mayBegin(server, s.now())
 }
 
 // restrict applies a restriction to the choices that follow, until the returned function
