Let the gateway ask whether the instance reaches the servers

Options.Links is the interface between what finds out that an instance is partitioned from all servers and what serves its callers then. Without it the links count as sound, as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,7 +79,9 @@
 	Freshness func() freshness.Verdict
 	Pool      *connpool.Pool
 	State     *State
-	Observer  Observer
+	// Links tells whether this instance reaches the servers; nil if it always does.
+	Links    Links
+	Observer Observer
 	// ConfirmVersions reads which software versions may have begun streams of a service
 	// from where all instances record them; nil if they don't. AskStreamVersion asks
 	// other instances which one began a stream; nil if there are none.
@@ -113,6 +115,9 @@
 	if g.Freshness == nil {
 		g.Freshness = func() freshness.Verdict { return freshness.Current }
 	}
+	if g.Links == nil {
+		g.Links = soundLinks{}
+	}
 	o.State.SetLog(o.Log)
 	if g.budget = o.Budget; g.budget == nil {
 		limit := o.BufferBytes
