Find out that an instance is partitioned from all servers

Package links runs the probes and offers gateway.Links; connpool tells it of connections and answers.

--- a/connpool/exchange.go
+++ b/connpool/exchange.go
@@ -95,8 +95,9 @@
 // conn is one connection to a server.
 type conn struct {
 	net.Conn
-	address string
-	in      *httphead.Reader
+	address  string
+	in       *httphead.Reader
+	observer Observer
 	// usableUntil is the time after which the connection must not be reused.
 	usableUntil time.Time
 	// reused reports whether the connection has carried another request.
@@ -130,8 +131,10 @@
 	return u
 }()
 
-func newConn(raw net.Conn, address string) *conn {
-	return &conn{Conn: raw, address: address, in: httphead.NewReader(raw, readBufferBytes)}
+func newConn(raw net.Conn, address string, o Observer) *conn {
+	c := &conn{Conn: raw, address: address, observer: o}
+	c.in = httphead.NewReader(c, readBufferBytes)
+	return c
 }
 
 // syscallConn returns the connection for system calls.
@@ -240,6 +243,7 @@
 		}
 		c.upload = written
 		_, err := c.Write(b.Bytes())
+		c.observe(err)
 		return errors.Wrap(err, "send request")
 	}
 	// A copy of a long body would count on top of the body. The list is copied,
@@ -247,6 +251,7 @@
 	pieces := append(net.Buffers{b.Bytes()}, r.Body...)
 	c.upload = newUpload(func() error {
 		_, err := pieces.WriteTo(c.Conn)
+		c.observe(err)
 		return err
 	})
 	return nil
--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -55,6 +55,7 @@
 	hosts    map[string]*host
 	prunedAt time.Time
 	opened   int64
+	observer Observer
 }
 
 // host holds the connections to one address.
@@ -65,7 +66,7 @@
 }
 
 // New returns an empty pool.
-func New() *Pool { return &Pool{hosts: map[string]*host{}} }
+func New() *Pool { return &Pool{hosts: map[string]*host{}, observer: ignore{}} }
 
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() int64 {
@@ -152,13 +153,17 @@
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
+		if dialFailed(ctx, err) {
+			p.observer.Failed(address)
+		}
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
 	}
 	setSocketOptions(raw.(*net.TCPConn))
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return newConn(raw, address), nil
+	p.observer.Opened(address)
+	return newConn(raw, address, p.observer), nil
 }
 
 // setSocketOptions sets the options that close unresponsive connections. Errors
--- a/core/placement/failures.go
+++ b/core/placement/failures.go
@@ -45,3 +45,14 @@
 func (s *server) failurePenalty(now fleet.Instant) time.Duration {
 	return time.Duration(s.recentFailureRate(now) * float64(failureWait))
 }
+
+// ForgetFailures takes back what failures since a time did to the servers' failure
+// rates, which also forgets earlier ones of the same servers, and to the ejector.
+func (f *Fleet) ForgetFailures(since fleet.Instant) {
+	for _, s := range f.servers {
+		if s.failureRateAt >= since {
+			s.failureRate = 0
+		}
+	}
+	f.ejector.ForgetFailures(since)
+}
--- a/core/retry/eject.go
+++ b/core/retry/eject.go
@@ -31,7 +31,8 @@
 // upstreamHealth holds the failures and the ejection state of one upstream.
 type upstreamHealth struct {
 	group        fleet.GroupName
-	failures     int // in a row
+	failures     int           // in a row
+	failedAt     fleet.Instant // of the last one that was counted
 	inFlight     int
 	ejected      bool
 	ejectedUntil fleet.Instant
@@ -134,6 +135,7 @@
 		return
 	}
 	h.failures++
+	h.failedAt = now
 	returning := h.inFlightLimit > 0
 	if (returning || h.failures >= e.config.ConsecutiveFailures) && e.mayEject(h.group) {
 		h.ejected, e.anyRestricted = true, true
@@ -142,6 +144,21 @@
 	}
 }
 
+// ForgetFailures takes back the failures since a time and the ejections that they
+// caused.
+func (e *Ejector) ForgetFailures(since fleet.Instant) {
+	for _, h := range e.states {
+		if h.failures == 0 || h.failedAt < since {
+			continue
+		}
+		h.failures = 0
+		if h.ejected {
+			h.ejected = false
+			h.ejections--
+		}
+	}
+}
+
 // mayEject reports whether one more upstream of the group may be ejected.
 func (e *Ejector) mayEject(group fleet.GroupName) bool {
 	total, ejected := 0, 0
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,6 +118,7 @@
 	if g.Links == nil {
 		g.Links = soundLinks{}
 	}
+	o.State.SetLinks(g.Links)
 	o.State.SetLog(o.Log)
 	if g.budget = o.Budget; g.budget == nil {
 		limit := o.BufferBytes
--- a/gateway/overdue.go
+++ b/gateway/overdue.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/core/placement"
 )
 
@@ -31,11 +30,3 @@
 func (s *State) startOverdueTimer(c placement.Choice) *time.Timer {
 	return time.AfterFunc(overdueFactor*c.Wait+overdueSlack, func() { s.recordOverdue(c.Server.ID) })
 }
-
-// recordOverdue counts an attempt that has been without an answer for much longer
-// than expected.
-func (s *State) recordOverdue(id fleet.UpstreamID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fleet.RecordOverdue(id, s.now())
-}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -50,6 +50,9 @@
 	software streamVersions
 	// limiter keeps the limits that servers name.
 	limiter *ratelimit.Limiter
+	// links tells whether failures say something about servers. It must be asked
+	// without the mutex.
+	links Links
 	// large reports whether the request of the present choice is large for its
 	// service. If anyDecode is set, limits of servers outside the prefill stage
 	// don't count.
@@ -67,7 +70,7 @@
 		shares: fairshare.New(), draw: rand.Float64,
 		quarantine: quarantine.New(quarantine.Config{Instance: p.Instance, Epoch: uint64(start.UnixNano())}),
 		limiter:    ratelimit.New(ratelimit.Config{Instance: p.Instance, Epoch: uint64(start.UnixNano())}), log: zap.NewNop(),
-		odd: map[fleet.Process]bool{}, software: newStreamVersions(),
+		odd: map[fleet.Process]bool{}, software: newStreamVersions(), links: soundLinks{},
 	}
 	s.fleet.SetPermit(s.permit)
 	return s
@@ -294,27 +297,6 @@
 	return prefillDone, end
 }
 
-func (s *State) recordSuccess(id fleet.UpstreamID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fleet.RecordSuccess(id, s.now())
-}
-
-func (s *State) recordFailure(id fleet.UpstreamID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fleet.RecordFailure(id, s.now())
-}
-
-// recordAnswer records a successful attempt at a plain service's server and the
-// time that it took.
-func (s *State) recordAnswer(id fleet.UpstreamID, took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fleet.RecordSuccess(id, s.now())
-	s.fleet.LearnLatency(id, took)
-}
-
 // minNoteTokens is the length below which a part is not reported to other
 // instances.
 const minNoteTokens = 24
@@ -352,20 +334,6 @@
 	s.fleet.RemoveCachedPrompt(id, r)
 }
 
-func (s *State) learnPrefill(c placement.Choice, took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fleet.LearnPrefill(c, took)
-}
-
-// learnDecode updates an engine's token gap from one answer; span is the time
-// from its first event to its last.
-func (s *State) learnDecode(id fleet.UpstreamID, r *call.Request, events int, span time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fleet.LearnDecode(id, r, events, span)
-}
-
 // addFetchedPrompt records that an engine has fetched a prompt's KV cache from
 // another.
 func (s *State) addFetchedPrompt(id fleet.UpstreamID, r *call.Request) {
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleywick/bramleywick/core/connlimit"
 	"github.com/bramleywick/bramleywick/core/fleet"
+	"github.com/bramleywick/bramleywick/core/links"
 	"github.com/bramleywick/bramleywick/core/retry"
 	"github.com/bramleywick/bramleywick/gateway"
 	"github.com/bramleywick/bramleywick/store"
@@ -27,6 +28,8 @@
 	calls         *prometheus.CounterVec
 	departures    *prometheus.CounterVec
 	restores      prometheus.Counter
+	linkChanges   *prometheus.CounterVec
+	linkProbes    *prometheus.CounterVec
 	confirmations *prometheus.CounterVec
 	usageReports  *prometheus.CounterVec
 	usageWindows  *prometheus.CounterVec
@@ -58,6 +61,12 @@
 		restores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "bramleywick_store_restores_total", Help: "Returns of the platform's store from an older copy that this instance has seen.",
 		}),
+		linkChanges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleywick_links_changes_total", Help: "Changes of what the instance believes of its links to the servers, by new state and reason.",
+		}, []string{"to", "reason"}),
+		linkProbes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleywick_links_probes_total", Help: "Connections opened only to find out whether servers can be reached, by result.",
+		}, []string{"result"}),
 		confirmations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleywick_configuration_confirmations_total", Help: "Attempts to confirm the configuration's age, by source and result.",
 		}, []string{"source", "result"}),
@@ -78,7 +87,10 @@
 	for _, cause := range gateway.UnansweredCauses() {
 		g.unanswered.WithLabelValues(string(cause))
 	}
-	g.registry.MustRegister(g.admittedLate, g.unanswered, g.calls, g.departures, g.restores, g.closed, g.confirmations, g.usageReports, g.usageWindows, g.answerSeconds)
+	for _, r := range links.Results() {
+		g.linkProbes.WithLabelValues(r.String())
+	}
+	g.registry.MustRegister(g.admittedLate, g.unanswered, g.calls, g.departures, g.restores, g.linkChanges, g.linkProbes, g.closed, g.confirmations, g.usageReports, g.usageWindows, g.answerSeconds)
 	for name, value := range gauges {
 		g.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: "See docs/OPERATIONS.md."}, value))
 	}
@@ -125,6 +137,14 @@
 // StoreRestored counts a return of the store from an older copy.
 func (g *Gateway) StoreRestored() { g.restores.Inc() }
 
+// LinksChanged counts a change of what the instance believes of its links.
+func (g *Gateway) LinksChanged(_, to links.State, reason links.Reason) {
+	g.linkChanges.WithLabelValues(to.String(), string(reason)).Inc()
+}
+
+// LinksProbed counts a probe.
+func (g *Gateway) LinksProbed(r links.Result) { g.linkProbes.WithLabelValues(r.String()).Inc() }
+
 // Confirmation counts an attempt to confirm the age of the configuration.
 func (g *Gateway) Confirmation(source string, confirmed bool) {
 	result := "confirmed"
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/bramleywick/bramleywick/duty"
 	"github.com/bramleywick/bramleywick/gateway"
 	"github.com/bramleywick/bramleywick/leaseholder"
+	"github.com/bramleywick/bramleywick/links"
 	"github.com/bramleywick/bramleywick/loadshare"
 	"github.com/bramleywick/bramleywick/logline"
 	"github.com/bramleywick/bramleywick/metrics"
@@ -127,6 +128,8 @@
 	// versions may have begun streams.
 	verdicts *verdicts.Keeper
 	versions *takeup.Keeper
+	// links watches the connections to the servers.
+	links *links.Monitor
 }
 
 // New returns an instance that has not been started.
@@ -139,6 +142,7 @@
 		"bramleywick_connections_opened": func() float64 { return float64(pool.Opened()) },
 		"bramleywick_log_lines_sampled":  func() float64 { return float64(counts.Sampled()) },
 		"bramleywick_log_lines_dropped":  func() float64 { return float64(counts.Dropped()) },
+		"bramleywick_links_state":        func() float64 { return float64(n.links.State()) },
 		"bramleywick_quarantined_parts": func() float64 {
 			quarantined, _, _ := n.state.QuarantineCounts()
 			return float64(quarantined)
@@ -213,6 +217,8 @@
 		placement.Config{Instance: s.Instance, DataCentre: s.DataCentre, PartMemory: int64(partShare * float64(s.MemoryBytes))},
 		budget.Config{Window: s.BudgetWindow, Ratio: s.BudgetRatio, Slack: s.BudgetSlack},
 	)
+	n.links = links.New(links.Options{Observer: n.metrics, OnPartition: n.state.LinksPartitioned, Log: log})
+	pool.Observe(n.links)
 	n.keepInStore()
 	n.directory = directory.New(directory.Options{
 		Store: n.store, Decoder: p.Documents, Observer: n, Log: log,
@@ -230,7 +236,7 @@
 	n.state.OnNote(n.exchange.AddNote)
 	n.setUpUsage(uint64(start.UnixNano()))
 	n.gateway = gateway.New(gateway.Options{
-		Wire: p.Wire, Table: n.directory.Table, Freshness: n.directory.Freshness, Pool: pool, State: n.state, Observer: n.metrics, ServerLeaves: n.directory.ServerLeaves,
+		Wire: p.Wire, Table: n.directory.Table, Freshness: n.directory.Freshness, Pool: pool, State: n.state, Links: n.links, Observer: n.metrics, ServerLeaves: n.directory.ServerLeaves,
 		ConfirmVersions: n.versions.Confirm, AskStreamVersion: n.exchange.AskStreamVersion, Budget: n.budget, Usage: n.usageCounter(), Log: log,
 	})
 	return n
@@ -265,6 +271,7 @@
 		}()
 	}
 	start(n.directory.Run)
+	start(n.links.Run)
 	start(func(ctx context.Context) {
 		directory.Register(ctx, n.store, n.self(), n.log)
 	})
--- a/node/observer.go
+++ b/node/observer.go
@@ -16,5 +16,6 @@
 // ServersChanged implements directory.Observer.
 func (n *Node) ServersChanged(list []placement.Server) {
 	n.state.ServersChanged(list)
+	n.links.SetServers(list)
 	n.log.Info("servers", zap.Int("listed", len(list)))
 }
