--- a/core/links/links.go
+++ b/core/links/links.go
@@ -144,7 +144,7 @@
 	// suspicion that proves wrong doubles it up to maxQuiet, since some servers
 	// usually need long; it is reduced again after quietTTL.
 	minQuiet = 400 * time.Millisecond
-	maxQuiet = 700 * time.Millisecond
+	maxQuiet = 600 * time.Millisecond
 	quietTTL = 10 * time.Second
 	// probeInterval is the mean time between probes in a partition.
 	probeInterval = 300 * time.Millisecond
