Keep an instance's partition out of what it concludes about servers

A refused connection counts as the end of a server's process only if another server has been reached since, or can be reached now.

--- a/core/links/detector.go
+++ b/core/links/detector.go
@@ -115,6 +115,9 @@
 // Trusted reports whether failures of attempts say something about servers.
 func (d *Detector) Trusted(now fleet.Instant) bool { return d.state == Connected && now >= d.trustAt }
 
+// OpenedAt returns when a connection was last opened.
+func (d *Detector) OpenedAt() fleet.Instant { return d.openedAt }
+
 // Opened records that a connection to a server was opened.
 func (d *Detector) Opened(address string, now fleet.Instant) {
 	d.openedAt, d.quietFrom, d.lastFailure = now, now, never
--- a/core/links/probes.go
+++ b/core/links/probes.go
@@ -32,7 +32,7 @@
 func (d *Detector) probes(n int) []Probe {
 	var out []Probe
 	for range n {
-		l := d.pick()
+		l := d.pick(d.round.asked)
 		if l == nil {
 			break
 		}
@@ -48,12 +48,28 @@
 	return Probe{Address: address, round: d.round.id}
 }
 
-// pick returns the server that tells most about the links and was not probed in this
-// round, or nil. Servers of one service or one data centre often fail together, so
+// Controls returns up to n servers besides one that tell most about the links; none if
+// too few are listed to tell a partition from servers that are down.
+func (d *Detector) Controls(besides string, n int) (out []string) {
+	if len(d.order) < minListed {
+		return nil
+	}
+	asked := map[string]bool{besides: true}
+	for range n {
+		if l := d.pick(asked); l != nil {
+			asked[l.Address] = true
+			out = append(out, l.Address)
+		}
+	}
+	return out
+}
+
+// pick returns the server that tells most about the links besides those that were
+// asked, or nil. Servers of one service or one data centre often fail together, so
 // others come first, and then those that have not failed and were heard last.
-func (d *Detector) pick() *link {
+func (d *Detector) pick(asked map[string]bool) *link {
 	groups, centres := map[fleet.GroupName]int{}, map[fleet.DataCentre]int{}
-	for address := range d.round.asked {
+	for address := range asked {
 		if l := d.links[address]; l != nil {
 			groups[l.Group]++
 			centres[l.DataCentre]++
@@ -61,7 +77,7 @@
 	}
 	var best *link
 	for _, l := range d.order {
-		if d.round.asked[l.Address] {
+		if asked[l.Address] {
 			continue
 		}
 		if best == nil || cmp.Or(
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,8 +80,11 @@
 	Pool      *connpool.Pool
 	State     *State
 	// Links tells whether this instance reaches the servers; nil if it always does.
-	Links    Links
-	Observer Observer
+	Links Links
+	// ProveLinks reports whether a server besides that at an address has been reached
+	// since a time, or can be reached now; nil if they always can.
+	ProveLinks func(since time.Time, besides string) bool
+	Observer   Observer
 	// ConfirmVersions reads which software versions may have begun streams of a service
 	// from where all instances record them; nil if they don't. AskStreamVersion asks
 	// other instances which one began a stream; nil if there are none.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -82,10 +82,11 @@
 
 // checkServer finds out whether a server's process has ended.
 func (g *Gateway) checkServer(process fleet.Process, address string) {
+	began := time.Now()
 	for range endChecks {
 		switch dialServer(address) {
 		case checkEnded:
-			g.State.processEnded(process)
+			g.recordEnd(process, address, began)
 			return
 		case checkAlive, checkUnknown:
 			time.Sleep(endCheckPause)
@@ -115,11 +116,24 @@
 // was given up.
 func (g *Gateway) checkAbandoned(process fleet.Process, address string) {
 	time.Sleep(abandonedCheckDelay)
-	if dialServer(address) == checkEnded {
-		g.State.processEnded(process)
+	if began := time.Now(); dialServer(address) == checkEnded {
+		g.recordEnd(process, address, began)
 	}
 }
 
+// recordEnd records that a process has ended, whose server has refused a connection
+// since a time, unless this instance may be partitioned from all servers.
+func (g *Gateway) recordEnd(process fleet.Process, address string, since time.Time) {
+	at := g.State.clock()
+	if g.ProveLinks != nil && !g.ProveLinks(since, address) {
+		g.Log.Info("server may not have ended: no other server is reached", zap.String("server", string(process.Server)), zap.Int64("born", process.StartTime),
+			zap.Duration("refused_for", time.Since(since)))
+		g.State.processAlive(process)
+		return
+	}
+	g.State.processEnded(process, at)
+}
+
 // quarantined refuses the request if it, or a part of its prompt, is quarantined, and
 // reports whether it did. It is asked before each call to a server, since the
 // verdict may come while the request is in flight.
@@ -235,10 +249,18 @@
 	return s.quarantine.AttemptAbandoned(p, v, s.now())
 }
 
-func (s *State) processEnded(p fleet.Process) {
+// processEnded records that a process was found to have ended at a time.
+func (s *State) processEnded(p fleet.Process, at fleet.Instant) {
 	s.mu.Lock()
 	defer s.unlockAndLog()
-	s.quarantine.ProcessEnded(p, s.now())
+	s.quarantine.ProcessEnded(p, at)
+}
+
+// clock returns the State's time.
+func (s *State) clock() fleet.Instant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now()
 }
 
 func (s *State) processAlive(p fleet.Process) {
--- a/links/links.go
+++ b/links/links.go
@@ -93,7 +93,7 @@
 }
 
 // probe opens a connection to a server and closes it.
-func (m *Monitor) probe(ctx context.Context, p links.Probe) {
+func (m *Monitor) probe(ctx context.Context, p links.Probe) (opened bool) {
 	ctx, stop := context.WithTimeout(ctx, links.ProbeTimeout)
 	defer stop()
 	result := links.ResultOpened
@@ -104,7 +104,7 @@
 	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded):
 		result = links.ResultTimeout
 	case ctx.Err() != nil:
-		return
+		return false
 	default:
 		result = links.ResultRefused
 		m.Log.Debug("probe failed", zap.String("address", p.Address), zap.Error(err))
@@ -115,6 +115,28 @@
 	case m.wake <- struct{}{}:
 	default:
 	}
+	return result == links.ResultOpened
+}
+
+// controlProbes is the number of servers of which one must be reached to prove that the
+// links are sound.
+const controlProbes = 3
+
+// Prove reports whether the links are sound: a connection to a server was opened since
+// the given time, or can be opened now to one besides the given address.
+func (m *Monitor) Prove(since time.Time, besides string) bool {
+	m.mu.Lock()
+	opened, controls := m.detector.OpenedAt(), m.detector.Controls(besides, controlProbes)
+	m.mu.Unlock()
+	if opened >= since.Sub(m.start) {
+		return true
+	}
+	for _, address := range controls {
+		if m.probe(context.Background(), links.Probe{Address: address}) {
+			return true
+		}
+	}
+	return len(controls) == 0
 }
 
 // SetServers replaces the list of servers.
--- a/node/node.go
+++ b/node/node.go
@@ -236,7 +236,7 @@
 	n.state.OnNote(n.exchange.AddNote)
 	n.setUpUsage(uint64(start.UnixNano()))
 	n.gateway = gateway.New(gateway.Options{
-		Wire: p.Wire, Table: n.directory.Table, Freshness: n.directory.Freshness, Pool: pool, State: n.state, Links: n.links, Observer: n.metrics, ServerLeaves: n.directory.ServerLeaves,
+		Wire: p.Wire, Table: n.directory.Table, Freshness: n.directory.Freshness, Pool: pool, State: n.state, Links: n.links, ProveLinks: n.links.Prove, Observer: n.metrics, ServerLeaves: n.directory.ServerLeaves,
 		ConfirmVersions: n.versions.Confirm, AskStreamVersion: n.exchange.AskStreamVersion, Budget: n.budget, Usage: n.usageCounter(), Log: log,
 	})
 	return n
--- a/node/scaling.go
+++ b/node/scaling.go
@@ -25,7 +25,7 @@
 	executor := scaling.New(scaling.Options{
 		Holder: holder, FenceKey: duty.Keys(settings.DutyAutoscaling).Fence, Store: n.store,
 		Cloud: n.platform.NewCloud(cloud.Address, cloud.CallsPerSecond), Servers: n.state,
-		Table: n.directory.Table, Current: n.directory.Current, OthersMayHold: func() bool { return len(n.candidates()) > 1 },
+		Table: n.directory.Table, Current: n.directory.Current, LinksTrusted: n.links.Trusted, OthersMayHold: func() bool { return len(n.candidates()) > 1 },
 		Observer: n.metrics.RegisterScaling(), Log: n.log,
 	})
 	start(executor.Run)
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -86,6 +86,9 @@
 	Table func() *routes.Table
 	// Current reports whether the list of servers is up to date.
 	Current func() bool
+	// LinksTrusted reports whether what this instance measures of the servers can be
+	// relied on; nil if it always can.
+	LinksTrusted func() bool
 	// OthersMayHold reports whether another instance could hold the duty.
 	OthersMayHold func() bool
 	Observer      Observer
@@ -105,6 +108,8 @@
 	// failed calls since; 0 while they don't fail.
 	failingSince fleet.Instant
 	failures     int
+	// untrustedSince is when the links stopped to be trusted; 0 while they are.
+	untrustedSince fleet.Instant
 }
 
 // service is the state of a service.
@@ -170,7 +175,7 @@
 		e.term = term
 		e.Observer.NoFleetSize()
 	}
-	if !ok {
+	if !ok || !e.trustsLinks() {
 		return
 	}
 	for _, s := range scaled(e.Table()) {
@@ -181,6 +186,24 @@
 	e.giveUpIfFailing()
 }
 
+// trustsLinks reports whether the servers can be judged from here. An instance that is
+// partitioned from them gives the duty up.
+func (e *Executor) trustsLinks() bool {
+	if e.LinksTrusted == nil || e.LinksTrusted() {
+		e.untrustedSince = 0
+		return true
+	}
+	switch now := e.now(); {
+	case e.untrustedSince == 0:
+		e.untrustedSince = now
+	case now-e.untrustedSince >= giveUpAfter && e.OthersMayHold():
+		e.Log.Warn("duty given up: the servers cannot be reached", zap.Duration("for", now-e.untrustedSince))
+		e.untrustedSince = 0
+		e.Holder.Resign(e.term.Fence, resignTime)
+	}
+	return false
+}
+
 // stepService decides for a service and sends the orders. It returns false when
 // the duty is lost.
 func (e *Executor) stepService(ctx context.Context, s *routes.Service) bool {
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -334,3 +334,31 @@
 		So(Needed(routes.Compile(routes.Configuration{Services: []routes.Service{{Name: "s", Scaling: &routes.Scaling{}}}})), ShouldBeTrue)
 	})
 }
+
+func TestPartitionedInstanceOrdersNoServers(t *testing.T) {
+	Convey("An instance that is partitioned from all servers orders none and gives the duty up", t, func() {
+		h := &fakeHolder{fence: 1}
+		now, trusted := fleet.Instant(time.Minute), false
+		e := New(Options{
+			Holder: h, LinksTrusted: func() bool { return trusted }, OthersMayHold: func() bool { return true }, Observer: fakeObserver{}, Log: zap.NewNop(),
+			Table: func() *routes.Table { panic("decides") },
+		})
+		e.now = func() fleet.Instant { return now }
+		for range giveUpAfter / stepInterval {
+			e.step(context.Background())
+			now += stepInterval
+		}
+		So(h.resigned, ShouldBeEmpty)
+		Convey("unless the links return before", func() {
+			trusted = true
+			So(e.trustsLinks(), ShouldBeTrue)
+			trusted = false
+			e.step(context.Background())
+			So(h.resigned, ShouldBeEmpty)
+		})
+		Convey("after some seconds", func() {
+			e.step(context.Background())
+			So(h.resigned, ShouldResemble, []int64{1})
+		})
+	})
+}
