Let a server be silent for a second or so without losing its requests

TCP_USER_TIMEOUT was 900 ms. Linux knows whole seconds for keep-alive, and Go rounds 500 ms up, so the 2.5 s that the comment named were 4 s without the user timeout (TestUserTimeoutIsKeepAlives). Both are 2 s now.

--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -29,14 +29,16 @@
 	// dialTimeout bounds the opening of a connection. Data centres are a few
 	// milliseconds apart, and TCP resends a lost SYN only after a second.
 	dialTimeout = 250 * time.Millisecond
-	// userTimeout closes a connection whose sent bytes are not acknowledged, as
-	// after a network partition.
-	userTimeout = 900 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount close a connection
-	// that waits for an answer from an unreachable server after 2.5 s.
+	// keepAliveIdle, keepAliveInterval and keepAliveCount close a connection that waits
+	// for an answer from an unreachable server. Linux knows whole seconds only. A server
+	// may be silent for a second or so and go on.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
+	keepAliveInterval = time.Second
+	keepAliveCount    = 1
+	// userTimeout closes a connection whose sent bytes are not acknowledged, or not
+	// read. On Linux it also decides when keep-alive probes give up, whatever their
+	// count.
+	userTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
 	// defaultIdle is the idle timeout assumed of servers that don't state
 	// theirs.
 	defaultIdle = 4 * time.Second
