--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -29,14 +29,16 @@
 	// dialTimeout bounds the opening of a connection. Data centres are a few
 	// milliseconds apart, and TCP resends a lost SYN only after a second.
 	dialTimeout = 250 * time.Millisecond
-	// userTimeout closes a connection whose sent bytes are not acknowledged, as
-	// after a network partition.
-	userTimeout = 900 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount close a connection
-	// that waits for an answer from an unreachable server after 2.5 s.
+	// keepAliveIdle, keepAliveInterval and keepAliveCount close a connection that waits
+	// for an answer from an unreachable server. Linux knows whole seconds only. A server
+	// may be silent for a second or so and go on.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
+	keepAliveInterval = time.Second
+	keepAliveCount    = 1
+	// userTimeout closes a connection whose sent bytes are not acknowledged, or not
+	// read. On Linux it also decides when keep-alive probes give up, whatever their
+	// count.
+	userTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
 	// defaultIdle is the idle timeout assumed of servers that don't state
 	// theirs.
 	defaultIdle = 4 * time.Second
@@ -55,6 +57,7 @@
 	hosts    map[string]*host
 	prunedAt time.Time
 	opened   int64
+	observer Observer
 }
 
 // host holds the connections to one address.
@@ -65,7 +68,7 @@
 }
 
 // New returns an empty pool.
-func New() *Pool { return &Pool{hosts: map[string]*host{}} }
+func New() *Pool { return &Pool{hosts: map[string]*host{}, observer: ignore{}} }
 
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() int64 {
@@ -152,13 +155,17 @@
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
+		if dialFailed(ctx, err) {
+			p.observer.Failed(address)
+		}
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
 	}
 	setSocketOptions(raw.(*net.TCPConn))
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return newConn(raw, address), nil
+	p.observer.Opened(address)
+	return newConn(raw, address, p.observer), nil
 }
 
 // setSocketOptions sets the options that close unresponsive connections. Errors
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,7 +79,12 @@
 	Freshness func() freshness.Verdict
 	Pool      *connpool.Pool
 	State     *State
-	Observer  Observer
+	// Links tells whether this instance reaches the servers; nil if it always does.
+	Links Links
+	// ProveLinks reports whether a server besides that at an address has been reached
+	// since a time, or can be reached now; nil if they always can.
+	ProveLinks func(since time.Time, besides string) bool
+	Observer   Observer
 	// ConfirmVersions reads which software versions may have begun streams of a service
 	// from where all instances record them; nil if they don't. AskStreamVersion asks
 	// other instances which one began a stream; nil if there are none.
@@ -113,6 +118,10 @@
 	if g.Freshness == nil {
 		g.Freshness = func() freshness.Verdict { return freshness.Current }
 	}
+	if g.Links == nil {
+		g.Links = soundLinks{}
+	}
+	o.State.SetLinks(g.Links)
 	o.State.SetLog(o.Log)
 	if g.budget = o.Budget; g.budget == nil {
 		limit := o.BufferBytes
