Relay requests of an instance without links to the servers to another one

Callers of an instance that reaches no server were refused (no_upstream) or lost although other instances reached every server. Such an instance now passes a request, one hop, to another one over HTTP/1.1; that one serves it as its own and counts it. The first is a pipe: answers of plain calls are passed on once whole, streams event by event.

--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -50,6 +50,7 @@
 	ReasonMembersOutdated    Reason = "members_outdated"
 	ReasonTooManyConnections Reason = "too_many_connections"
 	ReasonSlowClient         Reason = "slow_client"
+	ReasonNoRelay            Reason = "no_relay"
 )
 
 // Reasons returns every reason, so that counters can be registered at zero
@@ -61,7 +62,7 @@
 		ReasonConfigUnknown, ReasonDraining, ReasonClaimNotPossible,
 		ReasonUpstreamFailed, ReasonOutcomeUnknown, ReasonCallerGone, ReasonPartQuarantined, ReasonRequestQuarantined, ReasonVersionGone, ReasonVersionUnknown, ReasonServerLimit, ReasonServersLeaving, ReasonServersPaused, ReasonBuffersFull,
 		ReasonKeyRevoked, ReasonMembersOutdated, ReasonUrgentFirst,
-		ReasonTooManyConnections, ReasonSlowClient,
+		ReasonTooManyConnections, ReasonSlowClient, ReasonNoRelay,
 	}
 }
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -82,6 +82,9 @@
 	DataCentre fleet.DataCentre `json:"data_centre"`
 	// Address is the address at which it listens for other instances.
 	Address string `json:"address"`
+	// Relay is the address at which it takes requests that others relay; "" if it takes
+	// none.
+	Relay string `json:"relay,omitempty"`
 	// Cores is its CPU capacity in cores.
 	Cores float64 `json:"cores"`
 }
--- a/directory/entries.go
+++ b/directory/entries.go
@@ -61,6 +61,10 @@
 	if a, err := netip.ParseAddrPort(i.Address); err != nil || a.Port() == 0 {
 		return Instance{}, errors.New("instance entry has no address of the form IP:port")
 	}
+	if a, err := netip.ParseAddrPort(i.Relay); err != nil || a.Port() == 0 {
+		// The instance is of use without it.
+		i.Relay = ""
+	}
 	if !(i.Cores >= 0 && i.Cores <= maxCores) {
 		return Instance{}, errors.Errorf("instance entry has %v cores, not from 0 to %d", i.Cores, maxCores)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,6 +62,7 @@
 			return nil
 		},
 	}, p.g.Wire)
+	p.connFailed = err != nil && !errors.Is(err, connpool.ErrBusy)
 	switch {
 	case errors.Is(err, connpool.ErrNotSent):
 		return nil, resultNotSent, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,7 +23,6 @@
 	"github.com/bramleywick/bramleywick/core/shutdown"
 	"github.com/bramleywick/bramleywick/core/takeup"
 	"github.com/bramleywick/bramleywick/door"
-	"github.com/bramleywick/bramleywick/logline"
 )
 
 // Wire converts between the platform's headers and the types of core/call.
@@ -40,6 +39,9 @@
 	RequestHeaders(forward http.Header, s call.SendOptions) http.Header
 	// CopyAnswerHeaders copies a server's headers to the answer for the caller.
 	CopyAnswerHeaders(out, in http.Header)
+	// RelayedHeaders returns the headers of a caller's request for another instance, with
+	// the time that is left and the last event that the caller has, if there is one.
+	RelayedHeaders(in http.Header, left time.Duration, lastEvent string) http.Header
 	// SetRefusalHeaders sets the headers of a refusal; wait is the Retry-After,
 	// 0 for none.
 	SetRefusalHeaders(out http.Header, id fleet.RequestID, wait time.Duration)
@@ -64,6 +66,10 @@
 	// AdmittedLate counts a request that was admitted although it is expected to
 	// miss its latency target.
 	AdmittedLate()
+	// Relayed counts a request that was relayed to another instance, and RelayServed one
+	// that another instance has relayed to this one.
+	Relayed(outcome RelayOutcome)
+	RelayServed(outcome RelayOutcome)
 	// Answered records the time to the complete answer, or to the first event
 	// of a stream.
 	Answered(route string, took time.Duration)
@@ -87,6 +93,10 @@
 	AskStreamVersion func(ctx context.Context, group fleet.GroupName, k takeup.Key, confirm bool) takeup.Answer
 	// Usage counts the members' requests; nil if they are not counted.
 	Usage Counter
+	// Links tells whether this instance reaches the servers; nil if it always does. Relay
+	// passes requests to other instances while it doesn't; nil if there are none.
+	Links Links
+	Relay *Relay
 	// ServerLeaves is called when a server's process says that it leaves. No
 	// server that leaves may be chosen after it has returned.
 	ServerLeaves func(fleet.Process)
@@ -113,6 +123,9 @@
 	if g.Freshness == nil {
 		g.Freshness = func() freshness.Verdict { return freshness.Current }
 	}
+	if g.Links == nil {
+		g.Links = soundLinks{}
+	}
 	o.State.SetLog(o.Log)
 	if g.budget = o.Budget; g.budget == nil {
 		limit := o.BufferBytes
@@ -166,6 +179,10 @@
 	// the request's memory is reserved.
 	conn   *door.Conn
 	memory door.Memory
+	// budget lends the blocks of answers, and hop is what another instance has told about
+	// a request that it relays; nil for a request of this instance's callers.
+	budget *door.Budget
+	hop    *hop
 	// body is the request's body, nil for none; bodyBegun and bodyRead report whether
 	// reading it has begun and whether it has been read to its end.
 	body                *body
@@ -198,6 +215,8 @@
 	// late reports whether the request is sent behind all others because it is
 	// expected to miss its latency target.
 	late bool
+	// connFailed reports whether the last attempt failed by its connection.
+	connFailed bool
 	// mayHaveRun reports whether a server may have run the request.
 	mayHaveRun bool
 	// headWritten reports whether the head of the answer has been written.
@@ -234,12 +253,18 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r, nil) }
+
+// serve serves a request of a caller, or of another instance if h is not nil.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, h *hop) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	p := &proxyRequest{g: g, w: w, r: r, start: time.Now()}
+	p := &proxyRequest{g: g, w: w, r: r, start: time.Now(), hop: h, budget: g.budget}
 	defer p.finish()
-	p.memory = g.budget
+	if h != nil && g.Relay.Budget != nil {
+		p.budget = g.Relay.Budget
+	}
+	p.memory = p.budget
 	if p.conn = door.FromContext(r.Context()); p.conn != nil {
 		p.memory = p.conn
 	}
@@ -247,6 +272,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	p.req = g.Wire.ParseRequest(r.Header)
+	r.Header.Del(relayHeader)
+	if h != nil && p.refusedForPeer() {
+		return
+	}
 	// The verdict is asked for first: the configuration may be replaced and confirmed
 	// at any moment.
 	verdict := g.Freshness()
@@ -281,8 +310,19 @@
 	p.service = table.Service(p.group)
 	p.forward = g.Wire.ForwardedHeaders(r.Header, table.Members() != nil)
 	p.lastEvent = p.req.LastEventID
-	g.State.countRequest(p.group)
 	defer p.refundRetries()
+	if p.mayRelay() && !g.Links.Direct() {
+		if p.mayBeAnswered() {
+			p.relay(causeNoLinks)
+		}
+		return
+	}
+	if h != nil {
+		p.acceptHop()
+	}
+	if p.sends == 0 {
+		g.State.countRequest(p.group)
+	}
 	defer p.endTrial()
 	p.serve()
 }
@@ -310,6 +350,9 @@
 // end the answer in order otherwise, and a caller that has only closed its sending
 // side would take it for a complete one.
 func (p *proxyRequest) finish() {
+	if p.hop != nil {
+		defer p.finishHop()
+	}
 	for _, b := range p.bodies {
 		b.release()
 	}
@@ -341,41 +384,6 @@
 	}
 }
 
-// timeout returns how long the request may take: the caller's deadline or the
-// route's timeout, whichever is shorter.
-func (p *proxyRequest) timeout() time.Duration {
-	limit := defaultTimeout
-	if p.route.Timeout > 0 {
-		limit = p.route.Timeout
-	}
-	if p.req.Deadline > 0 {
-		limit = min(limit, p.req.Deadline)
-	}
-	return limit
-}
-
-// writeGrace is how long after a request's deadline its caller may still read
-// the answer.
-const writeGrace = 2 * time.Second
-
-// boundConnection bounds the time in which the caller sends the body and reads
-// the answer. Otherwise a caller that does neither would hold the request for as
-// long as its host answers.
-func (p *proxyRequest) boundConnection(deadline time.Time) {
-	if p.r.Body != nil && p.r.Body != http.NoBody {
-		p.setReadDeadline(deadline)
-	}
-	if err := http.NewResponseController(p.w).SetWriteDeadline(deadline.Add(writeGrace)); err != nil {
-		p.g.Log.Debug("no write deadline", zap.String("request_id", string(p.req.ID)), logline.Error(err))
-	}
-}
-
-func (p *proxyRequest) setReadDeadline(t time.Time) {
-	if err := http.NewResponseController(p.w).SetReadDeadline(t); err != nil {
-		p.g.Log.Debug("no read deadline", zap.String("request_id", string(p.req.ID)), logline.Error(err))
-	}
-}
-
 // remaining returns the time until the deadline.
 func (p *proxyRequest) remaining() time.Duration { return time.Until(p.deadline) }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -36,7 +36,7 @@
 		if p.kvSource == nil && p.askAgain == nil && split && !p.triesDigest() && p.reserveRetries(p.retriesForSplit()) {
 			p.prefill(prefill)
 		}
-		if p.callerGone() || p.mayNotBeSent() {
+		if p.callerGone() || p.mayNotBeSent() || (p.connFailed && p.kvSource == nil && p.movesToPeer()) {
 			return
 		}
 		choice, ok := p.chooseDecode(direct, split)
@@ -46,6 +46,9 @@
 				return
 			}
 		case !p.awaitContinuation():
+			if !ok && p.movesToPeer() {
+				return
+			}
 			p.failWithoutServer(choice)
 			return
 		}
@@ -377,22 +380,9 @@
 	p.headWritten = true
 	h := p.w.Header()
 	p.g.Wire.CopyAnswerHeaders(h, a.Header)
+	p.markAnswer(true)
 	if p.g.draining() {
 		h.Set("Connection", "close")
 	}
 	p.w.WriteHeader(a.Status)
 }
-
-// servePlainStream serves a stream of a plain service.
-func (p *proxyRequest) servePlainStream() {
-	for {
-		choice, ok := p.g.State.choosePlain(p.group, p.req.ID, p.allowed())
-		if !ok {
-			p.failWithoutServer(choice)
-			return
-		}
-		if p.runAttempt(choice) || p.mayNotBeSent() {
-			return
-		}
-	}
-}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -51,18 +51,24 @@
 			if p.remaining() <= minAttempt {
 				break
 			}
+			if p.movesToPeer() {
+				return
+			}
 			p.g.Observer.Retried(retry.ReasonNotSent)
 			continue
 		}
 		if !p.mayRepeatAfterCrash() || !p.mayRetry(retryReason(res)) || p.quarantineVerdict() != nil {
 			break
 		}
+		if res == resultBroken && p.movesToPeer() {
+			return
+		}
 	}
 	if last != nil {
 		p.deliver(last)
 		return
 	}
-	if p.mayNotBeSent() {
+	if p.mayNotBeSent() || p.movesToPeer() {
 		return
 	}
 	p.failWithoutServer(choice)
@@ -174,6 +180,7 @@
 	p.g.Observer.Answered(p.route.Name, time.Since(p.start))
 	h := p.w.Header()
 	p.g.Wire.CopyAnswerHeaders(h, a.header)
+	p.markAnswer(false)
 	if a.status != http.StatusNoContent && a.status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.Itoa(a.body.len()))
 	}
@@ -190,3 +197,23 @@
 		p.unanswered(zapcore.InfoLevel, CauseNotWritten, logline.Error(err))
 	}
 }
+
+// servePlainStream serves a stream of a plain service.
+func (p *proxyRequest) servePlainStream() {
+	for {
+		if p.connFailed && p.movesToPeer() {
+			return
+		}
+		choice, ok := p.g.State.choosePlain(p.group, p.req.ID, p.allowed())
+		if !ok {
+			if p.movesToPeer() {
+				return
+			}
+			p.failWithoutServer(choice)
+			return
+		}
+		if p.runAttempt(choice) || p.mayNotBeSent() {
+			return
+		}
+	}
+}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -29,6 +29,9 @@
 // request has not run and never will. When the head of an answer has been
 // written, refuse aborts the connection instead.
 func (p *proxyRequest) refuse(status int, reason fleet.Reason, wait time.Duration) {
+	if p.refusesForPeer(reason) {
+		return
+	}
 	p.g.Observer.Refused(reason)
 	fields := []zap.Field{
 		zap.String("request_id", string(p.req.ID)), zap.String("reason", string(reason)), zap.Int("status", status),
@@ -65,16 +68,14 @@
 		return
 	}
 	p.complete = true
-	discard := func() {}
-	if !p.bodyRead {
-		var err error
-		if discard, err = door.AnswerEarly(p.w, p.r, p.bodyBegun); err != nil {
-			p.g.Log.Debug("refusal waits for the body", zap.String("request_id", string(p.req.ID)), logline.Error(err))
-		}
+	if p.hop != nil {
+		p.hop.outcome = RelayRejected
 	}
+	discard := p.answerEarly()
 	body := []byte(`{"error":"` + string(reason) + `"}` + "\n")
 	h := p.w.Header()
 	p.g.Wire.SetRefusalHeaders(h, p.req.ID, wait)
+	p.markAnswer(false)
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	p.w.WriteHeader(status)
@@ -83,6 +84,19 @@
 	discard()
 }
 
+// answerEarly prepares an answer that doesn't wait for the rest of the body. The caller
+// must call discard after it has written the answer.
+func (p *proxyRequest) answerEarly() (discard func()) {
+	if p.bodyRead {
+		return func() {}
+	}
+	discard, err := door.AnswerEarly(p.w, p.r, p.bodyBegun)
+	if err != nil {
+		p.g.Log.Debug("refusal waits for the body", zap.String("request_id", string(p.req.ID)), logline.Error(err))
+	}
+	return discard
+}
+
 // abort ends the connection to the caller in the middle of an answer. To a
 // caller of HTTP/1.0 the end of the connection is the end of the answer, so it
 // gets a reset.
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -195,7 +195,7 @@
 // began it. It refuses the request and returns false if several versions may have, and
 // nobody knows which: the stream would be joined from two.
 func (p *proxyRequest) findVersion() bool {
-	if p.route.Kind != routes.KindStream || p.req.LastEventID == "" {
+	if p.route.Kind != routes.KindStream || p.req.LastEventID == "" || p.software != nil {
 		return true
 	}
 	k := takeup.KeyOf(p.req.Member, p.req.Resumes)
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -32,6 +32,8 @@
 	usageWindows  *prometheus.CounterVec
 	closed        *prometheus.CounterVec
 	answerSeconds *prometheus.HistogramVec
+	relayed       *prometheus.CounterVec
+	relayServed   *prometheus.CounterVec
 
 	mu sync.Mutex
 	// answeredRoutes are the routes that answerSeconds has a series of.
@@ -70,6 +72,12 @@
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleywick_connections_closed_total", Help: "Clients' connections closed to make room, by listener and reason.",
 		}, []string{"listener", "reason"}),
+		relayed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleywick_relayed_total", Help: "Requests relayed to other instances, by outcome.",
+		}, []string{"outcome"}),
+		relayServed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleywick_relay_served_total", Help: "Requests that other instances have relayed to this one, by outcome.",
+		}, []string{"outcome"}),
 		answerSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "bramleywick_answer_seconds", Help: "Time to the answer or the first event, by route.", Buckets: firstTokenBuckets,
 		}, []string{"route"}),
@@ -78,7 +86,11 @@
 	for _, cause := range gateway.UnansweredCauses() {
 		g.unanswered.WithLabelValues(string(cause))
 	}
-	g.registry.MustRegister(g.admittedLate, g.unanswered, g.calls, g.departures, g.restores, g.closed, g.confirmations, g.usageReports, g.usageWindows, g.answerSeconds)
+	for _, outcome := range gateway.RelayOutcomes() {
+		g.relayed.WithLabelValues(string(outcome))
+		g.relayServed.WithLabelValues(string(outcome))
+	}
+	g.registry.MustRegister(g.relayed, g.relayServed, g.admittedLate, g.unanswered, g.calls, g.departures, g.restores, g.closed, g.confirmations, g.usageReports, g.usageWindows, g.answerSeconds)
 	for name, value := range gauges {
 		g.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: "See docs/OPERATIONS.md."}, value))
 	}
@@ -93,6 +105,16 @@
 	g.unanswered.WithLabelValues(string(cause)).Inc()
 }
 
+// Relayed counts a request that was relayed to another instance.
+func (g *Gateway) Relayed(outcome gateway.RelayOutcome) {
+	g.relayed.WithLabelValues(string(outcome)).Inc()
+}
+
+// RelayServed counts a request that another instance has relayed to this one.
+func (g *Gateway) RelayServed(outcome gateway.RelayOutcome) {
+	g.relayServed.WithLabelValues(string(outcome)).Inc()
+}
+
 // AdmittedLate counts a request that is sent behind all others.
 func (g *Gateway) AdmittedLate() { g.admittedLate.Inc() }
 
