Open a listener for relayed requests on the third internal port

It is named in the instance's entry in the store, has a part of the callers' memory and descriptors, and is drained with the callers' listener. An instance with fewer than three internal ports takes no relayed requests.

--- a/node/listeners.go
+++ b/node/listeners.go
@@ -13,6 +13,7 @@
 	"github.com/bramleywick/bramleywick/core/connlimit"
 	"github.com/bramleywick/bramleywick/core/fleet"
 	"github.com/bramleywick/bramleywick/door"
+	"github.com/bramleywick/bramleywick/gateway"
 	"github.com/bramleywick/bramleywick/logline"
 	"github.com/bramleywick/bramleywick/settings"
 )
@@ -34,6 +35,13 @@
 	// connections may take. Each request that runs has a connection to a server;
 	// the connections of idle callers need none.
 	callerDescriptors = 0.6
+	// relayDescriptors is the share that requests of other instances may take, and
+	// relayShare their share of the memory, at least minRelayBytes: the largest body and
+	// some answers.
+	relayDescriptors = 0.08
+	relayShare       = 0.06
+	minRelayBytes    = 11 << 20
+	relayAnswerBytes = 2 << 20
 	// readyConns and metricsConns bound the connections of the other listeners. The
 	// platform's probe and a scraper need one or two.
 	readyConns   = 64
@@ -53,41 +61,59 @@
 	callersListener = "callers"
 	readyListener   = "readiness"
 	metricsListener = "metrics"
+	relayListener   = "relay"
 )
 
+// processMemory returns the memory of the process.
+func processMemory(s *settings.Gateway) float64 {
+	if s.MemoryBytes <= 0 {
+		return defaultMemory
+	}
+	return float64(s.MemoryBytes)
+}
+
 // clientBudget returns the memory that callers may hold. What the other listeners may
 // hold is taken off.
 func clientBudget(s *settings.Gateway) *door.Budget {
-	memory := float64(s.MemoryBytes)
-	if memory <= 0 {
-		memory = defaultMemory
+	memory := processMemory(s)
+	others := int64(readyBytes + metricsBytes)
+	if s.RelayListen != "" {
+		others += relayBytes(s)
 	}
-	return door.NewBudget(max(int64(clientShare*memory)-readyBytes-metricsBytes, int64(answerShare*memory)*2), int64(answerShare*memory))
+	return door.NewBudget(max(int64(clientShare*memory)-others, int64(answerShare*memory)*2), int64(answerShare*memory))
 }
 
-// callerConns returns the most connections of callers.
-func callerConns(s *settings.Gateway) int {
+// relayBytes returns the memory that requests of other instances may hold.
+func relayBytes(s *settings.Gateway) int64 {
+	return max(int64(relayShare*processMemory(s)), minRelayBytes)
+}
+
+// conns returns a share of the descriptors that connections may take.
+func conns(s *settings.Gateway, share float64) int {
 	all := s.Descriptors
 	if all <= 0 {
 		all = defaultDescriptors
 	}
-	return max(int(callerDescriptors*float64(all-reservedDescriptors-readyConns-metricsConns)), 1)
+	return max(int(share*float64(all-reservedDescriptors-readyConns-metricsConns)), 1)
 }
 
 type listeners struct {
 	callers, ready, metrics *door.Listener
-	peers                   net.Listener
+	// relay is nil if the instance takes no requests of others.
+	relay *door.Listener
+	peers net.Listener
 }
 
 // listen opens all listeners of the instance.
 func (n *Node) listen() (listeners, error) {
 	var out listeners
-	for _, l := range []struct {
+	type opened struct {
 		address string
 		set     func(net.Listener)
-	}{
+	}
+	list := []opened{
 		{n.settings.CallerListen, func(l net.Listener) {
-			out.callers = n.bounded(l, callersListener, callerConns(n.settings), n.budget)
+			out.callers = n.bounded(l, callersListener, conns(n.settings, callerDescriptors), n.budget)
 		}},
 		{n.settings.ReadyListen, func(l net.Listener) {
 			out.ready = n.bounded(l, readyListener, readyConns, door.NewBudget(readyBytes, 0))
@@ -96,7 +122,13 @@
 			out.metrics = n.bounded(l, metricsListener, metricsConns, door.NewBudget(metricsBytes, 0))
 		}},
 		{n.settings.PeerListen, func(l net.Listener) { out.peers = l }},
-	} {
+	}
+	if n.settings.RelayListen != "" {
+		list = append(list, opened{n.settings.RelayListen, func(l net.Listener) {
+			out.relay = n.bounded(l, relayListener, conns(n.settings, relayDescriptors), n.relay.Budget)
+		}})
+	}
+	for _, l := range list {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return out, errors.Wrapf(err, "listen on %s", l.address)
@@ -129,10 +161,19 @@
 	}
 }
 
-// callerServer returns the server of the callers' listener.
-func (n *Node) callerServer() *http.Server {
+// newRelay returns the Relay of the instance.
+func (n *Node) newRelay() *gateway.Relay {
+	return gateway.NewRelay(gateway.RelayConfig{
+		Instance: n.settings.Instance, DataCentre: n.settings.DataCentre, Synced: n.directory.Synced,
+		Budget: door.NewBudget(relayBytes(n.settings), relayAnswerBytes), MaxInFlight: conns(n.settings, relayDescriptors),
+	})
+}
+
+// callerServer returns the server of the callers' listener, or of the one for other
+// instances.
+func (n *Node) callerServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: n.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(n.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -102,6 +102,7 @@
 	state     *gateway.State
 	directory *directory.Directory
 	gateway   *gateway.Gateway
+	relay     *gateway.Relay
 	exchange  *loadshare.Exchange
 	store     Store
 	metrics   *metrics.Gateway
@@ -191,6 +192,11 @@
 			}
 			return 0
 		},
+		"bramleywick_relay_requests_open": func() float64 { return float64(n.relay.InFlight()) },
+		"bramleywick_relay_instances_excluded": func() float64 {
+			_, excluded := n.relay.PeerCounts()
+			return float64(excluded)
+		},
 		"bramleywick_requests_open":       func() float64 { return float64(n.gateway.InFlight()) },
 		"bramleywick_client_memory_bytes": func() float64 { return float64(n.budget.Used()) },
 		"bramleywick_client_connections": func() float64 {
@@ -229,9 +235,10 @@
 	n.directory.HubChanges, n.directory.AskPeer = n.exchange.HubClient().After, n.exchange.AskConfiguration
 	n.state.OnNote(n.exchange.AddNote)
 	n.setUpUsage(uint64(start.UnixNano()))
+	n.relay = n.newRelay()
 	n.gateway = gateway.New(gateway.Options{
 		Wire: p.Wire, Table: n.directory.Table, Freshness: n.directory.Freshness, Pool: pool, State: n.state, Observer: n.metrics, ServerLeaves: n.directory.ServerLeaves,
-		ConfirmVersions: n.versions.Confirm, AskStreamVersion: n.exchange.AskStreamVersion, Budget: n.budget, Usage: n.usageCounter(), Log: log,
+		ConfirmVersions: n.versions.Confirm, AskStreamVersion: n.exchange.AskStreamVersion, Budget: n.budget, Usage: n.usageCounter(), Relay: n.relay, Log: log,
 	})
 	return n
 }
@@ -276,15 +283,18 @@
 	}
 	n.startScaling(start)
 	go n.exchange.Serve(listeners.peers)
-	callers := n.callerServer()
+	callers, relayed := n.callerServer(n.gateway), n.callerServer(n.gateway.RelayHandler())
 	n.callers.Store(listeners.callers)
 	go n.serve(callers, listeners.callers)
+	if listeners.relay != nil {
+		go n.serve(relayed, listeners.relay)
+	}
 	go n.serve(n.smallServer(n.readiness()), listeners.ready)
 	go n.serve(n.smallServer(n.metricsHandler()), listeners.metrics)
 	n.log.Info("started", zap.String("instance", string(n.settings.Instance)), zap.String("data_centre", string(n.settings.DataCentre)),
 		zap.String("callers", n.settings.CallerListen), zap.String("store", n.settings.Store))
 	<-ctx.Done()
-	n.drain(callers)
+	n.drain(callers, relayed)
 	stop()
 	running.Wait()
 	n.log.Info("stopped")
@@ -293,12 +303,12 @@
 
 // self returns the entry under which this instance is listed.
 func (n *Node) self() directory.Instance {
-	return directory.Instance{ID: n.settings.Instance, DataCentre: n.settings.DataCentre, Address: n.settings.PeerListen, Cores: n.settings.Cores}
+	return directory.Instance{ID: n.settings.Instance, DataCentre: n.settings.DataCentre, Address: n.settings.PeerListen, Cores: n.settings.Cores, Relay: n.settings.RelayListen}
 }
 
 // drain makes the instance not ready, serves the requests that can end in time,
 // and returns before the platform kills the process.
-func (n *Node) drain(callers *http.Server) {
+func (n *Node) drain(servers ...*http.Server) {
 	began := time.Now()
 	n.log.Info("stopping", zap.Int64("open", n.gateway.InFlight()))
 	end := began.Add(n.settings.Grace - killMargin)
@@ -308,7 +318,7 @@
 	time.Sleep(min(readinessDelay, n.settings.Grace/2))
 	ctx, stop := context.WithDeadline(context.Background(), end)
 	defer stop()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := shutDown(ctx, servers); err != nil {
 		n.log.Warn("grace time ended with requests in flight", zap.Int64("open", n.gateway.InFlight()), logline.Error(err))
 		n.gateway.CutOpen()
 	}
@@ -318,6 +328,22 @@
 	}
 }
 
+// shutDown closes the servers' listeners and waits until their requests have ended, at
+// most until the context ends.
+func shutDown(ctx context.Context, servers []*http.Server) error {
+	results := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { results <- s.Shutdown(ctx) }()
+	}
+	var first error
+	for range servers {
+		if err := <-results; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
 // Reload reads the settings again and logs the result. Addresses and names
 // cannot change within a process; an invalid file changes nothing.
 func (n *Node) Reload() {
@@ -350,6 +376,7 @@
 	n.mu.Unlock()
 	n.state.InstancesChanged(list)
 	n.exchange.SetPeers(n.ctx, list)
+	n.relay.InstancesChanged(list)
 	names := make([]fleet.InstanceID, 0, len(list))
 	for _, i := range list {
 		names = append(names, i.ID)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -24,6 +24,8 @@
 	ReadyListen   string
 	PeerListen    string
 	MetricsListen string
+	// RelayListen is the address for requests that other instances relay; "" takes none.
+	RelayListen string
 	// Store is the address of the platform's store.
 	Store string
 	// Cores is the processor capacity in cores.
