--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,7 +85,9 @@
 	Freshness func() freshness.Verdict
 	Pool      *connpool.Pool
 	State     *State
-	Observer  Observer
+	// Links tells whether this instance reaches the servers; nil if it always does.
+	Links    Links
+	Observer Observer
 	// ConfirmVersions reads which software versions may have begun streams of a service
 	// from where all instances record them; nil if they don't. AskStreamVersion asks
 	// other instances which one began a stream; nil if there are none.
@@ -93,9 +95,8 @@
 	AskStreamVersion func(ctx context.Context, group fleet.GroupName, k takeup.Key, confirm bool) takeup.Answer
 	// Usage counts the members' requests; nil if they are not counted.
 	Usage Counter
-	// Links tells whether this instance reaches the servers; nil if it always does. Relay
-	// passes requests to other instances while it doesn't; nil if there are none.
-	Links Links
+	// Relay passes requests to other instances while this one doesn't reach the servers;
+	// nil if there are none.
 	Relay *Relay
 	// ServerLeaves is called when a server's process says that it leaves. No
 	// server that leaves may be chosen after it has returned.
@@ -126,6 +127,7 @@
 	if g.Links == nil {
 		g.Links = soundLinks{}
 	}
+	o.State.SetLinks(g.Links)
 	o.State.SetLog(o.Log)
 	if g.budget = o.Budget; g.budget == nil {
 		limit := o.BufferBytes
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -1,15 +1,16 @@
 package gateway
 
-// Links tells what is known of this instance's connections to all servers together.
+// Links is what the gateway asks of the instance's links to the servers.
 type Links interface {
-	// Direct reports whether a request may be sent to servers from here. While the
-	// links return it draws, so that they are filled again step by step.
+	// Direct reports whether a request may be sent to servers from here. It draws while
+	// the links return.
 	Direct() bool
-	// Trusted reports whether failures of attempts say something about servers.
+	// Trusted reports whether failures of attempts say something about servers: false
+	// while a partition is suspected or stands, and for a moment after.
 	Trusted() bool
 }
 
-// soundLinks are the links of an instance that does not watch them.
+// soundLinks are the links of an instance that doesn't watch them.
 type soundLinks struct{}
 
 // Direct implements Links.
