--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -239,8 +239,10 @@
 	turnedAway bool
 	// limit is the rate that the server of the last attempt named, or nil.
 	limit *call.RateLimit
-	// usage is the state of the count for usage reports.
-	usage usageCount
+	// demandCounted reports whether the request has been counted as demand, and usage is
+	// the state of the count for usage reports.
+	demandCounted bool
+	usage         usageCount
 	// events is the number of events of the last attempt.
 	events int
 	// firstEventAt is when its first event came.
@@ -322,9 +324,7 @@
 	if h != nil {
 		p.acceptHop()
 	}
-	if p.sends == 0 {
-		g.State.countRequest(p.group)
-	}
+	p.countDemand()
 	defer p.endTrial()
 	p.serve()
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -211,7 +211,10 @@
 func (p *proxyRequest) relayTo(peer relaypick.Peer, cause string) RelayOutcome {
 	began := time.Now()
 	p.events = 0
-	h := hop{from: p.g.Relay.Instance, attempts: p.attemptsForPeer(), mayHaveRun: p.mayHaveRun, counted: p.usage.counted.Load(), software: p.software}
+	h := hop{
+		from: p.g.Relay.Instance, attempts: p.attemptsForPeer(), mayHaveRun: p.mayHaveRun, demandCounted: p.demandCounted,
+		usageCounted: p.usage.counted.Load(), software: p.software,
+	}
 	header := p.g.Wire.RelayedHeaders(p.r.Header, max(p.remaining()-relayMargin, time.Millisecond), p.lastEvent)
 	header[relayHeader] = []string{h.encode()}
 	answer, err := p.g.Relay.pool.Do(p.ctx, &connpool.Request{
--- a/gateway/relayhead.go
+++ b/gateway/relayhead.go
@@ -20,7 +20,8 @@
 	fieldFrom       = "from"
 	fieldAttempts   = "attempts"
 	fieldMayHaveRun = "may-have-run"
-	fieldCounted    = "counted"
+	fieldDemand     = "demand-counted"
+	fieldUsage      = "usage-counted"
 	fieldSoftware   = "software"
 	fieldID         = "id"
 	fieldRefused    = "refused"
@@ -32,9 +33,10 @@
 	from fleet.InstanceID
 	// attempts is the number of servers to which the request may still be sent.
 	attempts int
-	// mayHaveRun reports whether a server may have run the request before, and counted
-	// whether it has been counted for the usage reports.
-	mayHaveRun, counted bool
+	// mayHaveRun reports whether a server may have run the request before; demandCounted
+	// and usageCounted report whether it has been counted as demand, and for the usage
+	// reports.
+	mayHaveRun, demandCounted, usageCounted bool
 	// software is the software version that began the stream; nil for none.
 	software *string
 	// sends is the number of attempts that were made before, and outcome what became of
@@ -48,8 +50,11 @@
 	if h.mayHaveRun {
 		v.Set(fieldMayHaveRun, "1")
 	}
-	if h.counted {
-		v.Set(fieldCounted, "1")
+	if h.demandCounted {
+		v.Set(fieldDemand, "1")
+	}
+	if h.usageCounted {
+		v.Set(fieldUsage, "1")
 	}
 	if h.software != nil {
 		v.Set(fieldSoftware, *h.software)
@@ -67,7 +72,10 @@
 	if err != nil || attempts < 1 || v.Get(fieldFrom) == "" {
 		return nil, errors.New("decode relayed request: no instance or no attempts")
 	}
-	out := &hop{from: fleet.InstanceID(v.Get(fieldFrom)), attempts: attempts, mayHaveRun: v.Has(fieldMayHaveRun), counted: v.Has(fieldCounted)}
+	out := &hop{
+		from: fleet.InstanceID(v.Get(fieldFrom)), attempts: attempts, mayHaveRun: v.Has(fieldMayHaveRun),
+		demandCounted: v.Has(fieldDemand), usageCounted: v.Has(fieldUsage),
+	}
 	if v.Has(fieldSoftware) {
 		software := v.Get(fieldSoftware)
 		out.software = &software
--- a/gateway/relayserve.go
+++ b/gateway/relayserve.go
@@ -91,7 +91,8 @@
 func (p *proxyRequest) acceptHop() {
 	p.hop.sends = max(p.route.MaxAttempts-p.hop.attempts, 0)
 	p.sends, p.mayHaveRun = p.hop.sends, p.hop.mayHaveRun
-	p.usage.counted.Store(p.hop.counted)
+	p.demandCounted = p.hop.demandCounted
+	p.usage.counted.Store(p.hop.usageCounted)
 	if p.hop.software != nil {
 		p.pin(*p.hop.software)
 	}
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -13,6 +13,14 @@
 // and is spent from the retry budget before it is sent. The first prefill that
 // an engine accepts doesn't count as a call; a rejected prefill does.
 
+// countDemand counts the request for the retry budget, unless another instance has.
+func (p *proxyRequest) countDemand() {
+	if !p.demandCounted {
+		p.demandCounted = true
+		p.g.State.countRequest(p.group)
+	}
+}
+
 // spendRetry spends the next call from the retry budget and reports whether the
 // call may be sent. The first call of a request is free. A retry that was spent
 // stays available until a call reaches a server.
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -170,10 +170,10 @@
 }
 
 // callerServer returns the server of the callers' listener, or of the one for other
-// instances.
-func (n *Node) callerServer(handler http.Handler) *http.Server {
+// instances, which add a header of their own.
+func (n *Node) callerServer(handler http.Handler, headerBytes int) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: zap.NewStdLog(n.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -93,6 +93,8 @@
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes bounds the size of a request's headers.
 	maxHeaderBytes = 64 << 10
+	// relayHeaderBytes is the room for what instances add to relayed requests.
+	relayHeaderBytes = 4 << 10
 )
 
 // Node is one instance.
@@ -290,7 +292,7 @@
 	}
 	n.startScaling(start)
 	go n.exchange.Serve(listeners.peers)
-	callers, relayed := n.callerServer(n.gateway), n.callerServer(n.gateway.RelayHandler())
+	callers, relayed := n.callerServer(n.gateway, maxHeaderBytes), n.callerServer(n.gateway.RelayHandler(), maxHeaderBytes+relayHeaderBytes)
 	n.callers.Store(listeners.callers)
 	go n.serve(callers, listeners.callers)
 	if listeners.relay != nil {
