--- a/ctl/where.go
+++ b/ctl/where.go
@@ -143,6 +143,8 @@
 	switch {
 	case d.Result == explanation.Refused:
 		line("decision: refused, %s, retry after %s", d.Reason, ms(d.RetryAfterMS))
+	case d.Result == explanation.Relayed:
+		line("decision: relayed to another instance, %s", d.Reason)
 	case d.Priority < 0:
 		line("decision: %s, without a priority", d.Result)
 	default:
--- a/explanation/answer.go
+++ b/explanation/answer.go
@@ -140,6 +140,8 @@
 	Admitted = "admitted"
 	Late     = "late"
 	Refused  = "refused"
+	// Relayed means that another instance would be asked to serve the request.
+	Relayed = "relayed"
 )
 
 // Decision is what would become of the request.
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -90,6 +91,10 @@
 		out.Decision = refusal(fleet.ReasonDraining, drainingWait)
 		return out
 	}
+	if g.Relay != nil && !g.Links.Direct() {
+		out.Decision = g.explainRelay()
+		return out
+	}
 	e := g.explainChoice(p)
 	e.fill(&out)
 	if len(e.quarantined) > 0 && out.Decision.Note == "" {
@@ -155,6 +160,19 @@
 	return nil
 }
 
+// explainRelay returns the decision about a request that can't be sent to servers from
+// here.
+func (g *Gateway) explainRelay() explanation.Decision {
+	peers, excluded := g.Relay.PeerCounts()
+	if peers == excluded {
+		return refusal(fleet.ReasonNoRelay, busyWait)
+	}
+	return explanation.Decision{
+		Result: explanation.Relayed, Reason: causeNoLinks, Priority: noPriority,
+		Note: fmt.Sprintf("this instance doesn't reach the servers; %d instances can be asked, %d are left out for a time", peers-excluded, excluded),
+	}
+}
+
 // explainChoice takes the steps of serve on a copy of the State.
 func (g *Gateway) explainChoice(p *proxyRequest) explained {
 	s := g.State
