Let attempts that wait at silent servers go on by way of another instance

A safe request that hung while the instance was finding out that it was partitioned waited for its deadline, since no other server was expected to take it from here. It now moves after the usual time without progress.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -139,7 +139,7 @@
 	// maxRelayTries bounds the instances that are asked for one request.
 	maxRelayTries = 3
 	// maxRelayConns bounds the connections to one other instance.
-	maxRelayConns = 64
+	maxRelayConns = 256
 	// relayMargin is left of the deadline for the way of the answer back.
 	relayMargin = 30 * time.Millisecond
 )
@@ -154,11 +154,15 @@
 // come from one.
 func (p *proxyRequest) mayRelay() bool { return p.g.Relay != nil && p.hop == nil }
 
+// relaysFailures reports whether an attempt that fails now goes on by way of another
+// instance: failures say nothing about servers.
+func (p *proxyRequest) relaysFailures() bool { return p.mayRelay() && !p.g.Links.Trusted() }
+
 // movesToPeer relays a request whose attempts failed here while failures say nothing
 // about servers, and reports whether it did. What may have run goes on only if it may be
 // repeated, with a retry that is paid here.
 func (p *proxyRequest) movesToPeer() bool {
-	if !p.mayRelay() || p.g.Links.Trusted() || p.callerGone() || p.sends >= p.route.MaxAttempts || (p.mayHaveRun && !p.route.Repeatable()) || !p.spendRetry() {
+	if !p.relaysFailures() || p.callerGone() || p.sends >= p.route.MaxAttempts || (p.mayHaveRun && !p.route.Repeatable()) || !p.spendRetry() {
 		return false
 	}
 	p.relay(causeAfterFailed)
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -120,7 +120,10 @@
 	if w.lastEvent.Load() != 0 {
 		allowed.software = &w.choice.Server.SoftwareVersion
 	}
-	m := w.p.g.State.moveOf(w.p, allowed)
+	m := move{calls: 1}
+	if !w.p.relaysFailures() {
+		m = w.p.g.State.moveOf(w.p, allowed)
+	}
 	return m, m.calls > 0 && w.p.g.State.spendRetries(w.p.group, m.calls)
 }
 
