Move attempts that wait when a partition is found

Streams and safe requests that hung when the links went silent waited for half their latency target or 0.6 of their deadline before they went by way of another instance; callers leave a stream after 2 s. When the partition is found, those without the head of an answer now move within 250 ms; a prompt isn't read at a second engine while failures say nothing about servers. A refusal that another instance states in unknown words counts as one, and a panic in the middle of an answer no longer leaves a request counted as in flight.

Test: a stream at a silent server, 0.4 to 0.8 s instead of 1.2 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	endsAt   atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 	open     openRequests
+	watches  openWatches
 	budget   *door.Budget
 }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -85,7 +85,7 @@
 			return
 		}
 		p.prefillAt(c)
-		if p.kvSource != nil || p.callerGone() || p.remaining() <= minAttempt {
+		if p.kvSource != nil || p.callerGone() || p.remaining() <= minAttempt || (p.connFailed && p.relaysFailures()) {
 			return
 		}
 		p.g.Observer.Retried(retry.ReasonPrefillFailed)
@@ -107,6 +107,7 @@
 	ctx, stop := context.WithCancel(p.ctx)
 	defer stop()
 	watch := p.watchStall(c, time.Duration(stallShare*float64(p.remaining())), true, stop)
+	defer p.g.watches.add(watch)()
 	overdueTimer := p.startOverdueTimer(c)
 	answer, res, err := p.send(ctx, c.Server, call.SendOptions{Priority: p.priority(), PrefillOnly: true, FetchFrom: c.CopyFrom.Address})
 	overdueTimer.Stop()
@@ -210,6 +211,7 @@
 	defer cancel()
 	mayMove := p.route.Repeatable() && p.sends+1 < p.route.MaxAttempts
 	watch := p.watchStall(c, time.Duration(stallShare*float64(p.remaining())), mayMove, cancel)
+	defer p.g.watches.add(watch)()
 	overdueTimer := p.startOverdueTimer(c)
 	defer overdueTimer.Stop()
 	source := p.kvSource
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -107,6 +107,7 @@
 	defer stop()
 	mayMove := p.route.Kind == routes.KindSafe && p.sends+1 < p.route.MaxAttempts && p.route.LatencyTarget > 0
 	watch := p.watchStall(c, time.Duration(attemptShare*float64(p.route.LatencyTarget)), mayMove, stop)
+	defer p.g.watches.add(watch)()
 	overdueTimer := p.g.State.startOverdueTimer(c)
 	defer overdueTimer.Stop()
 	defer p.presumeBegun()()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -179,9 +179,7 @@
 			break
 		}
 		asked = append(asked, peer.ID)
-		outcome := p.relayTo(peer, cause)
-		end()
-		switch outcome {
+		switch p.relayTo(peer, cause, end) {
 		case RelayAnswered, RelayRejected, RelayCallerLeft:
 			return
 		case RelayBroken:
@@ -211,8 +209,10 @@
 	return left
 }
 
-// relayTo passes the request to another instance and its answer to the caller.
-func (p *proxyRequest) relayTo(peer relaypick.Peer, cause string) RelayOutcome {
+// relayTo passes the request to another instance and its answer to the caller. It calls
+// end in any case.
+func (p *proxyRequest) relayTo(peer relaypick.Peer, cause string, end func()) RelayOutcome {
+	defer end()
 	began := time.Now()
 	p.events = 0
 	h := hop{
--- a/gateway/relayhead.go
+++ b/gateway/relayhead.go
@@ -116,7 +116,13 @@
 	if err != nil || !v.Has(fieldID) {
 		return hopAnswer{}
 	}
-	out := hopAnswer{marked: true, id: fleet.RequestID(v.Get(fieldID)), refused: RelayOutcome(v.Get(fieldRefused)), stream: v.Has(fieldStream)}
+	out := hopAnswer{marked: true, id: fleet.RequestID(v.Get(fieldID)), stream: v.Has(fieldStream)}
+	switch refused := RelayOutcome(v.Get(fieldRefused)); refused {
+	case "", RelayPartitioned, RelayStarting, RelayStopping:
+		out.refused = refused
+	default:
+		out.refused = RelayFull
+	}
 	if v.Has(fieldSoftware) {
 		software := v.Get(fieldSoftware)
 		out.software = &software
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -59,6 +59,8 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// firesAt is when the timer fires for the first time.
+	firesAt time.Time
 	// answer is the answer once events are read.
 	answer *connpool.Answer
 	// moved reports whether the attempt was given up, or its server was asked to
@@ -86,6 +88,7 @@
 	// The timer may fire before it is assigned.
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.firesAt = time.Now().Add(limit)
 	w.timer = time.AfterFunc(limit, w.stalled)
 	return w
 }
--- a/node/node.go
+++ b/node/node.go
@@ -225,7 +225,10 @@
 		placement.Config{Instance: s.Instance, DataCentre: s.DataCentre, PartMemory: int64(partShare * float64(s.MemoryBytes))},
 		budget.Config{Window: s.BudgetWindow, Ratio: s.BudgetRatio, Slack: s.BudgetSlack},
 	)
-	n.links = links.New(links.Options{Observer: n.metrics, OnPartition: n.state.LinksPartitioned, Log: log})
+	n.links = links.New(links.Options{Observer: n.metrics, Log: log, OnPartition: func() {
+		n.state.LinksPartitioned()
+		n.gateway.LinksPartitioned()
+	}})
 	pool.Observe(n.links)
 	n.keepInStore()
 	n.directory = directory.New(directory.Options{
