--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,7 +20,6 @@
 	"github.com/bramleywick/bramleywick/core/placement"
 	"github.com/bramleywick/bramleywick/core/retry"
 	"github.com/bramleywick/bramleywick/core/routes"
-	"github.com/bramleywick/bramleywick/core/shutdown"
 	"github.com/bramleywick/bramleywick/core/takeup"
 	"github.com/bramleywick/bramleywick/door"
 )
@@ -86,8 +85,11 @@
 	Pool      *connpool.Pool
 	State     *State
 	// Links tells whether this instance reaches the servers; nil if it always does.
-	Links    Links
-	Observer Observer
+	Links Links
+	// ProveLinks reports whether a server besides that at an address has been reached
+	// since a time, or can be reached now; nil if they always can.
+	ProveLinks func(since time.Time, besides string) bool
+	Observer   Observer
 	// ConfirmVersions reads which software versions may have begun streams of a service
 	// from where all instances record them; nil if they don't. AskStreamVersion asks
 	// other instances which one began a stream; nil if there are none.
@@ -140,13 +142,6 @@
 	return g
 }
 
-// Drain prepares for the end of the process at a time: callers' connections are
-// closed after the current request, and new requests that may last longer are
-// refused.
-func (g *Gateway) Drain(end time.Time) { g.endsAt.Store(&end) }
-
-func (g *Gateway) draining() bool { return g.endsAt.Load() != nil }
-
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -336,18 +331,6 @@
 	return path
 }
 
-// acceptedWhileDraining reports whether the request is certain to end before the
-// process does, and refuses it otherwise.
-func (p *proxyRequest) acceptedWhileDraining() bool {
-	end := p.g.endsAt.Load()
-	if end == nil || shutdown.Accepts(p.deadline, *end) {
-		return true
-	}
-	p.logFields = append(p.logFields, zap.Duration("deadline_in", p.remaining()), zap.Duration("process_ends_in", time.Until(*end)))
-	p.refuse(http.StatusServiceUnavailable, fleet.ReasonDraining, drainingWait)
-	return false
-}
-
 // finish gives back the memory of buffered answers. It ends the connection of a
 // caller that got no whole answer, because it seemed to have left; net/http would
 // end the answer in order otherwise, and a caller that has only closed its sending
