Weigh the choice of the instance that serves a relayed request by processor

Instances of one deployment have 0.144 to 0.8 cores; a small one got as many relayed requests as a large one. Test: of 400 requests in flight at 20 peers, half of them with four times the cores, 260 to 340 are at these.

--- a/core/relaypick/relaypick.go
+++ b/core/relaypick/relaypick.go
@@ -15,6 +15,8 @@
 	DataCentre fleet.DataCentre
 	// Address is the address at which it takes them.
 	Address string
+	// Cores is its processor capacity in cores; 0 if unknown.
+	Cores float64
 }
 
 const (
@@ -29,6 +31,8 @@
 	// localTries is the number of peers of the own data centre that are asked for one
 	// request while others have any.
 	localTries = 2
+	// minCores is assumed of a peer that declares less.
+	minCores = 0.05
 )
 
 // state is what is known of a peer.
@@ -117,8 +121,14 @@
 	return Peer{}, false
 }
 
+// load returns the requests of this instance that would be in flight at a peer with one
+// more, for its capacity.
+func (p *Picker) load(peer Peer) float64 {
+	return float64(p.states[peer.ID].inFlight+1) / max(peer.Cores, minCores)
+}
+
 // lessLoaded returns the one of two drawn candidates that has fewer requests of this
-// instance in flight.
+// instance in flight for its capacity.
 func (p *Picker) lessLoaded(candidates []Peer) Peer {
 	first := p.draw(len(candidates))
 	if len(candidates) == 1 {
@@ -128,7 +138,7 @@
 	if second >= first {
 		second++
 	}
-	if p.states[candidates[second].ID].inFlight < p.states[candidates[first].ID].inFlight {
+	if p.load(candidates[second]) < p.load(candidates[first]) {
 		return candidates[second]
 	}
 	return candidates[first]
--- a/core/relaypick/relaypick_test.go
+++ b/core/relaypick/relaypick_test.go
@@ -75,6 +75,25 @@
 			}
 		})
 	})
+	Convey("Peers with more processor get more", t, func() {
+		list := peersOf(21, 1)
+		for i := range list {
+			list[i].Cores = 0.15
+			if i <= 10 {
+				list[i].Cores = 0.6
+			}
+		}
+		p := newPicker(list, 1)
+		large := 0
+		for range 400 {
+			peer, _ := p.Pick(nil, 0)
+			p.Begin(peer.ID)
+			if peer.Cores > 0.5 {
+				large++
+			}
+		}
+		So(large, ShouldBeBetween, 260, 340)
+	})
 	Convey("An exclusion doubles up to a bound, also counts failures of one moment once, and ends with a request that is taken", t, func() {
 		p := newPicker(peersOf(2, 1), 1)
 		So(p.Failed("a1", time.Second), ShouldEqual, 2*time.Second)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -88,7 +88,7 @@
 func (r *Relay) InstancesChanged(list []directory.Instance) {
 	peers := make([]relaypick.Peer, 0, len(list))
 	for _, i := range list {
-		peers = append(peers, relaypick.Peer{ID: i.ID, DataCentre: i.DataCentre, Address: i.Relay})
+		peers = append(peers, relaypick.Peer{ID: i.ID, DataCentre: i.DataCentre, Address: i.Relay, Cores: i.Cores})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
