--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -36,7 +36,7 @@
 		if p.kvSource == nil && p.askAgain == nil && split && !p.triesDigest() && p.reserveRetries(p.retriesForSplit()) {
 			p.prefill(prefill)
 		}
-		if p.callerGone() || p.mayNotBeSent() {
+		if p.callerGone() || p.mayNotBeSent() || (p.connFailed && p.kvSource == nil && p.movesToPeer()) {
 			return
 		}
 		choice, ok := p.chooseDecode(direct, split)
@@ -46,6 +46,9 @@
 				return
 			}
 		case !p.awaitContinuation():
+			if !ok && p.movesToPeer() {
+				return
+			}
 			p.failWithoutServer(choice)
 			return
 		}
@@ -82,7 +85,7 @@
 			return
 		}
 		p.prefillAt(c)
-		if p.kvSource != nil || p.callerGone() || p.remaining() <= minAttempt {
+		if p.kvSource != nil || p.callerGone() || p.remaining() <= minAttempt || (p.connFailed && p.relaysFailures()) {
 			return
 		}
 		p.g.Observer.Retried(retry.ReasonPrefillFailed)
@@ -104,6 +107,7 @@
 	ctx, stop := context.WithCancel(p.ctx)
 	defer stop()
 	watch := p.watchStall(c, time.Duration(stallShare*float64(p.remaining())), true, stop)
+	defer p.g.watches.add(watch)()
 	overdueTimer := p.startOverdueTimer(c)
 	answer, res, err := p.send(ctx, c.Server, call.SendOptions{Priority: p.priority(), PrefillOnly: true, FetchFrom: c.CopyFrom.Address})
 	overdueTimer.Stop()
@@ -207,6 +211,7 @@
 	defer cancel()
 	mayMove := p.route.Repeatable() && p.sends+1 < p.route.MaxAttempts
 	watch := p.watchStall(c, time.Duration(stallShare*float64(p.remaining())), mayMove, cancel)
+	defer p.g.watches.add(watch)()
 	overdueTimer := p.startOverdueTimer(c)
 	defer overdueTimer.Stop()
 	source := p.kvSource
@@ -377,22 +382,9 @@
 	p.headWritten = true
 	h := p.w.Header()
 	p.g.Wire.CopyAnswerHeaders(h, a.Header)
+	p.markAnswer(true)
 	if p.g.draining() {
 		h.Set("Connection", "close")
 	}
 	p.w.WriteHeader(a.Status)
 }
-
-// servePlainStream serves a stream of a plain service.
-func (p *proxyRequest) servePlainStream() {
-	for {
-		choice, ok := p.g.State.choosePlain(p.group, p.req.ID, p.allowed())
-		if !ok {
-			p.failWithoutServer(choice)
-			return
-		}
-		if p.runAttempt(choice) || p.mayNotBeSent() {
-			return
-		}
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net/http"
 	"runtime"
 	"runtime/debug"
 	"sort"
@@ -93,6 +92,8 @@
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes bounds the size of a request's headers.
 	maxHeaderBytes = 64 << 10
+	// relayHeaderBytes is the room for what instances add to relayed requests.
+	relayHeaderBytes = 4 << 10
 )
 
 // Node is one instance.
@@ -103,6 +104,7 @@
 	state     *gateway.State
 	directory *directory.Directory
 	gateway   *gateway.Gateway
+	relay     *gateway.Relay
 	exchange  *loadshare.Exchange
 	store     Store
 	metrics   *metrics.Gateway
@@ -195,6 +197,11 @@
 			}
 			return 0
 		},
+		"bramleywick_relay_requests_open": func() float64 { return float64(n.relay.InFlight()) },
+		"bramleywick_relay_instances_excluded": func() float64 {
+			_, excluded := n.relay.PeerCounts()
+			return float64(excluded)
+		},
 		"bramleywick_requests_open":       func() float64 { return float64(n.gateway.InFlight()) },
 		"bramleywick_client_memory_bytes": func() float64 { return float64(n.budget.Used()) },
 		"bramleywick_client_connections": func() float64 {
@@ -217,7 +224,10 @@
 		placement.Config{Instance: s.Instance, DataCentre: s.DataCentre, PartMemory: int64(partShare * float64(s.MemoryBytes))},
 		budget.Config{Window: s.BudgetWindow, Ratio: s.BudgetRatio, Slack: s.BudgetSlack},
 	)
-	n.links = links.New(links.Options{Observer: n.metrics, OnPartition: n.state.LinksPartitioned, Log: log})
+	n.links = links.New(links.Options{Observer: n.metrics, Log: log, OnPartition: func() {
+		n.state.LinksPartitioned()
+		n.gateway.LinksPartitioned()
+	}})
 	pool.Observe(n.links)
 	n.keepInStore()
 	n.directory = directory.New(directory.Options{
@@ -235,9 +245,10 @@
 	n.directory.HubChanges, n.directory.AskPeer = n.exchange.HubClient().After, n.exchange.AskConfiguration
 	n.state.OnNote(n.exchange.AddNote)
 	n.setUpUsage(uint64(start.UnixNano()))
+	n.relay = n.newRelay()
 	n.gateway = gateway.New(gateway.Options{
 		Wire: p.Wire, Table: n.directory.Table, Freshness: n.directory.Freshness, Pool: pool, State: n.state, Links: n.links, ProveLinks: n.links.Prove, Observer: n.metrics, ServerLeaves: n.directory.ServerLeaves,
-		ConfirmVersions: n.versions.Confirm, AskStreamVersion: n.exchange.AskStreamVersion, Budget: n.budget, Usage: n.usageCounter(), Log: log,
+		ConfirmVersions: n.versions.Confirm, AskStreamVersion: n.exchange.AskStreamVersion, Budget: n.budget, Usage: n.usageCounter(), Relay: n.relay, Log: log,
 	})
 	return n
 }
@@ -283,15 +294,18 @@
 	}
 	n.startScaling(start)
 	go n.exchange.Serve(listeners.peers)
-	callers := n.callerServer()
+	callers, relayed := n.callerServer(n.gateway, maxHeaderBytes), n.callerServer(n.gateway.RelayHandler(), maxHeaderBytes+relayHeaderBytes)
 	n.callers.Store(listeners.callers)
 	go n.serve(callers, listeners.callers)
+	if listeners.relay != nil {
+		go n.serve(relayed, listeners.relay)
+	}
 	go n.serve(n.smallServer(n.readiness()), listeners.ready)
 	go n.serve(n.smallServer(n.metricsHandler()), listeners.metrics)
 	n.log.Info("started", zap.String("instance", string(n.settings.Instance)), zap.String("data_centre", string(n.settings.DataCentre)),
 		zap.String("callers", n.settings.CallerListen), zap.String("store", n.settings.Store))
 	<-ctx.Done()
-	n.drain(callers)
+	n.drain(callers, relayed)
 	stop()
 	running.Wait()
 	n.log.Info("stopped")
@@ -300,29 +314,7 @@
 
 // self returns the entry under which this instance is listed.
 func (n *Node) self() directory.Instance {
-	return directory.Instance{ID: n.settings.Instance, DataCentre: n.settings.DataCentre, Address: n.settings.PeerListen, Cores: n.settings.Cores}
-}
-
-// drain makes the instance not ready, serves the requests that can end in time,
-// and returns before the platform kills the process.
-func (n *Node) drain(callers *http.Server) {
-	began := time.Now()
-	n.log.Info("stopping", zap.Int64("open", n.gateway.InFlight()))
-	end := began.Add(n.settings.Grace - killMargin)
-	n.draining.Store(true)
-	n.gateway.Drain(end)
-	// The platform sends requests here until two probes have failed.
-	time.Sleep(min(readinessDelay, n.settings.Grace/2))
-	ctx, stop := context.WithDeadline(context.Background(), end)
-	defer stop()
-	if err := callers.Shutdown(ctx); err != nil {
-		n.log.Warn("grace time ended with requests in flight", zap.Int64("open", n.gateway.InFlight()), logline.Error(err))
-		n.gateway.CutOpen()
-	}
-	if n.usage != nil {
-		// The counts of the last requests reach another instance.
-		time.Sleep(min(lastExchange, time.Until(end)))
-	}
+	return directory.Instance{ID: n.settings.Instance, DataCentre: n.settings.DataCentre, Address: n.settings.PeerListen, Cores: n.settings.Cores, Relay: n.settings.RelayListen}
 }
 
 // Reload reads the settings again and logs the result. Addresses and names
@@ -357,6 +349,7 @@
 	n.mu.Unlock()
 	n.state.InstancesChanged(list)
 	n.exchange.SetPeers(n.ctx, list)
+	n.relay.InstancesChanged(list)
 	names := make([]fleet.InstanceID, 0, len(list))
 	for _, i := range list {
 		names = append(names, i.ID)
