--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -59,6 +59,8 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// firesAt is when the timer fires for the first time.
+	firesAt time.Time
 	// answer is the answer once events are read.
 	answer *connpool.Answer
 	// moved reports whether the attempt was given up, or its server was asked to
@@ -86,6 +88,7 @@
 	// The timer may fire before it is assigned.
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.firesAt = time.Now().Add(limit)
 	w.timer = time.AfterFunc(limit, w.stalled)
 	return w
 }
@@ -120,7 +123,10 @@
 	if w.lastEvent.Load() != 0 {
 		allowed.software = &w.choice.Server.SoftwareVersion
 	}
-	m := w.p.g.State.moveOf(w.p, allowed)
+	m := move{calls: 1}
+	if !w.p.relaysFailures() {
+		m = w.p.g.State.moveOf(w.p, allowed)
+	}
 	return m, m.calls > 0 && w.p.g.State.spendRetries(w.p.group, m.calls)
 }
 
