Suspect a partition also while old connections are answered

Now a failure of a server that had been reached before, with no connection opened for 0.1 s, costs a probe.

--- a/core/links/detector.go
+++ b/core/links/detector.go
@@ -41,8 +41,7 @@
 	quiet   time.Duration
 	quietAt fleet.Instant
 	// failed holds when the servers failed that did so since a connection was last
-	// opened and had not been failing before. lastFailure is the latest time if
-	// nothing was heard since, or never.
+	// opened and had not been failing before. lastFailure is the latest time, or never.
 	failed      map[string]fleet.Instant
 	lastFailure fleet.Instant
 	steppedAt   fleet.Instant
@@ -163,7 +162,7 @@
 
 // Heard records that bytes of an answer came from a server.
 func (d *Detector) Heard(address string, now fleet.Instant) {
-	d.heardAt, d.quietFrom, d.lastFailure = now, now, never
+	d.heardAt, d.quietFrom = now, now
 	if l := d.links[address]; l != nil {
 		l.failing, l.heardAt = false, now
 	}
@@ -171,9 +170,8 @@
 		return
 	}
 	d.round.heard = true
-	if d.round.suspicion != ReasonFailures {
-		// Old connections may live on while new ones fail, which shows in further
-		// failures.
+	if d.round.suspicion == ReasonSilence {
+		// Otherwise old connections may live on while new ones fail.
 		d.endSuspicion(ReasonHeard, now)
 	}
 }
@@ -207,8 +205,8 @@
 	switch {
 	case len(d.failed) >= min(suspectFailures, max(len(d.order)-1, 1)):
 		return ReasonFailures
-	case d.lastFailure != never && now-d.lastFailure >= failureSilence:
-		return ReasonFailureSilence
+	case d.lastFailure != never && now-d.lastFailure >= failureDelay:
+		return ReasonFailure
 	case d.state != Returning && d.waiting > 0 && now-d.quietFrom >= d.quiet:
 		return ReasonSilence
 	}
@@ -250,10 +248,7 @@
 	}
 	d.setState(Connected, Change{Reason: reason, Suspicion: d.round.suspicion, Probed: len(d.round.asked)}, now)
 	d.round = nil
-	d.quietFrom, d.lastFailure = now, never
-	if reason != ReasonHeard {
-		clear(d.failed)
-	}
+	d.quietFrom = now
 }
 
 // partition begins a partition.
--- a/core/links/links.go
+++ b/core/links/links.go
@@ -47,8 +47,9 @@
 	// ReasonFailures means that connections to several servers failed and none was
 	// opened since.
 	ReasonFailures Reason = "failures"
-	// ReasonFailureSilence means that a connection failed and nothing was heard since.
-	ReasonFailureSilence Reason = "failure_and_silence"
+	// ReasonFailure means that a connection to a server failed that had been reached
+	// before, and that none was opened for a moment.
+	ReasonFailure Reason = "failure"
 	// ReasonSilence means that attempts wait and nothing is heard from any server.
 	ReasonSilence Reason = "silence"
 	// ReasonProbesFailed means that the probes of a suspicion failed.
@@ -138,8 +139,9 @@
 	// row, within failureTTL, that raise a suspicion.
 	suspectFailures = 3
 	failureTTL      = 5 * time.Second
-	// failureSilence is the silence after one failure that raises a suspicion.
-	failureSilence = 100 * time.Millisecond
+	// failureDelay is the time after one failure without a connection being opened
+	// that raises a suspicion.
+	failureDelay = 100 * time.Millisecond
 	// minQuiet is the silence that raises a suspicion while attempts wait. Each such
 	// suspicion that proves wrong doubles it up to maxQuiet, since some servers
 	// usually need long; it is reduced again after quietTTL.
