Ask for a connection since the last dial before a process counts as ended

The proof that the instance's own links are sound accepted any connection opened since the first dial. An instance whose partition (connections refused) began between the dials took its own link for the end of the server's process, and counted and told the request as one that ends servers. The time now is that of the dial that was refused.

--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,5 +81,21 @@
 			_, n, _ := s.QuarantineCounts()
 			So(n, ShouldEqual, 2)
 		})
+		Convey("a connection from before the server was last dialled proves nothing", func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			var openedAt atomic.Pointer[time.Time]
+			g.ProveLinks = func(since time.Time, _ string) bool { return !openedAt.Load().Before(since) }
+			So(s.requestBroken(server.Process(), quarantine.Victim{Request: "r", Service: "g", Parts: []string{"part"}}), ShouldBeTrue)
+			cut := time.AfterFunc(endCheckPause/2, func() {
+				now := time.Now()
+				openedAt.Store(&now)
+				_ = l.Close()
+			})
+			defer cut.Stop()
+			g.checkServer(server.Process(), l.Addr().String())
+			_, n, _ := s.QuarantineCounts()
+			So(n, ShouldEqual, 0)
+		})
 	})
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -82,8 +82,8 @@
 
 // checkServer finds out whether a server's process has ended.
 func (g *Gateway) checkServer(process fleet.Process, address string) {
-	began := time.Now()
 	for range endChecks {
+		began := time.Now()
 		switch dialServer(address) {
 		case checkEnded:
 			g.recordEnd(process, address, began)
