Don't confirm versions at start from a store that may be back from an older copy

An instance refuses for 3 s to take the record of software versions for complete after it has seen the store's era rise. One that started after the era had risen saw no rise: it took the older copy's record, which may lack a version, for all versions there are, and could let a stream go on at another one. A first era above 1 now counts as one that has just begun.

The test failed before (no error); it passes with -race.

--- a/takeup/confirm.go
+++ b/takeup/confirm.go
@@ -90,12 +90,16 @@
 // rewriteTime is the time in which instances write records again that the store has lost.
 const rewriteTime = 3 * time.Second
 
+// firstEra is the highest era that a store has which has never come back from a copy.
+const firstEra = 1
+
 // noteEra records the store's era. The caller holds mu.
 func (k *Keeper) noteEra(era int64) {
 	if era <= k.era {
 		return
 	}
-	if k.era >= 0 {
+	// An instance that has just started can't tell how long ago a later era began.
+	if k.era >= 0 || era > firstEra {
 		k.restoredAt = time.Now()
 	}
 	k.era = era
--- a/takeup/confirm_test.go
+++ b/takeup/confirm_test.go
@@ -102,3 +102,14 @@
 		})
 	})
 }
+
+// TestRecordOfEarlierCopyAtStart guards against an instance that starts while the store is
+// back from an older copy, and takes the record there for all versions.
+func TestRecordOfEarlierCopyAtStart(t *testing.T) {
+	Convey("An instance that starts after a store has come back from a copy", t, func() {
+		s := &slowStore{revision: store.Revision(2, 4), versions: `"old"`}
+		k := newConfirming(s, func([]string) {})
+		_, err := k.Confirm(context.Background(), "llm")
+		So(err, ShouldNotBeNil)
+	})
+}
