Send requests from here where no other instance takes them and servers can be reached

While links return after a partition, most requests are relayed, and after a failed attempt requests are relayed while a partition is only suspected. Where no other instance took them (there is none, all are left out for a time, or the links of all return at once, as after all servers were down) they were refused as no_relay, though servers could be reached: with one instance nine of ten requests in the first 250 ms of a return, and the request whose server had ended instead of a try at the next server. The relay now reports that nobody took the request, and it goes on here unless the instance is partitioned.

--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -92,8 +92,10 @@
 		return out
 	}
 	if g.Relay != nil && !g.Links.Direct() {
-		out.Decision = g.explainRelay()
-		return out
+		if d := g.explainRelay(); d.Result == explanation.Relayed || g.Links.Partitioned() {
+			out.Decision = d
+			return out
+		}
 	}
 	e := g.explainChoice(p)
 	e.fill(&out)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -311,10 +311,7 @@
 	p.forward = g.Wire.ForwardedHeaders(r.Header, table.Members() != nil)
 	p.lastEvent = p.req.LastEventID
 	defer p.refundRetries()
-	if p.mayRelay() && !g.Links.Direct() {
-		if p.mayBeAnswered() {
-			p.relay(causeNoLinks)
-		}
+	if p.mayRelay() && !g.Links.Direct() && (!p.mayBeAnswered() || p.relay(causeNoLinks)) {
 		return
 	}
 	if h != nil {
--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -22,6 +22,8 @@
 func (l *fakeLinks) Direct() bool  { return l.trusted }
 func (l *fakeLinks) Trusted() bool { return l.trusted }
 
+func (l *fakeLinks) Partitioned() bool { return !l.trusted }
+
 func TestPartitionSaysNothingOfServers(t *testing.T) {
 	Convey("While an instance may be partitioned from all servers", t, func() {
 		links, reached := &fakeLinks{trusted: true}, false
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -159,19 +159,20 @@
 func (p *proxyRequest) relaysFailures() bool { return p.mayRelay() && !p.g.Links.Trusted() }
 
 // movesToPeer relays a request whose attempts failed here while failures say nothing
-// about servers, and reports whether it did. What may have run goes on only if it may be
-// repeated, with a retry that is paid here.
+// about servers, and reports whether it was answered. What may have run goes on only if it
+// may be repeated, with a retry that is paid here.
 func (p *proxyRequest) movesToPeer() bool {
 	if !p.relaysFailures() || p.callerGone() || p.sends >= p.route.MaxAttempts || (p.mayHaveRun && !p.route.Repeatable()) || !p.spendRetry() {
 		return false
 	}
-	p.relay(causeAfterFailed)
-	return true
+	return p.relay(causeAfterFailed)
 }
 
-// relay serves the request by way of another instance. Those that do nothing with it are
-// followed by the next. Without one the request is refused at once.
-func (p *proxyRequest) relay(cause string) {
+// relay serves the request by way of another instance, and reports whether it was
+// answered. Those that do nothing with it are followed by the next. Without one the
+// request is refused at once if no server can be reached from here; it is left to this
+// instance otherwise.
+func (p *proxyRequest) relay(cause string) (answered bool) {
 	var asked []fleet.InstanceID
 	for len(asked) < maxRelayTries && p.remaining() > minAttempt && p.keyValid() {
 		peer, end, ok := p.g.Relay.pick(asked)
@@ -181,21 +182,27 @@
 		asked = append(asked, peer.ID)
 		switch p.relayTo(peer, cause, end) {
 		case RelayAnswered, RelayRejected, RelayCallerLeft:
-			return
+			return true
 		case RelayBroken:
 			if !p.mayRetry(retry.ReasonConnectionLost) {
 				p.fail(fleet.ReasonUpstreamFailed, busyWait)
-				return
+				return true
 			}
 		}
 	}
 	if p.callerGone() || p.refusedForKey() {
-		return
+		return true
 	}
 	p.g.Observer.Relayed(RelayNoPeer)
 	peers, excluded := p.g.Relay.PeerCounts()
 	p.logFields = append(p.logFields, zap.String("relay_cause", cause), zap.Any("instances_asked", asked), zap.Int("instances", peers), zap.Int("instances_excluded", excluded))
+	if !p.g.Links.Partitioned() && p.remaining() > minAttempt {
+		p.g.Log.Info("request not relayed", zap.String("request_id", string(p.req.ID)), zap.String("cause", cause), zap.String("outcome", string(RelayNoPeer)),
+			zap.Int("asked", len(asked)), zap.Int("instances", peers), zap.Int("instances_excluded", excluded))
+		return false
+	}
 	p.fail(fleet.ReasonNoRelay, busyWait)
+	return true
 }
 
 // attemptsForPeer returns the number of servers to which another instance may send the
--- a/links/links.go
+++ b/links/links.go
@@ -163,6 +163,9 @@
 	return share >= 1 || rand.Float64() < share
 }
 
+// Partitioned implements gateway.Links.
+func (m *Monitor) Partitioned() bool { return m.State() == links.Partitioned }
+
 // Trusted implements gateway.Links.
 func (m *Monitor) Trusted() bool {
 	m.mu.Lock()
