Leave a request to this instance only if no other may have passed it on

After a broken answer of another instance the software version that began a stream may be unknown here (it is told with the head of the answer, which goes out with a comment before the first event), so that the stream could go on here at another version. Follows; no test shows it. The tests of the relay pass.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -170,10 +170,11 @@
 
 // relay serves the request by way of another instance, and reports whether it was
 // answered. Those that do nothing with it are followed by the next. Without one the
-// request is refused at once if no server can be reached from here; it is left to this
-// instance otherwise.
+// request is refused at once if no server can be reached from here, or if another may have
+// passed it on; it is left to this instance otherwise.
 func (p *proxyRequest) relay(cause string) (answered bool) {
 	var asked []fleet.InstanceID
+	broken := false
 	for len(asked) < maxRelayTries && p.remaining() > minAttempt && p.keyValid() {
 		peer, end, ok := p.g.Relay.pick(asked)
 		if !ok {
@@ -184,6 +185,7 @@
 		case RelayAnswered, RelayRejected, RelayCallerLeft:
 			return true
 		case RelayBroken:
+			broken = true
 			if !p.mayRetry(retry.ReasonConnectionLost) {
 				p.fail(fleet.ReasonUpstreamFailed, busyWait)
 				return true
@@ -196,7 +198,7 @@
 	p.g.Observer.Relayed(RelayNoPeer)
 	peers, excluded := p.g.Relay.PeerCounts()
 	p.logFields = append(p.logFields, zap.String("relay_cause", cause), zap.Any("instances_asked", asked), zap.Int("instances", peers), zap.Int("instances_excluded", excluded))
-	if !p.g.Links.Partitioned() && p.remaining() > minAttempt {
+	if !broken && !p.g.Links.Partitioned() && p.remaining() > minAttempt {
 		p.g.Log.Info("request not relayed", zap.String("request_id", string(p.req.ID)), zap.String("cause", cause), zap.String("outcome", string(RelayNoPeer)),
 			zap.Int("asked", len(asked)), zap.Int("instances", peers), zap.Int("instances_excluded", excluded))
 		return false
