Give the request of TestBodiesInBlocks the budget that serve gives it

Since the blocks of an answer come from the budget of the request, which is that of the callers or of other instances, and no longer from the Gateway's. Bounds and cases are as before.

--- a/gateway/buffers_test.go
+++ b/gateway/buffers_test.go
@@ -29,7 +29,7 @@
 			}
 			for name, reader := range readers {
 				budget := door.NewBudget(1<<20, 512<<10)
-				p := &proxyRequest{g: &Gateway{budget: budget}, memory: budget}
+				p := &proxyRequest{g: &Gateway{budget: budget}, memory: budget, budget: budget}
 				for kind, read := range map[string]func() (*body, error){
 					"request of a known length":    func() (*body, error) { return p.readRequest(reader(want), int64(n)) },
 					"request of an unknown length": func() (*body, error) { return p.readRequest(reader(want), unknownSize) },
@@ -53,7 +53,7 @@
 	})
 	Convey("What does not fit is refused, and its memory given back", t, func() {
 		budget := door.NewBudget(256<<10, 128<<10)
-		p := &proxyRequest{g: &Gateway{budget: budget}, memory: budget}
+		p := &proxyRequest{g: &Gateway{budget: budget}, memory: budget, budget: budget}
 		for _, size := range []int64{200 << 10, unknownSize} {
 			_, err := p.readRequest(bytes.NewReader(make([]byte, 200<<10)), size)
 			So(err, ShouldEqual, errBuffersFull)
