Take the blocks of answers from the budget of the listener that the request came by

TestBodiesInBlocks failed since the relay was added: requests of callers lost the budget that lends blocks unless they came through ServeHTTP.

--- a/gateway/buffers.go
+++ b/gateway/buffers.go
@@ -99,7 +99,7 @@
 // readAnswer reads an answer's body of up to limit bytes to its end. The caller
 // must release the body unless there is an error.
 func (p *proxyRequest) readAnswer(a io.Reader, limit int) (*body, error) {
-	b := &body{memory: p.memory, budget: p.budget, first: make([]byte, 0, 1<<10), size: 1 << 10}
+	b := &body{memory: p.memory, budget: p.blockBudget(), first: make([]byte, 0, 1<<10), size: 1 << 10}
 	return b.read(a, unknownSize, limit)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -177,10 +177,9 @@
 	// the request's memory is reserved.
 	conn   *door.Conn
 	memory door.Memory
-	// budget lends the blocks of answers, and hop is what another instance has told about
-	// a request that it relays; nil for a request of this instance's callers.
-	budget *door.Budget
-	hop    *hop
+	// hop is what another instance has told about a request that it relays; nil for a
+	// request of this instance's callers.
+	hop *hop
 	// body is the request's body, nil for none; bodyBegun and bodyRead report whether
 	// reading it has begun and whether it has been read to its end.
 	body                *body
@@ -259,12 +258,9 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, h *hop) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	p := &proxyRequest{g: g, w: w, r: r, start: time.Now(), hop: h, budget: g.budget}
+	p := &proxyRequest{g: g, w: w, r: r, start: time.Now(), hop: h}
 	defer p.finish()
-	if h != nil && g.Relay.Budget != nil {
-		p.budget = g.Relay.Budget
-	}
-	p.memory = p.budget
+	p.memory = p.blockBudget()
 	if p.conn = door.FromContext(r.Context()); p.conn != nil {
 		p.memory = p.conn
 	}
--- a/gateway/readbody.go
+++ b/gateway/readbody.go
@@ -73,7 +73,7 @@
 // request otherwise: an answer that cannot be kept would be lost after the request has
 // run.
 func (p *proxyRequest) mayBeAnswered() bool {
-	if p.budget.HasAnswerRoom() {
+	if p.blockBudget().HasAnswerRoom() {
 		return true
 	}
 	if p.memory.ReserveAnswer(door.AnswerRoom) {
--- a/gateway/relayserve.go
+++ b/gateway/relayserve.go
@@ -87,6 +87,14 @@
 	return true
 }
 
+// blockBudget returns the budget that lends the blocks of answers.
+func (p *proxyRequest) blockBudget() *door.Budget {
+	if p.hop != nil && p.g.Relay.Budget != nil {
+		return p.g.Relay.Budget
+	}
+	return p.g.budget
+}
+
 // acceptHop applies what the other instance tells about the request.
 func (p *proxyRequest) acceptHop() {
 	p.hop.sends = max(p.route.MaxAttempts-p.hop.attempts, 0)
