Ask the next instance when one doesn't know a request's route or key yet

A caller of an instance that has a new configuration got 404 or 401 by way of another one that was about to get it. Instances now name the configuration's version in the hop; one with an older configuration says that it is behind instead of 404 or 401, and is not left out for it.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -38,6 +38,9 @@
 	RelayStarting    RelayOutcome = "starting"
 	RelayStopping    RelayOutcome = "stopping"
 	RelayFull        RelayOutcome = "full"
+	// RelayBehind means the same: the other instance knows no such route, or key, by a
+	// configuration that is older than that of the instance that has accepted the request.
+	RelayBehind RelayOutcome = "behind"
 	// RelayNotSent means that the request did not reach the other instance.
 	RelayNotSent RelayOutcome = "not_sent"
 	// RelayBroken means that the answer was not whole, or that there was none.
@@ -51,7 +54,7 @@
 // RelayOutcomes returns every outcome, so that counters can be registered at zero.
 func RelayOutcomes() []RelayOutcome {
 	return []RelayOutcome{
-		RelayAnswered, RelayRejected, RelayPartitioned, RelayStarting, RelayStopping, RelayFull, RelayNotSent, RelayBroken, RelayCallerLeft, RelayNoPeer,
+		RelayAnswered, RelayRejected, RelayPartitioned, RelayStarting, RelayStopping, RelayFull, RelayBehind, RelayNotSent, RelayBroken, RelayCallerLeft, RelayNoPeer,
 	}
 }
 
@@ -216,7 +219,7 @@
 	began := time.Now()
 	p.events = 0
 	h := hop{
-		from: p.g.Relay.Instance, attempts: p.attemptsForPeer(), mayHaveRun: p.mayHaveRun, demandCounted: p.demandCounted,
+		from: p.g.Relay.Instance, attempts: p.attemptsForPeer(), version: p.table.Version, mayHaveRun: p.mayHaveRun, demandCounted: p.demandCounted,
 		usageCounted: p.usage.counted.Load(), software: p.software,
 	}
 	header := p.g.Wire.RelayedHeaders(p.r.Header, max(p.remaining()-relayMargin, time.Millisecond), p.lastEvent)
@@ -281,6 +284,8 @@
 		if !errors.Is(err, connpool.ErrBusy) && p.keyRejected == "" {
 			p.g.Relay.failed(peer.ID)
 		}
+	case RelayBehind:
+		// It gets the configuration in a moment.
 	default:
 		p.g.Relay.failed(peer.ID)
 	}
--- a/gateway/relayhead.go
+++ b/gateway/relayhead.go
@@ -19,6 +19,7 @@
 const (
 	fieldFrom       = "from"
 	fieldAttempts   = "attempts"
+	fieldVersion    = "version"
 	fieldMayHaveRun = "may-have-run"
 	fieldDemand     = "demand-counted"
 	fieldUsage      = "usage-counted"
@@ -33,6 +34,8 @@
 	from fleet.InstanceID
 	// attempts is the number of servers to which the request may still be sent.
 	attempts int
+	// version is the version of the configuration by which it was accepted.
+	version int64
 	// mayHaveRun reports whether a server may have run the request before; demandCounted
 	// and usageCounted report whether it has been counted as demand, and for the usage
 	// reports.
@@ -46,7 +49,7 @@
 }
 
 func (h *hop) encode() string {
-	v := url.Values{fieldFrom: {string(h.from)}, fieldAttempts: {strconv.Itoa(h.attempts)}}
+	v := url.Values{fieldFrom: {string(h.from)}, fieldAttempts: {strconv.Itoa(h.attempts)}, fieldVersion: {strconv.FormatInt(h.version, 10)}}
 	if h.mayHaveRun {
 		v.Set(fieldMayHaveRun, "1")
 	}
@@ -72,8 +75,12 @@
 	if err != nil || attempts < 1 || v.Get(fieldFrom) == "" {
 		return nil, errors.New("decode relayed request: no instance or no attempts")
 	}
+	version, err := strconv.ParseInt(v.Get(fieldVersion), 10, 64)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode relayed request: version")
+	}
 	out := &hop{
-		from: fleet.InstanceID(v.Get(fieldFrom)), attempts: attempts, mayHaveRun: v.Has(fieldMayHaveRun),
+		version: version, from: fleet.InstanceID(v.Get(fieldFrom)), attempts: attempts, mayHaveRun: v.Has(fieldMayHaveRun),
 		demandCounted: v.Has(fieldDemand), usageCounted: v.Has(fieldUsage),
 	}
 	if v.Has(fieldSoftware) {
@@ -118,7 +125,7 @@
 	}
 	out := hopAnswer{marked: true, id: fleet.RequestID(v.Get(fieldID)), stream: v.Has(fieldStream)}
 	switch refused := RelayOutcome(v.Get(fieldRefused)); refused {
-	case "", RelayPartitioned, RelayStarting, RelayStopping:
+	case "", RelayPartitioned, RelayStarting, RelayStopping, RelayBehind:
 		out.refused = refused
 	default:
 		out.refused = RelayFull
--- a/gateway/relayserve.go
+++ b/gateway/relayserve.go
@@ -76,6 +76,11 @@
 		p.refuseForPeer(RelayStarting)
 	case fleet.ReasonDraining:
 		p.refuseForPeer(RelayStopping)
+	case fleet.ReasonNoRoute, fleet.ReasonUnknownKey:
+		if p.table.Version >= p.hop.version {
+			return false
+		}
+		p.refuseForPeer(RelayBehind)
 	case fleet.ReasonNoUpstream, fleet.ReasonUpstreamFailed:
 		if p.g.Links.Trusted() {
 			return false
