Probe before a partition is found again while the links return

While links return, three failed connections, or one and 100 ms of silence, put an instance back into the partition without a probe. Servers that had gone down meanwhile were enough: their failures are forgotten at the return and count as new ones, and at a tenth of the requests 100 ms of silence are common. The suspicion is now probed as in the connected state, and the share of direct requests waits for the result.

--- a/core/links/detector.go
+++ b/core/links/detector.go
@@ -130,6 +130,8 @@
 		d.endSuspicion(ReasonOpened, now)
 	case Partitioned:
 		d.reach(address, now)
+	case Returning:
+		d.round = nil
 	}
 }
 
@@ -167,7 +169,7 @@
 	if l := d.links[address]; l != nil {
 		l.failing, l.heardAt = false, now
 	}
-	if d.state != Suspected {
+	if d.round == nil || d.state == Partitioned {
 		return
 	}
 	d.round.heard = true
@@ -197,8 +199,7 @@
 	case Partitioned:
 		return d.probe(now)
 	default:
-		d.raiseShare(now)
-		return nil
+		return d.raiseShare(now)
 	}
 }
 
@@ -226,29 +227,36 @@
 	return d.nextStage(now)
 }
 
-// raiseShare raises the share of requests that are sent directly, and returns to the
-// partition if one shows again.
-func (d *Detector) raiseShare(now fleet.Instant) {
-	if reason := d.suspicion(now); reason != "" {
-		d.partition(Change{Reason: reason}, now)
-		return
+// raiseShare raises the share of requests that are sent directly. If a partition may show
+// again, probes decide first: servers may be down that were so before the return.
+func (d *Detector) raiseShare(now fleet.Instant) []Probe {
+	if d.round == nil {
+		if reason := d.suspicion(now); reason != "" {
+			d.round = d.newRound(reason)
+		}
+	}
+	if d.round != nil {
+		return d.nextStage(now)
 	}
 	if now < d.shareAt {
-		return
+		return nil
 	}
 	d.share, d.shareAt = 2*d.share, now+shareInterval
 	if d.share >= 1 {
 		d.trustAt = now + trustDelay
 		d.setState(Connected, Change{Reason: ReasonReturned}, now)
 	}
+	return nil
 }
 
-// endSuspicion returns to the connected state.
+// endSuspicion returns to the connected state, or goes on with the return.
 func (d *Detector) endSuspicion(reason Reason, now fleet.Instant) {
 	if d.round.suspicion == ReasonSilence {
 		d.quiet, d.quietAt = min(2*d.quiet, maxQuiet), now
 	}
-	d.setState(Connected, Change{Reason: reason, Suspicion: d.round.suspicion, Probed: len(d.round.asked)}, now)
+	if d.state == Suspected {
+		d.setState(Connected, Change{Reason: reason, Suspicion: d.round.suspicion, Probed: len(d.round.asked)}, now)
+	}
 	d.round = nil
 	d.quietFrom, d.lastFailure = now, never
 	if reason != ReasonHeard {
--- a/core/links/links_test.go
+++ b/core/links/links_test.go
@@ -157,3 +157,26 @@
 		So(w.State(), ShouldEqual, Connected)
 	})
 }
+
+// TestServersDownDuringReturn guards against an instance that takes servers which are down
+// for a partition that has begun again.
+func TestServersDownDuringReturn(t *testing.T) {
+	Convey("Servers that are down while the links return are no partition", t, func() {
+		again, againAt := 0, ""
+		eachWorld(func(at string, w *world) {
+			w.begin(cutReset)
+			w.run(6 * time.Second)
+			for i, s := range w.servers {
+				if i%3 == 0 {
+					w.stop(s, 30*time.Second)
+				}
+			}
+			w.begin(cutNone)
+			w.run(10 * time.Second)
+			if w.partitions > 1 {
+				again, againAt = again+1, at
+			}
+		})
+		So(fmt.Sprint(again, againAt), ShouldEqual, "0")
+	})
+}
