--- a/core/links/links.go
+++ b/core/links/links.go
@@ -145,7 +145,7 @@
 	// minQuiet is the silence that raises a suspicion while attempts wait. Each such
 	// suspicion that proves wrong doubles it up to maxQuiet, since some servers
 	// usually need long; it is reduced again after quietTTL.
-	minQuiet = 400 * time.Millisecond
+	minQuiet = 300 * time.Millisecond
 	maxQuiet = 600 * time.Millisecond
 	quietTTL = 10 * time.Second
 	// probeInterval is the mean time between probes in a partition.
