Let servers that failed before a pause count as failing again

Cause: after a gap of more than half a second between two steps, as when a process starts on a busy machine, the failures of before are dropped, but the servers stayed marked as failing, and only a server that was not failing before raises a suspicion.

Change: dropping failures clears the marks too.

Test: TestFailuresBeforeAPause failed before (no probes) and passes.

--- a/core/links/detector.go
+++ b/core/links/detector.go
@@ -181,8 +181,8 @@
 // Step returns the probes to be started now. It is called every StepInterval.
 func (d *Detector) Step(now fleet.Instant) []Probe {
 	if now-d.steppedAt > maxStepGap {
-		d.quietFrom, d.lastFailure = now, never
-		clear(d.failed)
+		d.quietFrom = now
+		d.forgetFailures(now)
 	}
 	d.steppedAt = now
 	maps.DeleteFunc(d.failed, func(_ string, at fleet.Instant) bool { return now-at > failureTTL })
--- a/core/links/links_test.go
+++ b/core/links/links_test.go
@@ -180,3 +180,26 @@
 		So(fmt.Sprint(again, againAt), ShouldEqual, "0")
 	})
 }
+
+// TestFailuresBeforeAPause guards against servers that no longer count as failing because
+// they failed before the process stood still, for example while it started.
+func TestFailuresBeforeAPause(t *testing.T) {
+	Convey("Servers fail, the process stands still, and they fail again", t, func() {
+		d := New(func() float64 { return 0.5 }, 0)
+		var list []Server
+		for i := range 6 {
+			list = append(list, Server{Address: fmt.Sprint("s", i), Group: "g", DataCentre: "dc"})
+		}
+		d.SetServers(list)
+		fail := func(now fleet.Instant) {
+			for _, s := range list {
+				d.Failed(s.Address, now)
+			}
+		}
+		fail(10 * time.Millisecond)
+		So(d.Step(10*time.Millisecond+2*maxStepGap), ShouldBeEmpty)
+		fail(20*time.Millisecond + 2*maxStepGap)
+		So(d.Step(60*time.Millisecond+2*maxStepGap), ShouldNotBeEmpty)
+		So(d.State(), ShouldEqual, Suspected)
+	})
+}
