Take a probe that fails after its time limit for a failed one

Cause: a probe whose connection is refused after its own time limit, on a machine that stands still for a moment, was taken for one that ended with the process. It reported no result, and no further probe is asked for while one is open.

Change: only the end of the process ends a probe without a result.

Test: TestProbesThatEndLate failed before (the instance stays suspected) and passes.

--- a/links/links.go
+++ b/links/links.go
@@ -30,7 +30,9 @@
 	// OnPartition is called when a partition is found, before Direct and Trusted
 	// return.
 	OnPartition func()
-	Log         *zap.Logger
+	// Dial opens the connections of probes; nil for those of the net package.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Log  *zap.Logger
 }
 
 // Monitor knows whether the instance reaches the servers. Safe for concurrent use.
@@ -46,6 +48,9 @@
 
 // New returns a Monitor without servers.
 func New(o Options) *Monitor {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
 	return &Monitor{Options: o, start: time.Now(), wake: make(chan struct{}, 1), detector: links.New(rand.Float64, 0)}
 }
 
@@ -93,17 +98,17 @@
 }
 
 // probe opens a connection to a server and closes it.
-func (m *Monitor) probe(ctx context.Context, p links.Probe) (opened bool) {
-	ctx, stop := context.WithTimeout(ctx, links.ProbeTimeout)
+func (m *Monitor) probe(running context.Context, p links.Probe) (opened bool) {
+	ctx, stop := context.WithTimeout(running, links.ProbeTimeout)
 	defer stop()
 	result := links.ResultOpened
-	conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", p.Address)
+	conn, err := m.Dial(ctx, "tcp", p.Address)
 	switch {
 	case err == nil:
 		_ = conn.Close()
 	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded):
 		result = links.ResultTimeout
-	case ctx.Err() != nil:
+	case running.Err() != nil:
 		return false
 	default:
 		result = links.ResultRefused
--- a/links/links_test.go
+++ b/links/links_test.go
@@ -262,3 +262,34 @@
 		i.servers[3].silent.Store(false)
 	})
 }
+
+// TestProbesThatEndLate guards against an instance that probes no more, and stays
+// partitioned, after a probe has failed later than its time limit.
+func TestProbesThatEndLate(t *testing.T) {
+	Convey("Probes are refused after their time limit", t, func() {
+		var dials atomic.Int64
+		m := links.New(links.Options{
+			Observer: observer{}, OnPartition: func() {}, Log: zap.NewNop(),
+			Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+				dials.Add(1)
+				<-ctx.Done()
+				return nil, unix.ECONNREFUSED
+			},
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		var list []placement.Server
+		for i := range 4 {
+			list = append(list, placement.Server{ID: fleet.UpstreamID(fmt.Sprint("s", i)), Group: "g", Address: fmt.Sprint("10.0.0.1:", i+1), DataCentre: "dc"})
+		}
+		m.SetServers(list)
+		go m.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		for _, s := range list {
+			m.Failed(s.Address)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		So(m.State(), ShouldEqual, corelinks.Partitioned)
+		So(dials.Load(), ShouldBeGreaterThan, 6)
+	})
+}
