Don't ask a stream to stop for a partition that is only suspected

Cause, found by the review in reading: while the links are not trusted, a stream that has begun and stalls was asked to stop without a slot elsewhere, also when a suspicion of a partition proves wrong a moment later. What is stopped cannot be taken back.

Change: without a slot only in a partition that stands. Attempts whose answer has not begun move as before. No test shows the fault; the tests of the relay, of stalls and of silent servers pass.

--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -124,7 +124,8 @@
 		allowed.software = &w.choice.Server.SoftwareVersion
 	}
 	m := move{calls: 1}
-	if !w.p.relaysFailures() {
+	// A stream that has begun is not asked to stop for a partition that is only suspected.
+	if begun := w.lastEvent.Load() != 0; !w.p.relaysFailures() || (begun && !w.p.g.Links.Partitioned()) {
 		m = w.p.g.State.moveOf(w.p, allowed)
 	}
 	return m, m.calls > 0 && w.p.g.State.spendRetries(w.p.group, m.calls)
