--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -132,10 +132,10 @@
 	r.picker.Taken(id, time.Since(r.start))
 }
 
-func (r *Relay) failed(id fleet.InstanceID) time.Duration {
+func (r *Relay) failed(id fleet.InstanceID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.picker.Failed(id, time.Since(r.start))
+	r.picker.Failed(id, time.Since(r.start))
 }
 
 const (
--- a/takeup/takeup.go
+++ b/takeup/takeup.go
@@ -66,8 +66,8 @@
 	revisions map[fleet.GroupName]int64
 	scheduled map[fleet.GroupName]bool
 	reads     map[fleet.GroupName]*reads
-	// era is the highest era of the store that was seen, -1 for none, and restoredAt when it took the
-	// place of an earlier one.
+	// era is the highest era of the store that was seen, -1 for none, and restoredAt when
+	// it took the place of an earlier one.
 	era        int64
 	restoredAt time.Time
 }
